--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+# Runs from a fresh checkout with Python 3.11, make and a package registry.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: demo test check format clean
+
+$(STAMP): pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --editable '.[dev]'
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/python -m tests.whole_path
+
+test: $(STAMP)
+	$(BIN)/python -m pytest
+
+check: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+
+format: $(STAMP)
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+clean:
+	rm -rf $(VENV) build *.egg-info
--- /dev/null
+++ b/eelgrasswick/change.py
@@ -0,0 +1,322 @@
+"""Operators' changes: from a rules text to an accepted document."""
+
+import difflib
+import enum
+import hashlib
+import typing
+
+import msgspec
+
+from eelgrasswick import config, errors, rule, store
+
+TRIES: typing.Final = 4
+RETIRED_LINES: typing.Final = 2000
+REUSED_ADDRESSES: typing.Final = 2000
+_EMPTY: typing.Final = config.Document(0, "", "", 0, "", "", ())
+
+
+class Outcome(enum.Enum):
+    """How a submission ended."""
+
+    ACCEPTED = "accepted"
+    UNCHANGED = "unchanged"
+    CONFLICT = "conflict"
+
+
+class AuditEntry(typing.NamedTuple):
+    """One submission, as the audit trail keeps it.
+
+    Attributes:
+        sequence: The sequence it got, or would have got.
+        change_id: Its change id.
+        author: Who submitted it.
+        at_ms: When, milliseconds since 1970.
+        outcome: How it ended.
+        lines: Added and removed lines, with ``+`` or ``-`` in front.
+    """
+
+    sequence: int
+    change_id: str
+    author: str
+    at_ms: int
+    outcome: str
+    lines: tuple[str, ...]
+
+
+class Plan(typing.NamedTuple):
+    """A change that is ready to be submitted.
+
+    Attributes:
+        before: The document it builds on; sequence 0 for none.
+        revision: Store revision of that document; 0 for none.
+        after: The document to submit.
+        lines: Added and removed lines.
+    """
+
+    before: config.Document
+    revision: int
+    after: config.Document
+    lines: tuple[str, ...]
+
+    @property
+    def empty(self) -> bool:
+        """True when the rules are in force already."""
+        return self.before.sequence > 0 and self.before.text == self.after.text
+
+
+class Result(typing.NamedTuple):
+    """The end of a submission."""
+
+    outcome: Outcome
+    sequence: int
+    change_id: str
+    lines: tuple[str, ...]
+
+
+class Operator:
+    """Plans and submits changes for one author."""
+
+    def __init__(self, platform: store.Store, author: str) -> None:
+        """Submit to a store in the name of ``author``."""
+        self._store = platform
+        self._author = author
+
+    async def plan(self, text: str, now_ms: int) -> Plan:
+        """Work out the change from what is accepted to a rules text.
+
+        Args:
+            text: The whole rules file.
+            now_ms: Wall-clock time in milliseconds.
+
+        Returns:
+            The plan.
+
+        Raises:
+            errors.RulesInvalidError: The text has faults, alone or together
+                with what was accepted before.
+            errors.StoreError: The store did not answer.
+        """
+        rules = rule.read(text)
+        row = await self._store.read(store.RULES_KEY)
+        before = config.decode(row.value) if row is not None else _EMPTY
+        _check_identity(rule.read(before.text), rules)
+        after = _document(before, rules, text, self._author, now_ms)
+        lines = _difference(before.text, text)
+        return Plan(before, row.revision if row is not None else 0, after, lines)
+
+    async def submit(self, plan: Plan) -> Result:
+        """Submit a plan by compare-and-swap.
+
+        Args:
+            plan: What ``plan`` returned.
+
+        Returns:
+            Whether it was accepted, and the other change on a conflict.
+
+        Raises:
+            errors.ChangeUnknownError: Whether it took effect can't be found out.
+        """
+        if plan.empty:
+            before = plan.before
+            return Result(Outcome.UNCHANGED, before.sequence, before.change_id, ())
+        try:
+            committed = await self._commit(plan)
+        except errors.StoreError as error:
+            return await self._resolve(plan, error)
+        if committed.accepted:
+            return _accepted(plan)
+        return await self._conflict(plan)
+
+    async def _commit(self, plan: Plan) -> store.Committed:
+        compare = store.Compare(store.RULES_KEY, plan.revision)
+        puts = (
+            store.Put(store.RULES_KEY, config.encode(plan.after)),
+            _audit_put(plan, Outcome.ACCEPTED),
+        )
+        if len(puts[0].value) > config.MAX_VALUE_BYTES:
+            raise errors.RulesInvalidError("the rules are too large for the store")
+        return await self._store.commit((compare,), puts)
+
+    async def _resolve(self, plan: Plan, cause: errors.StoreError) -> Result:
+        # The store's answer was lost, so the change may be accepted or not, and
+        # a copy of it may still be under way. Reported as failed it would
+        # surprise the operator later. Its change id shows whether it took
+        # effect; if not, writing the present document again under a new
+        # revision makes the copy under way fail its comparison for good.
+        for _ in range(TRIES):
+            try:
+                row = await self._store.read(store.RULES_KEY)
+                present = config.decode(row.value) if row is not None else _EMPTY
+                if present.change_id == plan.after.change_id:
+                    return _accepted(plan)
+                if present.sequence > plan.before.sequence:
+                    return await self._overtaken(plan)
+                if await self._fence(row):
+                    raise errors.StoreError(f"not accepted; {cause.detail}")
+            except errors.StoreError as error:
+                if error.detail.startswith("not accepted"):
+                    raise
+        raise errors.ChangeUnknownError(cause.detail)
+
+    async def _overtaken(self, plan: Plan) -> Result:
+        row = await self._store.read(_audit_key(plan.after.sequence))
+        if row is not None and _entry(row).change_id == plan.after.change_id:
+            return _accepted(plan)
+        return await self._conflict(plan)
+
+    async def _fence(self, row: store.Row | None) -> bool:
+        if row is None:
+            return False
+        compare = store.Compare(store.RULES_KEY, row.revision)
+        put = store.Put(store.RULES_KEY, row.value)
+        return (await self._store.commit((compare,), (put,))).accepted
+
+    async def _conflict(self, plan: Plan) -> Result:
+        row = await self._store.read(store.RULES_KEY)
+        present = config.decode(row.value) if row is not None else _EMPTY
+        await self._store.commit((), (_audit_put(plan, Outcome.CONFLICT),))
+        return Result(
+            Outcome.CONFLICT,
+            present.sequence,
+            present.change_id,
+            _difference(plan.before.text, present.text),
+        )
+
+    async def audit(self) -> tuple[AuditEntry, ...]:
+        """Return the audit trail, oldest first."""
+        rows = await self._store.read_prefix(store.AUDIT_PREFIX)
+        return tuple(_entry(row) for row in rows)
+
+
+def _accepted(plan: Plan) -> Result:
+    after = plan.after
+    return Result(Outcome.ACCEPTED, after.sequence, after.change_id, plan.lines)
+
+
+def _audit_key(sequence: int) -> str:
+    return f"{store.AUDIT_PREFIX}{sequence:012d}"
+
+
+def _audit_put(plan: Plan, outcome: Outcome) -> store.Put:
+    after = plan.after
+    entry = AuditEntry(
+        after.sequence,
+        after.change_id,
+        after.author,
+        after.at_ms,
+        outcome.value,
+        plan.lines,
+    )
+    key = _audit_key(after.sequence)
+    if outcome is not Outcome.ACCEPTED:
+        key += f"-{after.change_id}"
+    return store.Put(key, msgspec.json.encode(entry))
+
+
+def _entry(row: store.Row) -> AuditEntry:
+    return msgspec.json.decode(row.value, type=AuditEntry)
+
+
+def _difference(before: str, after: str) -> tuple[str, ...]:
+    lines = difflib.unified_diff(before.splitlines(), after.splitlines(), n=0)
+    return tuple(
+        line
+        for line in lines
+        if line[:1] in "+-" and not line.startswith(("+++", "---"))
+    )
+
+
+def _check_identity(before: rule.Rules, after: rule.Rules) -> None:
+    """Refuse a known name with another address.
+
+    Flows that are open go to the old address. Were the name to move, they
+    would be cut, or would reach a machine that now works for another service.
+    """
+    services = {item.name: item for item in before.services}
+    targets = {item.name: item for item in before.targets}
+    faults = []
+    for service in after.services:
+        old = services.get(service.name)
+        if old and (old.address, old.protocol) != (service.address, service.protocol):
+            faults.append(_renamed(service.line, "service", service.name))
+    for target in after.targets:
+        known = targets.get(target.name)
+        if known and (known.endpoint, known.service) != (
+            target.endpoint,
+            target.service,
+        ):
+            faults.append(_renamed(target.line, "target", target.name))
+    if faults:
+        raise errors.RulesInvalidError("\n".join(str(item) for item in faults))
+
+
+def _renamed(line: int, what: str, name: str) -> rule.Fault:
+    return rule.Fault(
+        line,
+        1,
+        f"{what} {name!r} has another address or service than before",
+        f"give the new {what} a new name and remove the old line",
+    )
+
+
+def _document(
+    before: config.Document, rules: rule.Rules, text: str, author: str, now_ms: int
+) -> config.Document:
+    sequence = before.sequence + 1
+    reused = _reused(before, rules)
+    return config.Document(
+        sequence,
+        _change_id(author, text, sequence),
+        author,
+        now_ms,
+        text,
+        _retired(before, rules),
+        reused,
+    )
+
+
+def _change_id(author: str, text: str, sequence: int) -> str:
+    plain = f"{sequence}\n{author}\n{text}".encode()
+    return hashlib.blake2b(plain, digest_size=8).hexdigest()
+
+
+def _retired(before: config.Document, rules: rule.Rules) -> str:
+    """Return the lines that have left the rules and whose flows may be open."""
+    lines = before.retired.splitlines() + before.text.splitlines()
+    services = {item.name for item in rules.services}
+    addresses = {config.address_label(item) for item in rules.services}
+    targets = {item.name for item in rules.targets}
+    endpoints = {item.endpoint for item in rules.targets}
+    kept: dict[str, str] = {}
+    for line in lines:
+        parsed = rule.parse(line).rules
+        for service in parsed.services:
+            label = config.address_label(service)
+            if service.name not in services and label not in addresses:
+                kept[f"service {service.name}"] = line
+        for target in parsed.targets:
+            if target.name not in targets and target.endpoint not in endpoints:
+                kept[f"target {target.name}"] = line
+    return "\n".join(_with_services(kept, services)[-RETIRED_LINES:])
+
+
+def _with_services(kept: dict[str, str], present: set[str]) -> list[str]:
+    retired = {name.removeprefix("service ") for name in kept if name[:3] == "ser"}
+    known = present | retired
+    lines = []
+    for line in kept.values():
+        targets = rule.parse(line).rules.targets
+        if all(item.service in known for item in targets):
+            lines.append(line)
+    return lines
+
+
+def _reused(before: config.Document, rules: rule.Rules) -> tuple[str, ...]:
+    former = rule.parse(before.text + "\n" + before.retired).rules.services
+    owner = {config.address_label(item): item.name for item in former}
+    labels = dict.fromkeys(before.reused)
+    for item in rules.services:
+        label = config.address_label(item)
+        if owner.get(label, item.name) != item.name:
+            labels[label] = None
+    return tuple(labels)[-REUSED_ADDRESSES:]
--- /dev/null
+++ b/eelgrasswick/compose.py
@@ -0,0 +1,34 @@
+"""The composition root: the one place where the parts are put together."""
+
+import random
+import time
+import typing
+
+from eelgrasswick import daemon, engine, gateway, member, packet, placement, setting
+
+
+def entry_engine(settings: setting.Settings, rng: random.Random) -> engine.Engine:
+    """Return the engine of an entry VM, in state JOINING."""
+    vm = settings.vm
+    me = member.Member(
+        vm.name,
+        vm.zone,
+        vm.ip,
+        vm.peer_port,
+        vm.link_port,
+        vm.size,
+        time.time_ns() // 1_000_000,
+        member.MemberState.JOINING,
+    )
+    return engine.Engine(
+        me, settings.fleet.seeds, packet.FouCodec(), placement.BoundedHash(), rng
+    )
+
+
+def entry_daemon(reactor: typing.Any, settings: setting.Settings) -> daemon.Daemon:
+    """Return the daemon of an entry VM, ready to start."""
+    rng = random.Random()
+    platform = gateway.Gateway(
+        reactor, settings.platform.url, settings.platform.timeout_ms
+    )
+    return daemon.Daemon(reactor, settings, entry_engine(settings, rng), platform, rng)
--- /dev/null
+++ b/eelgrasswick/daemon.py
@@ -0,0 +1,180 @@
+"""The thin daemon around an engine: sockets, the clock and the store."""
+
+import ipaddress
+import random
+import signal
+import socket
+import time
+import typing
+
+import eliot
+from twisted.internet import protocol, task
+
+from eelgrasswick import (
+    engine,
+    link,
+    log,
+    message,
+    metric,
+    packet,
+    setting,
+    store,
+    watcher,
+)
+
+
+class _Port(protocol.DatagramProtocol):
+    """A UDP socket that passes datagrams to the daemon."""
+
+    def __init__(self, receive: typing.Callable[[packet.Address, bytes], None]) -> None:
+        self._receive = receive
+        self._sources: dict[tuple[str, int], packet.Address] = {}
+        self._destinations: dict[packet.Address, tuple[str, int]] = {}
+
+    def datagramReceived(self, datagram: bytes, addr: tuple[str, int]) -> None:  # noqa: N802
+        source = self._sources.get(addr)
+        if source is None:
+            source = packet.Address(socket.inet_aton(addr[0]), addr[1])
+            if len(self._sources) < 100_000:
+                self._sources[addr] = source
+        self._receive(source, datagram)
+
+    def send(self, destination: packet.Address, payload: bytes) -> None:
+        addr = self._destinations.get(destination)
+        if addr is None:
+            addr = (socket.inet_ntoa(destination.ip), destination.port)
+            self._destinations[destination] = addr
+        try:
+            typing.cast(typing.Any, self.transport).write(payload, addr)
+        except OSError as error:
+            eliot.log_message(
+                message_type="send_failed", to=str(destination), detail=str(error)
+            )
+
+
+class Daemon:
+    """Runs one entry VM on a Twisted reactor."""
+
+    def __init__(
+        self,
+        reactor: typing.Any,
+        settings: setting.Settings,
+        runs: engine.Engine,
+        platform: store.Store,
+        rng: random.Random,
+    ) -> None:
+        """Take the parts that the composition root has built."""
+        self._reactor = reactor
+        self._settings = settings
+        self._engine = runs
+        self._watcher = watcher.Watcher(
+            reactor, platform, settings.vm.zone, self._feed, rng
+        )
+        self._meter = metric.Meter(runs)
+        self._logger = log.Logger(settings.vm.name, settings.log.dropped_per_s)
+        self._links = link.LinkPool(reactor, settings.vm.name, settings.vm.ip)
+        self._data = _Port(self._on_data)
+        self._peer = _Port(self._on_peer)
+        self._stopping = False
+
+    def start(self) -> None:
+        """Bind the sockets and begin to tick."""
+        vm = self._settings.vm
+        self._reactor.listenUDP(vm.data_port, self._data, vm.ip, 65536)
+        self._reactor.listenUDP(vm.peer_port, self._peer, vm.ip, 65536)
+        factory = link.LinkServerFactory(self._settings.fleet.networks, self._on_link)
+        self._reactor.listenTCP(vm.link_port, factory, interface=vm.ip)
+        task.LoopingCall(self._tick).start(engine.TICK_MS / 1000)
+        interval_s = self._settings.log.metrics_interval_s
+        task.LoopingCall(self._write_metrics).start(interval_s, now=False)
+        signal.signal(signal.SIGTERM, self._on_term)
+        signal.signal(signal.SIGHUP, self._on_hup)
+        eliot.log_message(message_type="vm_started", vm=vm.name, zone=vm.zone)
+
+    def _on_term(self, *_: object) -> None:
+        self._reactor.callFromThread(self._feed, message.Leave())
+
+    def _on_hup(self, *_: object) -> None:
+        self._reactor.callFromThread(
+            eliot.log_message,
+            message_type="reload_refused",
+            vm=self._settings.vm.name,
+            detail="settings are read at start only; stop this VM and start it",
+        )
+
+    def _on_data(self, source: packet.Address, payload: bytes) -> None:
+        self._feed(message.FabricDatagram(source, payload))
+
+    def _on_peer(self, source: packet.Address, payload: bytes) -> None:
+        host = socket.inet_ntoa(source.ip)
+        if self._trusted(host):
+            self._feed(message.PeerDatagram(source, payload))
+        else:
+            self._engine.outbox.count(message.Counter.PACKETS_UNKNOWN_SENDER)
+
+    def _trusted(self, host: str) -> bool:
+        networks = self._settings.fleet.networks
+        address = ipaddress.IPv4Address(host)
+        return any(address in network for network in networks)
+
+    def _on_link(self, sender: str, payload: bytes) -> None:
+        self._feed(message.LinkReceived(sender, payload))
+
+    def _tick(self) -> None:
+        self._feed(message.Tick())
+
+    def _feed(self, event: message.Event) -> None:
+        now_ms = time.time_ns() // 1_000_000
+        try:
+            for action in self._engine.feed(now_ms, event):
+                self._do(now_ms, action)
+        except Exception:  # noqa: BLE001
+            # A fault in handling one event must not end the ticks or the
+            # socket: the VM would keep its place in the fleet and serve nobody.
+            # The traceback in the log shows the fault; the next event goes on.
+            eliot.write_traceback()
+
+    def _do(self, now_ms: int, action: message.Action) -> None:
+        match action:
+            case message.SendDatagram():
+                self._data.send(action.destination, action.payload)
+            case message.SendFabric():
+                self._data.send(self._settings.fabric, action.payload)
+            case message.SendPeer():
+                self._peer.send(action.destination, action.payload)
+            case message.SendLink():
+                self._links.send(action.destination, action.payload)
+            case message.WatchStore():
+                self._watcher.set_active(action.active)
+            case message.ReportInForce():
+                self._watcher.report(action)
+            case message.RepairStore():
+                self._watcher.repair(action)
+            case message.Log():
+                self._logger.write(now_ms, action)
+            case message.Stopped():
+                self._stop()
+
+    def _stop(self) -> None:
+        if self._stopping:
+            return
+        self._stopping = True
+        self._write_metrics()
+        eliot.log_message(message_type="vm_stopped", vm=self._settings.vm.name)
+        self._links.close()
+        self._reactor.callLater(0.1, _stop_reactor, self._reactor)
+
+    def _write_metrics(self) -> None:
+        values = {
+            item.name.removeprefix(metric.PREFIX): item.value
+            for item in self._meter.collect()
+            if item.value
+        }
+        vm = self._settings.vm.name
+        eliot.log_message(message_type="metrics", vm=vm, **values)
+        self._links.close_idle()
+
+
+def _stop_reactor(reactor: typing.Any) -> None:
+    if reactor.running:
+        reactor.stop()
--- /dev/null
+++ b/eelgrasswick/emulated_platform.py
@@ -0,0 +1,322 @@
+"""A stand-in for the platform's key-value store, with faults to switch on.
+
+``EmulatedStore`` is the store itself, without network or clock of its own.
+``Site`` serves it over HTTP in the shape of the etcd v3 JSON gateway.
+"""
+
+import base64
+import collections
+import json
+import typing
+
+from twisted.internet import defer, task
+from twisted.web import resource, server
+
+from eelgrasswick import errors, store
+
+
+class Faults(typing.NamedTuple):
+    """What is wrong with the store at present.
+
+    Attributes:
+        outage: No call is answered.
+        delay_ms: Each answer comes this late.
+        lost_answers: Next transactions that take effect without an answer.
+    """
+
+    outage: bool = False
+    delay_ms: int = 0
+    lost_answers: int = 0
+
+
+class _Entry(typing.NamedTuple):
+    value: bytes
+    revision: int
+    lease: int
+
+
+class _Watcher(typing.NamedTuple):
+    prefix: str
+    listener: store.Listener
+    ended: defer.Deferred[None]
+
+
+class EmulatedStore(store.Store):
+    """A key-value store in memory."""
+
+    def __init__(self, clock: typing.Any) -> None:
+        """Take time from a Twisted reactor or ``task.Clock``."""
+        self.faults = Faults()
+        self.calls: collections.Counter[str] = collections.Counter()
+        self.revision = 1
+        self._clock = clock
+        self._entries: dict[str, _Entry] = {}
+        self._leases: dict[int, float] = {}
+        self._ttl_s: dict[int, int] = {}
+        self._watchers: list[_Watcher] = []
+        self._snapshot: dict[str, _Entry] = {}
+
+    def set_faults(self, faults: Faults) -> None:
+        """Switch faults; an outage also ends the watches."""
+        self.faults = faults
+        if faults.outage:
+            watchers, self._watchers = self._watchers, []
+            for item in watchers:
+                item.ended.errback(errors.StoreError("platform outage"))
+
+    def save(self) -> None:
+        """Take the copy that ``restore`` goes back to."""
+        self._snapshot = dict(self._entries)
+
+    def restore(self) -> None:
+        """Go back to the copy, as an operator would after losing the store."""
+        self._entries = dict(self._snapshot)
+        self.revision += 1
+        for key, item in self._entries.items():
+            self._entries[key] = item._replace(revision=self.revision)
+            self._notify(key)
+
+    async def read(self, key: str) -> store.Row | None:
+        """Read one key; see the base class."""
+        await self._enter("read")
+        return self._row(key)
+
+    async def read_prefix(self, prefix: str) -> tuple[store.Row, ...]:
+        """Read all keys with a prefix; see the base class."""
+        await self._enter("read_prefix")
+        return self.rows(prefix)
+
+    def rows(self, prefix: str) -> tuple[store.Row, ...]:
+        """Return rows at once, without faults or counting."""
+        self._end_leases()
+        names = sorted(key for key in self._entries if key.startswith(prefix))
+        return tuple(row for row in map(self._row, names) if row is not None)
+
+    async def commit(
+        self,
+        compares: typing.Sequence[store.Compare],
+        puts: typing.Sequence[store.Put],
+    ) -> store.Committed:
+        """Commit a transaction; see the base class."""
+        await self._enter("commit")
+        committed = self.write(compares, puts)
+        if self.faults.lost_answers > 0:
+            self.faults = self.faults._replace(
+                lost_answers=self.faults.lost_answers - 1
+            )
+            raise errors.StoreError("answer lost")
+        return committed
+
+    def write(
+        self,
+        compares: typing.Sequence[store.Compare],
+        puts: typing.Sequence[store.Put],
+    ) -> store.Committed:
+        """Commit at once, without faults or counting."""
+        self._end_leases()
+        for item in compares:
+            entry = self._entries.get(item.key)
+            present = entry.revision if entry is not None else 0
+            if present != item.revision:
+                return store.Committed(False, self.revision)
+        self.revision += 1
+        for put in puts:
+            self._entries[put.key] = _Entry(put.value, self.revision, put.lease)
+        for put in puts:
+            self._notify(put.key)
+        return store.Committed(True, self.revision)
+
+    async def grant(self, ttl_s: int) -> int:
+        """Grant a lease; see the base class."""
+        await self._enter("grant")
+        lease = len(self._ttl_s) + 1
+        self._ttl_s[lease] = ttl_s
+        self._leases[lease] = self._clock.seconds() + ttl_s
+        return lease
+
+    async def keep_alive(self, lease: int) -> bool:
+        """Keep a lease alive; see the base class."""
+        await self._enter("keep_alive")
+        self._end_leases()
+        if lease not in self._leases:
+            return False
+        self._leases[lease] = self._clock.seconds() + self._ttl_s[lease]
+        return True
+
+    async def watch(self, prefix: str, after: int, listener: store.Listener) -> None:
+        """Watch a prefix; see the base class."""
+        await self._enter("watch")
+        ended: defer.Deferred[None] = defer.Deferred()
+        watcher = _Watcher(prefix, listener, ended)
+        self._watchers.append(watcher)
+        missed = [row for row in self.rows(prefix) if row.revision > after]
+        if missed:
+            listener(tuple(missed))
+        try:
+            await ended
+        finally:
+            if watcher in self._watchers:
+                self._watchers.remove(watcher)
+
+    @property
+    def watching(self) -> int:
+        """Number of watches that wait; each counts as a call."""
+        return len(self._watchers)
+
+    async def _enter(self, name: str) -> None:
+        self.calls[name] += 1
+        if self.faults.delay_ms:
+            await task.deferLater(self._clock, self.faults.delay_ms / 1000)
+        if self.faults.outage:
+            raise errors.StoreError("platform outage")
+
+    def _row(self, key: str) -> store.Row | None:
+        entry = self._entries.get(key)
+        if entry is None:
+            return None
+        return store.Row(key, entry.value, entry.revision)
+
+    def _notify(self, key: str) -> None:
+        row = self._row(key)
+        if row is None or self.faults.outage:
+            return
+        for item in list(self._watchers):
+            if key.startswith(item.prefix):
+                item.listener((row,))
+
+    def _end_leases(self) -> None:
+        now_s = self._clock.seconds()
+        ended = {lease for lease, until_s in self._leases.items() if until_s <= now_s}
+        for lease in ended:
+            del self._leases[lease]
+        for key, item in list(self._entries.items()):
+            if item.lease in ended:
+                del self._entries[key]
+
+
+class Site(resource.Resource):
+    """Serves an emulated store and, under ``/emulator``, its switches."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, emulated: EmulatedStore) -> None:
+        """Serve one store."""
+        super().__init__()
+        self._store = emulated
+        self._handlers: dict[bytes, typing.Callable[[typing.Any], typing.Any]] = {
+            b"/v3/kv/range": self._range,
+            b"/v3/kv/txn": self._txn,
+            b"/v3/lease/grant": self._grant,
+            b"/v3/lease/keepalive": self._keep_alive,
+        }
+
+    def render_GET(self, request: typing.Any) -> bytes:  # noqa: N802
+        """Return the call counts."""
+        counts = {**self._store.calls, "watching": self._store.watching}
+        return json.dumps(counts).encode()
+
+    def render_POST(self, request: typing.Any) -> bytes | int:  # noqa: N802
+        """Serve one call."""
+        body = json.loads(request.content.read())
+        if request.path == b"/emulator":
+            return self._switch(body)
+        if request.path == b"/v3/watch":
+            self._watch(request, body["create_request"])
+            return server.NOT_DONE_YET
+        handler = self._handlers.get(request.path)
+        if handler is None:
+            request.setResponseCode(404)
+            return b"{}"
+        done = defer.Deferred.fromCoroutine(handler(body))
+        done.addCallback(_finish, request)
+        done.addErrback(_drop, request)
+        return server.NOT_DONE_YET
+
+    def _switch(self, body: typing.Any) -> bytes:
+        for key, value in body.pop("put", {}).items():
+            self._store.write((), (store.Put(key, json.dumps(value).encode()),))
+        if body.pop("save", False):
+            self._store.save()
+        if body.pop("restore", False):
+            self._store.restore()
+        self._store.set_faults(self._store.faults._replace(**body))
+        return b"{}"
+
+    async def _range(self, body: typing.Any) -> typing.Any:
+        key = _decode(body["key"])
+        rows: tuple[store.Row, ...]
+        if "range_end" in body:
+            rows = await self._store.read_prefix(key)
+        else:
+            row = await self._store.read(key)
+            rows = (row,) if row is not None else ()
+        return self._answer(kvs=[_row_body(row) for row in rows])
+
+    async def _txn(self, body: typing.Any) -> typing.Any:
+        compares = [
+            store.Compare(_decode(item["key"]), int(item["mod_revision"]))
+            for item in body.get("compare", [])
+        ]
+        puts = [
+            store.Put(
+                _decode(item["request_put"]["key"]),
+                base64.b64decode(item["request_put"]["value"]),
+                int(item["request_put"].get("lease", 0)),
+            )
+            for item in body.get("success", [])
+        ]
+        committed = await self._store.commit(compares, puts)
+        return self._answer(succeeded=committed.accepted)
+
+    async def _grant(self, body: typing.Any) -> typing.Any:
+        lease = await self._store.grant(int(body["TTL"]))
+        return self._answer(ID=str(lease), TTL=body["TTL"])
+
+    async def _keep_alive(self, body: typing.Any) -> typing.Any:
+        lease = int(body["ID"])
+        kept = await self._store.keep_alive(lease)
+        return {"result": {"ID": str(lease), "TTL": "1" if kept else "0"}}
+
+    def _watch(self, request: typing.Any, create: typing.Any) -> None:
+        def listener(rows: tuple[store.Row, ...]) -> None:
+            events = [{"type": "PUT", "kv": _row_body(row)} for row in rows]
+            result = self._answer(events=events)
+            request.write(json.dumps({"result": result}).encode() + b"\n")
+
+        request.write(json.dumps({"result": self._answer(created=True)}).encode())
+        request.write(b"\n")
+        watching = defer.Deferred.fromCoroutine(
+            self._store.watch(
+                _decode(create["key"]), int(create["start_revision"]) - 1, listener
+            )
+        )
+        watching.addErrback(_drop, request)
+        request.notifyFinish().addErrback(lambda _: watching.cancel())
+
+    def _answer(self, **fields: typing.Any) -> typing.Any:
+        return {"header": {"revision": str(self._store.revision)}, **fields}
+
+
+def _finish(answer: typing.Any, request: typing.Any) -> None:
+    if request.channel is not None:
+        request.write(json.dumps(answer).encode())
+        request.finish()
+
+
+def _drop(failure: typing.Any, request: typing.Any) -> None:
+    # An outage looks like a connection that ends without an answer.
+    failure.trap(errors.StoreError, defer.CancelledError)
+    if request.channel is not None:
+        request.channel.forceAbortClient()
+
+
+def _decode(text: str) -> str:
+    return base64.b64decode(text).decode()
+
+
+def _row_body(row: store.Row) -> dict[str, str]:
+    return {
+        "key": base64.b64encode(row.key.encode()).decode(),
+        "value": base64.b64encode(row.value).decode(),
+        "mod_revision": str(row.revision),
+    }
--- /dev/null
+++ b/eelgrasswick/engine.py
@@ -0,0 +1,332 @@
+"""The engine of an entry VM: fed (now, event), it returns actions.
+
+It has no socket, clock or random source of its own, so that a test can drive
+many engines in virtual time. The parts share state through ``books.Books``.
+"""
+
+import random
+import typing
+
+from eelgrasswick import (
+    books,
+    config,
+    epoch,
+    errors,
+    flow,
+    health,
+    hint,
+    home,
+    keeper,
+    load,
+    member,
+    membership,
+    message,
+    opener,
+    packet,
+    peer,
+    placement,
+    rehome,
+    replica,
+    switch,
+    target,
+    wire,
+)
+
+TICK_MS: typing.Final = 50
+HINT_TTL_MS: typing.Final = 10_000
+HINT_CAPACITY: typing.Final = 400_000
+EPOCH_WINDOW_MS: typing.Final = 5000
+LOAD_REPORT_MS: typing.Final = 1000
+ANNOUNCE_COUNT: typing.Final = 4
+
+
+class Engine:
+    """One entry VM without its sockets."""
+
+    def __init__(
+        self,
+        me: member.Member,
+        seeds: typing.Iterable[packet.Address],
+        codec: packet.PacketCodec,
+        policy: placement.Placement,
+        rng: random.Random,
+    ) -> None:
+        """Build an engine in state JOINING.
+
+        Args:
+            me: This VM.
+            seeds: Peer addresses to try before any VM is known.
+            codec: Encapsulation of packets.
+            policy: Chooses targets for new flows.
+            rng: Seeded source of randomness.
+        """
+        self.name = me.name
+        self.outbox = message.Outbox()
+        self.peers = peer.Peers(self.outbox)
+        self.membership = membership.Membership(me, seeds, self.peers, self.outbox, rng)
+        self.keeper = keeper.Keeper(me.name, self.peers, self.outbox)
+        self.books = books.Books(
+            epoch.EpochLog(EPOCH_WINDOW_MS),
+            flow.FlowTable(),
+            hint.HintTable(HINT_TTL_MS, HINT_CAPACITY),
+            load.LoadBook(),
+            health.HealthBook(),
+            replica.Replicator(self.peers, self.outbox),
+            self.peers,
+            self.outbox,
+        )
+        self.home = home.Home(
+            me.name, self.books, opener.Opener(me.name, self.books, policy)
+        )
+        self.switch = switch.Switch(me.name, codec, self.books, self.home)
+        self.rehomer = rehome.Rehomer(me.name, self.books)
+        self._report_ms = 0
+        self._told_empty: set[str] = set()
+
+    def feed(self, now_ms: int, event: message.Event) -> list[message.Action]:
+        """Handle one event.
+
+        Args:
+            now_ms: Present time, milliseconds since 1970.
+            event: What happened.
+
+        Returns:
+            What to do, in order.
+        """
+        match event:
+            case message.FabricDatagram():
+                self.switch.datagram(now_ms, event)
+            case message.PeerDatagram():
+                self._peer_datagram(now_ms, event)
+            case message.LinkReceived():
+                self._link(now_ms, event)
+            case message.StoreRead():
+                self.keeper.store_read(now_ms, event.value)
+            case message.VmsListed():
+                self.membership.listed(event.members)
+            case message.StoreFailed():
+                self.outbox.put(message.log("store_failed", detail=event.detail))
+            case message.Tick():
+                self._tick(now_ms)
+            case message.Leave():
+                self.membership.leave(now_ms)
+        self._follow(now_ms)
+        return self.outbox.take()
+
+    def _peer_datagram(self, now_ms: int, event: message.PeerDatagram) -> None:
+        try:
+            self._peer_message(now_ms, event.source, wire.decode(event.payload))
+        except errors.MessageInvalidError as error:
+            self._invalid(str(event.source), error)
+
+    def _peer_message(
+        self, now_ms: int, source: packet.Address, item: wire.PeerMessage
+    ) -> None:
+        if isinstance(item, wire.Ping):
+            self.membership.ping(now_ms, source, item)
+            self.keeper.heard(now_ms, item.sender.name, item.sequence)
+            return
+        sender = self.peers.name_at(source)
+        if isinstance(item, wire.Ack):
+            self.membership.ack(now_ms, item)
+            self.keeper.heard(now_ms, item.sender.name, item.sequence)
+            return
+        if sender is None:
+            self.outbox.count(message.Counter.PACKETS_UNKNOWN_SENDER)
+            return
+        match item:
+            case wire.Forward():
+                self.switch.forward(now_ms, item)
+            case wire.Relay():
+                self.switch.relay(now_ms, item)
+            case wire.Ask():
+                self.switch.ask(now_ms, sender, item)
+            case wire.Tell():
+                self.switch.tell(now_ms, sender, item)
+            case wire.PingVia():
+                self.membership.ping_via(source, item)
+            case _:
+                raise errors.MessageInvalidError("message belongs on a link")
+
+    def _link(self, now_ms: int, event: message.LinkReceived) -> None:
+        try:
+            self._link_message(now_ms, event.sender, wire.decode(event.payload))
+        except errors.MessageInvalidError as error:
+            self._invalid(event.sender, error)
+
+    def _link_message(self, now_ms: int, sender: str, item: wire.PeerMessage) -> None:
+        match item:
+            case wire.Keep():
+                self._keep(now_ms, item)
+            case wire.Forget():
+                for packed in item.flows:
+                    self.books.replicator.kept.forget(wire.flow_key(packed))
+            case wire.Handover():
+                self._handover(now_ms, item)
+            case wire.LoadReport():
+                self.books.loads.take(now_ms, sender, item)
+            case wire.ConfigOffer():
+                self.keeper.offer(now_ms, item.value, sender)
+            case wire.ConfigWant():
+                self.keeper.want(sender, item)
+            case _:
+                raise errors.MessageInvalidError("message does not belong on a link")
+
+    def _invalid(self, sender: str, error: errors.MessageInvalidError) -> None:
+        self.outbox.count(message.Counter.MESSAGES_INVALID)
+        self.outbox.put(
+            message.log(
+                "message_dropped",
+                kind=error.kind.value,
+                sender=sender,
+                detail=error.detail,
+            )
+        )
+
+    def _keep(self, now_ms: int, item: wire.Keep) -> None:
+        for entry in item.entries:
+            known = self._target(entry.target)
+            if known is not None:
+                key = wire.flow_key(entry.flow)
+                self.books.replicator.kept.learn(now_ms, key, known)
+
+    def _handover(self, now_ms: int, item: wire.Handover) -> None:
+        current = self.books.epochs.current
+        if current is None:
+            return
+        for entry in item.entries:
+            known = self._target(entry.target)
+            key = wire.flow_key(entry.flow)
+            owner = current.config.service_at(
+                key.protocol, key.service_ip, key.service_port
+            )
+            if known is None or owner is None or known.service != owner.name:
+                continue
+            record = self.books.flows.get(key)
+            if record is None or record.origin is flow.Origin.GUESSED:
+                self.home.learn(now_ms, key, owner, known)
+
+    def _target(self, name: str) -> target.Target | None:
+        current = self.books.epochs.current
+        return current.config.targets.get(name) if current is not None else None
+
+    # Time, and what follows from changes.
+
+    def _tick(self, now_ms: int) -> None:
+        self.membership.tick(now_ms, self.keeper.current is not None)
+        self.keeper.tick(
+            now_ms,
+            self.membership.me,
+            self.membership.members,
+            self.membership.sequences,
+        )
+        self.home.tick(now_ms)
+        self.rehomer.step(now_ms)
+        self.books.replicator.flush()
+        self.books.hints.expire(now_ms)
+        self.books.replicator.kept.expire(now_ms)
+        self.books.loads.expire(now_ms)
+        self._expire_flows(now_ms)
+        self._report_load(now_ms)
+        if self.membership.left:
+            self.outbox.put(message.Stopped())
+
+    def _expire_flows(self, now_ms: int) -> None:
+        for item in self.books.flows.expire(now_ms):
+            if item.record.counts:
+                self.outbox.count(message.Counter.FLOWS_EXPIRED)
+
+    def _report_load(self, now_ms: int) -> None:
+        if now_ms < self._report_ms:
+            return
+        self._report_ms = now_ms + LOAD_REPORT_MS
+        self._note_empty()
+        counts = self.books.flows.open_by_target
+        report = wire.LoadReport(
+            tuple(wire.OpenFlows(name, flows) for name, flows in sorted(counts.items()))
+        )
+        for other in self.membership.others.values():
+            if other.serves:
+                self.peers.send_link(other.name, report)
+
+    def _note_empty(self) -> None:
+        current = self.books.epochs.current
+        if current is None:
+            return
+        for item in current.config.targets.values():
+            here = self.books.flows.open_by_target[item.name]
+            flows = here + self.books.loads.elsewhere(item.name)
+            if item.accepts or flows:
+                self._told_empty.discard(item.name)
+            elif item.name not in self._told_empty:
+                self._told_empty.add(item.name)
+                self.outbox.put(message.log("target_empty", target=item.name))
+
+    def _follow(self, now_ms: int) -> None:
+        if not (self.membership.changed or self.keeper.changed):
+            return
+        announce = self.keeper.changed
+        self.membership.changed = False
+        self.keeper.changed = False
+        self.membership.sequence = self.keeper.sequence
+        self.peers.learn(self.membership.members)
+        if self.keeper.current is not None:
+            self._begin_epoch(now_ms, self.keeper.current)
+        if announce:
+            self.membership.announce(ANNOUNCE_COUNT)
+
+    def _begin_epoch(self, now_ms: int, current: config.Config) -> None:
+        before = self.books.epochs.current
+        members = [item for item in self.membership.members if item.serves]
+        names = {item.name for item in members}
+        if before is None:
+            self.books.epochs.advance(now_ms, epoch.Epoch(current, members))
+            return
+        if before.config is current and set(before.members) == names:
+            return
+        self.books.epochs.advance(now_ms, epoch.Epoch(current, members))
+        self._note_return(now_ms, before, members)
+        if before.config is not current:
+            self._revise(before.config, current)
+        self.rehomer.start()
+
+    def _note_return(
+        self,
+        now_ms: int,
+        before: epoch.Epoch,
+        members: typing.Sequence[member.Member],
+    ) -> None:
+        # VMs that come back from the other side of a cut were homes there. The
+        # flows they placed are unknown here, and are asked for as if the other
+        # side's view had been in force here too.
+        back = [item for item in members if item.name not in before.members]
+        if back:
+            self.books.epochs.note(now_ms, epoch.Epoch(before.config, back))
+
+    def _revise(self, before: config.Config, after: config.Config) -> None:
+        changed = {
+            name
+            for name, item in before.targets.items()
+            if after.targets.get(name) != item
+        }
+        if not changed:
+            return
+        self.books.hints.revise(self._present)
+        self.books.replicator.kept.revise(self._present)
+        for key, record in self.books.flows.items():
+            if record.target.name not in changed:
+                continue
+            present = self._present(record.target)
+            if present is None:
+                # The target is gone for good, or its address serves another
+                # service now. No packet of the flow may go there any more.
+                self.books.flows.remove(key)
+                self.outbox.count(message.Counter.FLOWS_DROPPED)
+            else:
+                self.books.flows.move(key, record, present)
+
+    def _present(self, item: target.Target) -> target.Target | None:
+        present = self._target(item.name)
+        if present is None or present.endpoint != item.endpoint:
+            return None
+        return present if present.service == item.service else None
--- /dev/null
+++ b/eelgrasswick/epoch.py
@@ -0,0 +1,201 @@
+"""Where a flow belongs under one configuration and one view of the fleet.
+
+An epoch pairs a configuration with the serving VMs. It answers, without any
+message, which target a flow gets by default, which VM is the flow's home and
+which VM backs the home up. The default target is chosen from the configuration
+alone, and the home is taken from the target's zone, so that only the first hop
+crosses zones.
+"""
+
+import collections
+import typing
+
+from eelgrasswick import config, member, packet, rendezvous, service, target
+
+_SLOT_MASK: typing.Final = 0xFFF
+MAX_EARLIER: typing.Final = 6
+
+
+class Location(typing.NamedTuple):
+    """Where one flow belongs.
+
+    Attributes:
+        default: Target by hashing alone; None when no target takes new flows.
+        home: Name of the VM that decides for the flow; None without VMs.
+        backup: Name of the VM that keeps the flow's exception; None when the
+            home is alone.
+    """
+
+    default: target.Target | None
+    home: str | None
+    backup: str | None
+
+
+class _Owners(typing.NamedTuple):
+    home: str | None
+    backup: str | None
+
+
+class Epoch:
+    """One configuration together with one view of the serving VMs."""
+
+    def __init__(
+        self, current: config.Config, members: typing.Iterable[member.Member]
+    ) -> None:
+        """Prepare the candidates of every service and zone."""
+        self.config = current
+        self.members = {item.name: item for item in members if item.serves}
+        self._targets = {
+            name: _target_candidates(item) for name, item in current.services.items()
+        }
+        self._all = [
+            rendezvous.candidate(item.name, item.size) for item in self.members.values()
+        ]
+        self._by_zone: dict[str, list[rendezvous.Candidate]] = {}
+        for item in self.members.values():
+            entry = rendezvous.candidate(item.name, item.size)
+            self._by_zone.setdefault(item.zone, []).append(entry)
+        self._owners: dict[tuple[str, int], _Owners] = {}
+
+    @property
+    def zones(self) -> frozenset[str]:
+        """Zones in which at least one VM serves."""
+        return frozenset(self._by_zone)
+
+    def locate(self, flow: packet.FlowKey, owner: service.Service) -> Location:
+        """Tell where a flow to a service belongs."""
+        key = flow.packed
+        chosen = rendezvous.best(key, self._targets.get(owner.name, ()))
+        default = self.config.targets[chosen] if chosen is not None else None
+        zone = default.zone if default is not None else ""
+        owners = self._owners_of(zone, rendezvous.digest(key))
+        return Location(default, owners.home, owners.backup)
+
+    def ranked(
+        self, flow: packet.FlowKey, owner: service.Service
+    ) -> list[target.Target]:
+        """Return the targets that take new flows, the default in front."""
+        names = rendezvous.ranked(flow.packed, self._targets.get(owner.name, ()))
+        return [self.config.targets[name] for name in names]
+
+    def ranked_all(
+        self, flow: packet.FlowKey, owner: service.Service
+    ) -> list[target.Target]:
+        """Return all targets, also those that take no new flow, in hash order.
+
+        A flow that began before a drain is on the target that ranks first when
+        the drain is left out.
+        """
+        entries = [
+            rendezvous.candidate(item.name, item.weight) for item in owner.targets
+        ]
+        names = rendezvous.ranked(flow.packed, entries)
+        return [self.config.targets[name] for name in names]
+
+    def _owners_of(self, zone: str, flow_hash: int) -> _Owners:
+        slot = flow_hash & _SLOT_MASK
+        found = self._owners.get((zone, slot))
+        if found is None:
+            found = self._rank_owners(zone, slot.to_bytes(2, "big"))
+            self._owners[(zone, slot)] = found
+        return found
+
+    def _rank_owners(self, zone: str, key: bytes) -> _Owners:
+        home = rendezvous.best(key, self._by_zone.get(zone) or self._all)
+        if home is None:
+            return _Owners(None, None)
+        # A whole zone can go at once. Were home and backup in the same zone,
+        # the exceptions would go with it and open flows would be guessed at;
+        # a backup in another zone keeps them.
+        elsewhere = [
+            item
+            for item in self._all
+            if self.members[item.name].zone != self.members[home].zone
+        ]
+        others = elsewhere or [item for item in self._all if item.name != home]
+        return _Owners(home, rendezvous.best(key, others))
+
+
+def _target_candidates(item: service.Service) -> list[rendezvous.Candidate]:
+    return [
+        rendezvous.candidate(entry.name, entry.weight)
+        for entry in item.targets
+        if entry.accepts
+    ]
+
+
+class _Earlier(typing.NamedTuple):
+    epoch: Epoch
+    ended_ms: int
+
+
+class EpochLog:
+    """The epoch in force and those that ended a short while ago."""
+
+    def __init__(self, window_ms: int) -> None:
+        """Keep ended epochs for a window in milliseconds."""
+        self.current: Epoch | None = None
+        self._window_ms = window_ms
+        self._earlier: collections.deque[_Earlier] = collections.deque(
+            maxlen=MAX_EARLIER
+        )
+        self._by_config: collections.deque[Epoch] = collections.deque(
+            maxlen=MAX_EARLIER
+        )
+
+    def advance(self, now_ms: int, epoch: Epoch) -> None:
+        """Put a new epoch in force."""
+        if self.current is not None:
+            self._earlier.appendleft(_Earlier(self.current, now_ms))
+            if self.current.config is not epoch.config:
+                self._by_config.appendleft(self.current)
+        self.current = epoch
+
+    def note(self, now_ms: int, epoch: Epoch) -> None:
+        """Treat an epoch that other VMs had as one that ended here now."""
+        self._earlier.appendleft(_Earlier(epoch, now_ms))
+
+    def earlier_owners(
+        self, now_ms: int, flow: packet.FlowKey, owner: service.Service
+    ) -> list[str]:
+        """Return VMs other than the present home that may know the flow.
+
+        Args:
+            now_ms: Present time in milliseconds.
+            flow: The flow.
+            owner: Its service.
+
+        Returns:
+            Names of homes and backups under the epochs that ended within the
+            window, the newest first, without repeats.
+        """
+        names: dict[str, None] = {}
+        for item in self._earlier:
+            if now_ms - item.ended_ms > self._window_ms:
+                break
+            known = item.epoch.config.services.get(owner.name)
+            if known is None:
+                continue
+            place = item.epoch.locate(flow, known)
+            names.update(dict.fromkeys((place.home, place.backup)))  # type: ignore[arg-type]
+        return [name for name in names if name]
+
+    def possible_targets(
+        self, flow: packet.FlowKey, owner: service.Service
+    ) -> list[target.Target]:
+        """Return default targets of the flow, newest configuration first.
+
+        A flow of which no VM has a record got the default target of the
+        configuration under which it began. These are the ones it can be on.
+        """
+        epochs = [self.current] if self.current is not None else []
+        epochs += self._by_config
+        found: dict[str, target.Target] = {}
+        for item in epochs:
+            known = item.config.services.get(owner.name)
+            if known is None:
+                continue
+            default = item.locate(flow, known).default
+            if default is not None:
+                found.setdefault(default.name, default)
+        return list(found.values())
--- /dev/null
+++ b/eelgrasswick/flow.py
@@ -0,0 +1,196 @@
+"""Flows of which this VM is the home, and the counts that follow from them."""
+
+import collections
+import enum
+import typing
+
+from eelgrasswick import _wheel, packet, target
+
+LINGER_MS: typing.Final = 25_000
+
+
+class Origin(enum.Enum):
+    """How a home came to know a flow's target."""
+
+    PLACED = "placed"
+    LEARNED = "learned"
+    GUESSED = "guessed"
+
+
+class State(enum.Enum):
+    """Where a flow is in its life."""
+
+    OPENING = "opening"
+    OPEN = "open"
+    CLOSED = "closed"
+
+
+class Record:
+    """One flow at its home.
+
+    Attributes:
+        target: Where its packets go.
+        origin: How the target is known.
+        state: Where the flow is in its life.
+        opened_ms: When this VM first saw the flow.
+        seen_ms: When a packet of it last came by.
+        idle_ms: Silence after which it is forgotten.
+        first: The packet that opened it, until the target has answered.
+        refuted: Names of targets that are known not to hold the flow.
+        caller_done: The caller has sent its FIN.
+        target_done: The target has sent its FIN.
+    """
+
+    __slots__ = (
+        "caller_done",
+        "first",
+        "idle_ms",
+        "opened_ms",
+        "origin",
+        "refuted",
+        "seen_ms",
+        "state",
+        "target",
+        "target_done",
+    )
+
+    def __init__(
+        self,
+        chosen: target.Target,
+        origin: Origin,
+        state: State,
+        now_ms: int,
+        idle_ms: int,
+    ) -> None:
+        """Record a flow that this VM knows from now on."""
+        self.target = chosen
+        self.origin = origin
+        self.state = state
+        self.opened_ms = now_ms
+        self.seen_ms = now_ms
+        self.idle_ms = idle_ms
+        self.first: packet.Packet | None = None
+        self.refuted: frozenset[str] = frozenset()
+        self.caller_done = False
+        self.target_done = False
+
+    @property
+    def counts(self) -> bool:
+        """True while the flow takes room at its target."""
+        return self.state is not State.CLOSED
+
+    @property
+    def until_ms(self) -> int:
+        """When the record may be dropped unless a packet comes."""
+        if self.state is State.CLOSED:
+            return self.seen_ms + LINGER_MS
+        return self.seen_ms + self.idle_ms
+
+
+class Caller(typing.NamedTuple):
+    """A caller address at a service, as per-caller limits count it."""
+
+    service: str
+    ip: bytes
+
+
+class Expired(typing.NamedTuple):
+    """A record that was dropped for its age."""
+
+    flow: packet.FlowKey
+    record: Record
+
+
+class FlowTable:
+    """The records of one home, with open flows by target and by caller."""
+
+    def __init__(self) -> None:
+        """Start without flows."""
+        self._records: dict[packet.FlowKey, Record] = {}
+        self._wheel: _wheel.Wheel[packet.FlowKey] = _wheel.Wheel()
+        self.open_by_target: collections.Counter[str] = collections.Counter()
+        self.open_by_service: collections.Counter[str] = collections.Counter()
+        self.open_by_caller: collections.Counter[Caller] = collections.Counter()
+
+    def __len__(self) -> int:
+        """Return the number of records, lingering ones included."""
+        return len(self._records)
+
+    def get(self, flow: packet.FlowKey) -> Record | None:
+        """Return the record of a flow."""
+        return self._records.get(flow)
+
+    def items(self) -> list[tuple[packet.FlowKey, Record]]:
+        """Return flows and records."""
+        return list(self._records.items())
+
+    def add(self, flow: packet.FlowKey, record: Record) -> None:
+        """Take a record in, in place of any earlier one."""
+        self.remove(flow)
+        self._records[flow] = record
+        self._wheel.add(flow, _check_ms(record.seen_ms, record))
+        if record.counts:
+            self._count(flow, record.target, 1)
+
+    def remove(self, flow: packet.FlowKey) -> Record | None:
+        """Drop a record and return it."""
+        record = self._records.pop(flow, None)
+        if record is not None and record.counts:
+            self._count(flow, record.target, -1)
+        return record
+
+    def move(self, flow: packet.FlowKey, record: Record, to: target.Target) -> None:
+        """Point a record to another target."""
+        if record.counts:
+            self._count(flow, record.target, -1)
+            self._count(flow, to, 1)
+        record.target = to
+
+    def close(self, now_ms: int, flow: packet.FlowKey, record: Record) -> None:
+        """Mark a flow as ended; the record lingers.
+
+        A late packet of the flow must not be taken for a flow that nobody
+        knows, and a caller that uses its port again must meet the same target
+        while other VMs may still hold a hint of the old flow. Without the
+        linger one would see resets just after ports are used again.
+        """
+        if not record.counts:
+            return
+        self._count(flow, record.target, -1)
+        record.state = State.CLOSED
+        record.seen_ms = now_ms
+
+    def expire(self, now_ms: int) -> list[Expired]:
+        """Drop the records whose time is over and return them."""
+        dropped = []
+        for flow in self._wheel.due(now_ms):
+            record = self._records.get(flow)
+            if record is None:
+                continue
+            if record.until_ms <= now_ms:
+                self.remove(flow)
+                dropped.append(Expired(flow, record))
+            else:
+                self._wheel.add(flow, _check_ms(now_ms, record))
+        return dropped
+
+    def _count(self, flow: packet.FlowKey, chosen: target.Target, step: int) -> None:
+        _step(self.open_by_target, chosen.name, step)
+        _step(self.open_by_service, chosen.service, step)
+        _step(self.open_by_caller, Caller(chosen.service, flow.caller_ip), step)
+
+
+def _check_ms(now_ms: int, record: Record) -> int:
+    # A wheel entry outlives its record. Were it set for the whole idle time,
+    # hundreds of thousands of entries of short, ended flows would pile up; so
+    # a record is looked at at least once every linger time.
+    return min(record.until_ms, now_ms + LINGER_MS)
+
+
+Counted = typing.TypeVar("Counted")
+
+
+def _step(counter: collections.Counter[Counted], key: Counted, step: int) -> None:
+    counter[key] += step
+    if not counter[key]:
+        del counter[key]
--- /dev/null
+++ b/eelgrasswick/home.py
@@ -0,0 +1,381 @@
+"""Decisions for the flows of which this VM is the home."""
+
+import typing
+
+from eelgrasswick import (
+    books,
+    flow,
+    inquiry,
+    message,
+    opener,
+    packet,
+    service,
+    target,
+)
+
+_COUNT: typing.Final = message.Counter
+MAX_CANDIDATES: typing.Final = 16
+
+
+class Home:
+    """Places new flows, and finds out where unknown ones are.
+
+    Public methods take ``now_ms``, the present time in milliseconds since 1970
+    as the caller's clock gives it.
+    """
+
+    def __init__(self, name: str, shared: books.Books, opening: opener.Opener) -> None:
+        """Decide as the VM ``name``; new flows go through ``opening``."""
+        self._name = name
+        self._books = shared
+        self._opener = opening
+        self._inquiries = inquiry.Inquiries(shared.peers)
+
+    def request(
+        self,
+        now_ms: int,
+        item: packet.Packet,
+        key: packet.FlowKey,
+        owner: service.Service,
+    ) -> None:
+        """Handle a caller's packet of a flow whose home is this VM."""
+        record = self._books.flows.get(key)
+        if record is None:
+            self._unknown(now_ms, item, key, owner)
+        elif item.opens:
+            self._open_again(now_ms, item, key, owner, record)
+        else:
+            self._continue(now_ms, item, key, record)
+
+    def answer(
+        self,
+        now_ms: int,
+        item: packet.Packet,
+        key: packet.FlowKey,
+        sender: target.Target,
+        owner: service.Service,
+    ) -> None:
+        """Handle a target's SYN, FIN or RST for a flow at this home."""
+        record = self._books.flows.get(key)
+        if record is None:
+            self._answer_unknown(now_ms, item, key, sender, owner)
+        elif record.target.name != sender.name:
+            self._answer_stray(now_ms, item, key, sender, record)
+        elif item.resets:
+            self._answer_reset(now_ms, item, key, owner, record)
+        else:
+            self._answer_known(now_ms, item, key, record)
+
+    def tell(self, now_ms: int, sender: str, key: packet.FlowKey, name: str) -> None:
+        """Take a former home's answer about a flow."""
+        settled = self._inquiries.tell(sender, key, name)
+        if settled is not None:
+            self._settle(now_ms, settled)
+
+    def tick(self, now_ms: int) -> None:
+        """Settle inquiries that got no answer and note silent targets."""
+        for settled in self._inquiries.overdue(now_ms):
+            self._settle(now_ms, settled)
+        self._opener.tick(now_ms)
+
+    # Packets of callers.
+
+    def _continue(
+        self,
+        now_ms: int,
+        item: packet.Packet,
+        key: packet.FlowKey,
+        record: flow.Record,
+    ) -> None:
+        record.seen_ms = now_ms
+        if record.state is flow.State.OPENING:
+            record.state = flow.State.OPEN
+            record.first = None
+        if record.origin is flow.Origin.GUESSED:
+            record.first = item
+        self._send(record.target, item)
+        if item.resets:
+            self._close(now_ms, key, record)
+        elif item.finishes:
+            record.caller_done = True
+            self._close_if_done(now_ms, key, record)
+
+    def _open_again(
+        self,
+        now_ms: int,
+        item: packet.Packet,
+        key: packet.FlowKey,
+        owner: service.Service,
+        record: flow.Record,
+    ) -> None:
+        if record.state is flow.State.CLOSED:
+            self._opener.reopen(now_ms, item, key, owner, record)
+            return
+        record.seen_ms = now_ms
+        silent = self._books.health.suspected(now_ms, record.target.name)
+        if record.state is flow.State.OPENING and silent:
+            # The target has not answered the SYN and looks dead. Nothing but
+            # the SYN was sent, so no work can have begun; should the target
+            # answer late, the home drops its SYN-ACK as a stray. Without this
+            # a caller would wait for a dead target until it gives up.
+            self._opener.move(now_ms, key, owner, record)
+        self._send(record.target, item)
+
+    def _unknown(
+        self,
+        now_ms: int,
+        item: packet.Packet,
+        key: packet.FlowKey,
+        owner: service.Service,
+    ) -> None:
+        shared = self._books
+        known = shared.hints.get(now_ms, key)
+        known = known or shared.replicator.kept.get(now_ms, key)
+        if known is not None:
+            self._adopt(now_ms, item, key, owner, known)
+            return
+        if self._inquiries.hold(key, item):
+            return
+        former = [
+            name
+            for name in shared.epochs.earlier_owners(now_ms, key, owner)
+            if name != self._name and shared.peers.reachable(name)
+        ]
+        if former:
+            self._inquiries.start(now_ms, key, item, former)
+            return
+        self._settle(now_ms, inquiry.Settled(key, (item,), "", True))
+
+    def _settle(self, now_ms: int, settled: inquiry.Settled) -> None:
+        current = self._books.epochs.current
+        assert current is not None
+        key = settled.flow
+        owner = current.config.service_at(
+            key.protocol, key.service_ip, key.service_port
+        )
+        if owner is None:
+            return
+        known = current.config.targets.get(settled.target)
+        for item in settled.packets:
+            if self._books.flows.get(key) is not None:
+                self.request(now_ms, item, key, owner)
+            elif known is not None and known.service == owner.name:
+                self._adopt(now_ms, item, key, owner, known)
+            elif item.opens or item.protocol == packet.Protocol.UDP:
+                self._opener.admit(now_ms, item, key, owner, settled.certain)
+            else:
+                self._guess(now_ms, item, key, owner)
+
+    def _adopt(
+        self,
+        now_ms: int,
+        item: packet.Packet,
+        key: packet.FlowKey,
+        owner: service.Service,
+        known: target.Target,
+    ) -> None:
+        self.learn(now_ms, key, owner, known)
+        record = self._books.flows.get(key)
+        assert record is not None
+        self._continue(now_ms, item, key, record)
+
+    def learn(
+        self,
+        now_ms: int,
+        key: packet.FlowKey,
+        owner: service.Service,
+        known: target.Target,
+    ) -> None:
+        """Record a flow whose target has become known for sure."""
+        record = flow.Record(
+            known, flow.Origin.LEARNED, flow.State.OPEN, now_ms, owner.idle_s * 1000
+        )
+        self._books.flows.add(key, record)
+        self._books.outbox.count(_COUNT.FLOWS_LEARNED)
+        self._opener.replicate(key, owner, known)
+
+    # Flows that nobody knows.
+
+    def _guess(
+        self,
+        now_ms: int,
+        item: packet.Packet,
+        key: packet.FlowKey,
+        owner: service.Service,
+    ) -> None:
+        candidates = [] if owner.reused else self._candidates(key, owner)
+        if not candidates:
+            # The address belonged to another service before: the packet may be
+            # meant for that one, and no target of this one may see it.
+            self._books.outbox.count(_COUNT.PACKETS_UNKNOWN_FLOW)
+            return
+        record = flow.Record(
+            candidates[0],
+            flow.Origin.GUESSED,
+            flow.State.OPEN,
+            now_ms,
+            owner.idle_s * 1000,
+        )
+        self._books.flows.add(key, record)
+        self._books.outbox.count(_COUNT.FLOWS_GUESSED)
+        self._continue(now_ms, item, key, record)
+
+    def _candidates(
+        self, key: packet.FlowKey, owner: service.Service
+    ) -> list[target.Target]:
+        epochs = self._books.epochs
+        current = epochs.current
+        assert current is not None
+        found = {item.name: item for item in epochs.possible_targets(key, owner)}
+        for item in current.ranked_all(key, owner):
+            found.setdefault(item.name, item)
+        present = current.config.targets
+        names = [name for name in found if name in present]
+        return [present[name] for name in names[:MAX_CANDIDATES]]
+
+    def _refute(
+        self,
+        now_ms: int,
+        item: packet.Packet,
+        key: packet.FlowKey,
+        owner: service.Service,
+        record: flow.Record,
+    ) -> None:
+        # A target resets a packet of a flow that it does not hold. Passed on,
+        # the reset would cut the caller off from the target that does hold it;
+        # so it is held back and the next possible target is tried. Only when
+        # every one of them has reset the flow is it truly gone.
+        record.refuted = record.refuted | {record.target.name}
+        rest = [
+            other
+            for other in self._candidates(key, owner)
+            if other.name not in record.refuted
+        ]
+        if not rest:
+            self._pass(item)
+            self._close(now_ms, key, record)
+            return
+        self._books.outbox.count(_COUNT.RESETS_HELD_BACK)
+        self._books.flows.move(key, record, rest[0])
+        if record.first is not None:
+            self._send(record.target, record.first)
+
+    # Packets of targets.
+
+    def _answer_unknown(
+        self,
+        now_ms: int,
+        item: packet.Packet,
+        key: packet.FlowKey,
+        sender: target.Target,
+        owner: service.Service,
+    ) -> None:
+        if item.resets:
+            # Whether this target holds the flow is not known here. The reset
+            # may answer a packet that another VM sent on a wrong guess.
+            self._books.outbox.count(_COUNT.RESETS_HELD_BACK)
+            return
+        self.learn(now_ms, key, owner, sender)
+        record = self._books.flows.get(key)
+        assert record is not None
+        self._answer_known(now_ms, item, key, record)
+
+    def _answer_stray(
+        self,
+        now_ms: int,
+        item: packet.Packet,
+        key: packet.FlowKey,
+        sender: target.Target,
+        record: flow.Record,
+    ) -> None:
+        opens = bool(item.flags & packet.Flags.SYN)
+        if record.origin is flow.Origin.GUESSED and not (item.resets or opens):
+            self.correct(key, sender)
+            self._answer_known(now_ms, item, key, record)
+            return
+        self._books.outbox.count(_COUNT.ANSWERS_STRAY)
+
+    def correct(self, key: packet.FlowKey, sender: target.Target) -> None:
+        """Take an answer as proof of where a guessed flow is."""
+        record = self._books.flows.get(key)
+        if record is None or record.origin is not flow.Origin.GUESSED:
+            return
+        if record.target.name != sender.name:
+            self._books.flows.move(key, record, sender)
+        record.origin = flow.Origin.LEARNED
+        record.first = None
+
+    def _answer_reset(
+        self,
+        now_ms: int,
+        item: packet.Packet,
+        key: packet.FlowKey,
+        owner: service.Service,
+        record: flow.Record,
+    ) -> None:
+        if record.origin is flow.Origin.GUESSED:
+            self._refute(now_ms, item, key, owner, record)
+            return
+        opening = record.state is flow.State.OPENING
+        if opening and item.refuses_open and record.first is not None:
+            # The target shed the flow before any work, so another may take it.
+            self._books.health.unanswered(now_ms, record.target.name)
+            if self._opener.move(now_ms, key, owner, record):
+                self._send(record.target, record.first)
+                return
+        self._pass(item)
+        self._close(now_ms, key, record)
+
+    def _answer_known(
+        self,
+        now_ms: int,
+        item: packet.Packet,
+        key: packet.FlowKey,
+        record: flow.Record,
+    ) -> None:
+        record.seen_ms = now_ms
+        if item.flags & packet.Flags.SYN:
+            record.first = None
+            if record.state is flow.State.OPENING:
+                record.state = flow.State.OPEN
+                self._books.health.answered(record.target.name)
+        elif record.origin is flow.Origin.GUESSED:
+            record.origin = flow.Origin.LEARNED
+            record.first = None
+        self._pass(item)
+        if item.finishes:
+            record.target_done = True
+            self._close_if_done(now_ms, key, record)
+
+    # Ends of flows.
+
+    def _close_if_done(
+        self, now_ms: int, key: packet.FlowKey, record: flow.Record
+    ) -> None:
+        if record.caller_done and record.target_done:
+            self._close(now_ms, key, record)
+
+    def _close(self, now_ms: int, key: packet.FlowKey, record: flow.Record) -> None:
+        if not record.counts:
+            return
+        self._books.flows.close(now_ms, key, record)
+        self._books.outbox.count(_COUNT.FLOWS_CLOSED)
+        self._forget(key, record)
+
+    def _forget(self, key: packet.FlowKey, record: flow.Record) -> None:
+        current = self._books.epochs.current
+        assert current is not None
+        owner = current.config.services.get(record.target.service)
+        if owner is None:
+            return
+        place = current.locate(key, owner)
+        default = place.default.name if place.default is not None else ""
+        if record.target.name != default and place.backup not in (None, self._name):
+            assert place.backup is not None
+            self._books.replicator.forget(place.backup, key)
+
+    def _send(self, chosen: target.Target, item: packet.Packet) -> None:
+        self._books.outbox.put(message.SendDatagram(chosen.endpoint, item.raw))
+
+    def _pass(self, item: packet.Packet) -> None:
+        self._books.outbox.put(message.SendFabric(item.raw))
--- /dev/null
+++ b/eelgrasswick/inquiry.py
@@ -0,0 +1,89 @@
+"""Asking former homes where a flow is, while its packets wait.
+
+When VMs come or go, or a new configuration moves flows, a VM becomes the home
+of flows that another VM placed a moment ago. Placing them anew could start the
+same flow on a second target. So the new home asks the former ones first, and
+waits for them no longer than ``ANSWER_MS``.
+"""
+
+import typing
+
+from eelgrasswick import packet, peer, wire
+
+ANSWER_MS: typing.Final = 60
+MAX_FLOWS: typing.Final = 4096
+MAX_PACKETS: typing.Final = 8
+
+
+class Settled(typing.NamedTuple):
+    """The end of an inquiry.
+
+    Attributes:
+        flow: The flow asked about.
+        packets: Its packets that waited, in order.
+        target: Name of its target, or empty when nobody knows it.
+        certain: True when every VM that was asked has answered.
+    """
+
+    flow: packet.FlowKey
+    packets: tuple[packet.Packet, ...]
+    target: str
+    certain: bool
+
+
+class _Open:
+    __slots__ = ("asked", "due_ms", "packets")
+
+    def __init__(self, due_ms: int, asked: set[str], first: packet.Packet) -> None:
+        self.due_ms = due_ms
+        self.asked = asked
+        self.packets = [first]
+
+
+class Inquiries:
+    """The inquiries of one home that are still open."""
+
+    def __init__(self, peers: peer.Peers) -> None:
+        """Ask through ``peers``."""
+        self._peers = peers
+        self._open: dict[packet.FlowKey, _Open] = {}
+
+    def hold(self, key: packet.FlowKey, item: packet.Packet) -> bool:
+        """Let a packet wait with an open inquiry; False when there is none."""
+        found = self._open.get(key)
+        if found is None:
+            return False
+        if len(found.packets) < MAX_PACKETS:
+            found.packets.append(item)
+        return True
+
+    def start(
+        self, now_ms: int, key: packet.FlowKey, item: packet.Packet, names: list[str]
+    ) -> None:
+        """Ask VMs about a flow and let its packet wait.
+
+        Above ``MAX_FLOWS`` the packet is dropped; its sender repeats it.
+        """
+        if len(self._open) >= MAX_FLOWS:
+            return
+        self._open[key] = _Open(now_ms + ANSWER_MS, set(names), item)
+        for name in names:
+            self._peers.send(name, wire.Ask(key.packed))
+
+    def tell(self, sender: str, key: packet.FlowKey, name: str) -> Settled | None:
+        """Take one VM's answer; return the end when it settles the inquiry."""
+        found = self._open.get(key)
+        if found is None or sender not in found.asked:
+            return None
+        found.asked.discard(sender)
+        if not name and found.asked:
+            return None
+        del self._open[key]
+        return Settled(key, tuple(found.packets), name, True)
+
+    def overdue(self, now_ms: int) -> list[Settled]:
+        """End the inquiries whose time is over."""
+        late = [key for key, item in self._open.items() if item.due_ms <= now_ms]
+        return [
+            Settled(key, tuple(self._open.pop(key).packets), "", False) for key in late
+        ]
--- /dev/null
+++ b/eelgrasswick/keeper.py
@@ -0,0 +1,176 @@
+"""Keeps the accepted configuration in force, and spreads it.
+
+Two VMs of each zone watch the platform's store, so that the number of calls
+grows with the zones and not with the fleet. Who gets a newer configuration
+announces it to a few others with a ping; who hears of a newer one, by any
+ping, asks for it. The push makes it fast, the pull repairs what was lost.
+"""
+
+import typing
+
+from eelgrasswick import config, errors, member, message, peer, rendezvous, wire
+
+WATCHERS: typing.Final = 2
+WANT_MS: typing.Final = 250
+REPORT_MS: typing.Final = 5000
+REPORT_SOON_MS: typing.Final = 300
+_COUNT: typing.Final = message.Counter
+
+
+class Keeper:
+    """The configuration in force at one VM; its sequence never goes back."""
+
+    def __init__(self, name: str, peers: peer.Peers, outbox: message.Outbox) -> None:
+        """Start without a configuration."""
+        self._name = name
+        self._peers = peers
+        self._outbox = outbox
+        self.current: config.Config | None = None
+        self.changed = False
+        self.watching = False
+        self._value = b""
+        self._want_ms = 0
+        self._report_ms = 0
+        self._reported: tuple[message.InForce, ...] = ()
+
+    @property
+    def sequence(self) -> int:
+        """Sequence in force; 0 for none."""
+        return self.current.sequence if self.current is not None else 0
+
+    def offer(self, now_ms: int, value: bytes, source: str) -> None:
+        """Take a document from the store or a peer, if it is newer.
+
+        Args:
+            now_ms: Present time in milliseconds.
+            value: Encoded document, or anything else.
+            source: Where it came from, for the log.
+        """
+        try:
+            document = config.decode(value)
+            if document.sequence <= self.sequence:
+                self._refuse_old(document, source)
+                return
+            candidate = config.Config(document)
+        except errors.RulesInvalidError as error:
+            # A malformed value in the store reaches every VM. Put in force it
+            # would stop the fleet; refused, the last good one goes on.
+            self._outbox.count(_COUNT.CONFIG_REFUSED)
+            self._outbox.put(
+                message.log(
+                    "config_refused",
+                    kind=errors.ErrorKind.CONFIG_INVALID.value,
+                    source=source,
+                    detail=error.detail,
+                )
+            )
+            return
+        self._accept(now_ms, candidate, value, source)
+
+    def _accept(
+        self, now_ms: int, candidate: config.Config, value: bytes, source: str
+    ) -> None:
+        self.current = candidate
+        self.changed = True
+        self._value = value
+        self._report_ms = min(self._report_ms, now_ms + REPORT_SOON_MS)
+        self._outbox.count(_COUNT.CONFIG_ACCEPTED)
+        self._outbox.put(
+            message.log(
+                "config_in_force",
+                sequence=candidate.sequence,
+                change_id=candidate.document.change_id,
+                source=source,
+                accepted_ms_ago=max(0, now_ms - candidate.document.at_ms),
+            )
+        )
+
+    def _refuse_old(self, document: config.Document, source: str) -> None:
+        assert self.current is not None
+        same = document.sequence == self.sequence
+        if same and document == self.current.document:
+            return
+        self._outbox.count(_COUNT.CONFIG_REFUSED)
+        self._outbox.put(
+            message.log(
+                "config_refused",
+                kind=errors.ErrorKind.CONFIG_STALE.value,
+                source=source,
+                offered=document.sequence,
+                in_force=self.sequence,
+            )
+        )
+
+    def store_read(self, now_ms: int, value: bytes | None) -> None:
+        """Take what a read or watch of the store returned."""
+        if value is not None:
+            self.offer(now_ms, value, "store")
+        if self.current is None or value == self._value:
+            return
+        if _sequence_of(value) < self.sequence:
+            # The store was restored from an older copy. Left so, the next
+            # change would get a sequence that all VMs refuse; the operator
+            # would see it accepted and never in force.
+            self._outbox.put(message.RepairStore(self._value, self.sequence))
+
+    def heard(self, now_ms: int, name: str, sequence: int) -> None:
+        """Ask a VM for its configuration when it is newer."""
+        if sequence > self.sequence and now_ms >= self._want_ms:
+            self._want_ms = now_ms + WANT_MS
+            self._peers.send_link(name, wire.ConfigWant(self.sequence))
+
+    def want(self, sender: str, item: wire.ConfigWant) -> None:
+        """Send the document to a VM that has an older one."""
+        if self.sequence > item.sequence:
+            self._peers.send_link(sender, wire.ConfigOffer(self._value))
+
+    def tick(
+        self,
+        now_ms: int,
+        me: member.Member,
+        members: typing.Sequence[member.Member],
+        sequences: dict[str, int],
+    ) -> None:
+        """Take up or lay down the watch, and report what is in force."""
+        order = _watch_order(me, members)
+        active = me.name in order[:WATCHERS] or not order
+        if active != self.watching:
+            self.watching = active
+            self._outbox.put(message.WatchStore(active))
+        if order[:1] == [me.name] and now_ms >= self._report_ms:
+            self._report_ms = now_ms + REPORT_MS
+            self._report(me, members, sequences)
+
+    def _report(
+        self,
+        me: member.Member,
+        members: typing.Sequence[member.Member],
+        sequences: dict[str, int],
+    ) -> None:
+        present = {**sequences, me.name: self.sequence}
+        entries = tuple(
+            message.InForce(item.name, present.get(item.name, 0))
+            for item in sorted(members)
+            if item.zone == me.zone and not item.gone
+        )
+        self._outbox.put(message.ReportInForce(entries))
+
+
+def _sequence_of(value: bytes | None) -> int:
+    if value is None:
+        return 0
+    try:
+        return config.decode(value).sequence
+    except errors.RulesInvalidError:
+        return 0
+
+
+def _watch_order(
+    me: member.Member, members: typing.Sequence[member.Member]
+) -> list[str]:
+    serving = [
+        rendezvous.candidate(item.name, 1.0)
+        for item in members
+        if item.zone == me.zone and item.serves
+    ]
+    return rendezvous.ranked(b"watch", serving)
--- /dev/null
+++ b/eelgrasswick/metric.py
@@ -0,0 +1,74 @@
+"""Metrics of an entry VM through OpenTelemetry."""
+
+import typing
+
+from opentelemetry import metrics as api
+from opentelemetry.sdk import metrics, resources
+from opentelemetry.sdk.metrics import export
+
+from eelgrasswick import engine, message
+
+PREFIX: typing.Final = "eelgrasswick."
+
+
+class Reading(typing.NamedTuple):
+    """One metric's value."""
+
+    name: str
+    value: int | float
+
+
+class Meter:
+    """Observes an engine's counts, and hands them out when collected."""
+
+    def __init__(
+        self,
+        observed: engine.Engine,
+        readers: typing.Sequence[export.MetricReader] = (),
+    ) -> None:
+        """Register one instrument for each count of an engine.
+
+        Args:
+            observed: The engine.
+            readers: Further readers, for example one that exports by OTLP.
+        """
+        self._engine = observed
+        self._reader = export.InMemoryMetricReader()
+        resource = resources.Resource({"service.name": "eelgrasswick"})
+        provider = metrics.MeterProvider([self._reader, *readers], resource)
+        meter = provider.get_meter("eelgrasswick")
+        for counter in message.Counter:
+            meter.create_observable_counter(
+                PREFIX + counter.value, [self._observe_counter(counter)]
+            )
+        meter.create_observable_gauge(PREFIX + "flows_open", [self._observe_open])
+        meter.create_observable_gauge(PREFIX + "hints", [self._observe_hints])
+
+    def collect(self) -> list[Reading]:
+        """Return the present values, by name."""
+        data = self._reader.get_metrics_data()
+        if data is None:
+            return []
+        readings = []
+        for resource in data.resource_metrics:
+            for scope in resource.scope_metrics:
+                for metric in scope.metrics:
+                    for point in metric.data.data_points:
+                        value = getattr(point, "value", 0)
+                        readings.append(Reading(metric.name, value))
+        return readings
+
+    def _observe_counter(
+        self, counter: message.Counter
+    ) -> typing.Callable[[api.CallbackOptions], list[api.Observation]]:
+        def observe(options: api.CallbackOptions) -> list[api.Observation]:
+            return [api.Observation(self._engine.outbox.counts[counter])]
+
+        return observe
+
+    def _observe_open(self, options: api.CallbackOptions) -> list[api.Observation]:
+        counts = self._engine.books.flows.open_by_service
+        return [api.Observation(sum(counts.values()))]
+
+    def _observe_hints(self, options: api.CallbackOptions) -> list[api.Observation]:
+        return [api.Observation(len(self._engine.books.hints))]
--- /dev/null
+++ b/eelgrasswick/peer.py
@@ -0,0 +1,71 @@
+"""Sending to other VMs, with a count of what control traffic costs."""
+
+import socket
+import typing
+
+from eelgrasswick import member, message, packet, wire
+
+_DATA: typing.Final = (wire.Forward, wire.Relay)
+
+
+class Peers:
+    """Turns peer messages into actions for VMs known by name."""
+
+    def __init__(self, outbox: message.Outbox) -> None:
+        """Send through an outbox; no VM is known at first."""
+        self._outbox = outbox
+        self._members: dict[str, member.Member] = {}
+        self._names: dict[packet.Address, str] = {}
+
+    def learn(self, members: typing.Iterable[member.Member]) -> None:
+        """Take the present view of the fleet, the dead ones included."""
+        self._members = {item.name: item for item in members}
+        ordered = sorted(self._members.values(), key=lambda item: item.incarnation)
+        self._names = {address_of(item): item.name for item in ordered}
+
+    def name_at(self, source: packet.Address) -> str | None:
+        """Return the VM that speaks from a peer address."""
+        return self._names.get(source)
+
+    def reachable(self, name: str) -> bool:
+        """Tell whether a VM is known and not taken for dead."""
+        known = self._members.get(name)
+        return known is not None and not known.gone
+
+    def zone_known(self, zone: str) -> bool:
+        """Tell whether any VM of a zone, dead or alive, was ever known."""
+        return any(item.zone == zone for item in self._members.values())
+
+    def send(self, name: str, item: wire.PeerMessage) -> bool:
+        """Send a datagram to a VM; False when the VM is not known."""
+        known = self._members.get(name)
+        if known is None:
+            return False
+        self.send_to(address_of(known), item)
+        return True
+
+    def send_to(self, destination: packet.Address, item: wire.PeerMessage) -> None:
+        """Send a datagram to a peer address."""
+        payload = wire.encode(item)
+        if not isinstance(item, _DATA):
+            self._count(payload)
+        self._outbox.put(message.SendPeer(destination, payload))
+
+    def send_link(self, name: str, item: wire.PeerMessage) -> None:
+        """Send a message over the link to a VM."""
+        known = self._members.get(name)
+        if known is None:
+            return
+        payload = wire.encode(item)
+        self._count(payload)
+        address = packet.Address(socket.inet_aton(known.ip), known.link_port)
+        self._outbox.put(message.SendLink(name, address, payload))
+
+    def _count(self, payload: bytes) -> None:
+        self._outbox.count(message.Counter.CONTROL_SENT)
+        self._outbox.count(message.Counter.CONTROL_SENT_BYTES, len(payload))
+
+
+def address_of(item: member.Member) -> packet.Address:
+    """Return the address on which a VM takes peer datagrams."""
+    return packet.Address(socket.inet_aton(item.ip), item.peer_port)
--- /dev/null
+++ b/eelgrasswick/rehome.py
@@ -0,0 +1,80 @@
+"""Moves what this VM knows of flows to their homes after a change of epoch."""
+
+import typing
+
+from eelgrasswick import books, flow, packet, target
+
+SLICE: typing.Final = 1000
+
+
+class Rehomer:
+    """Goes through records and kept exceptions in slices, one slice a tick.
+
+    A home can hold hundreds of thousands of flows. Gone through in one go they
+    would hold up packets and heartbeats for a second, and the others would take
+    the VM for dead. Until a flow's turn comes, its former home still answers
+    for it when the new home asks.
+    """
+
+    def __init__(self, name: str, shared: books.Books) -> None:
+        """Work as the VM ``name``."""
+        self._name = name
+        self._books = shared
+        self._waiting: typing.Iterator[packet.FlowKey] = iter(())
+
+    def start(self) -> None:
+        """Begin anew, because homes may have changed."""
+        records = [key for key, _ in self._books.flows.items()]
+        kept = [key for key, _ in self._books.replicator.kept.items()]
+        self._waiting = iter(records + kept)
+
+    def step(self, now_ms: int) -> None:
+        """Go through one slice."""
+        for _ in range(SLICE):
+            key = next(self._waiting, None)
+            if key is None:
+                return
+            self._one(now_ms, key)
+
+    def _one(self, now_ms: int, key: packet.FlowKey) -> None:
+        shared = self._books
+        record = shared.flows.get(key)
+        kept = shared.replicator.kept.get(now_ms, key)
+        known = record.target if record is not None else kept
+        current = shared.epochs.current
+        if known is None or current is None:
+            return
+        owner = current.config.services.get(known.service)
+        if owner is None:
+            return
+        place = current.locate(key, owner)
+        if record is not None and place.home not in (None, self._name):
+            self._demote(now_ms, key, record)
+        if record is not None and not _certain(record):
+            return
+        default = place.default.name if place.default is not None else ""
+        if known.name != default:
+            self._send(key, known, place.home, place.backup)
+
+    def _demote(self, now_ms: int, key: packet.FlowKey, record: flow.Record) -> None:
+        # Counted here and at the new home, a flow would fill its target twice.
+        self._books.flows.remove(key)
+        if _certain(record):
+            self._books.hints.learn(now_ms, key, record.target)
+
+    def _send(
+        self,
+        key: packet.FlowKey,
+        known: target.Target,
+        to_home: str | None,
+        to_backup: str | None,
+    ) -> None:
+        replicator = self._books.replicator
+        if to_home is not None and to_home != self._name:
+            replicator.hand_over(to_home, key, known)
+        elif to_backup is not None and to_backup != self._name:
+            replicator.keep(to_backup, key, known)
+
+
+def _certain(record: flow.Record) -> bool:
+    return record.counts and record.origin is not flow.Origin.GUESSED
--- /dev/null
+++ b/eelgrasswick/wire.py
@@ -0,0 +1,234 @@
+"""Messages between entry VMs, and their CBOR form.
+
+Each message is a CBOR array: a code, then the fields in order. Decoding checks
+the type of every field, so a part that gets a message can rely on it.
+"""
+
+import typing
+
+import cbor2
+import msgspec
+
+from eelgrasswick import errors, member, packet
+
+MAX_DATAGRAM_BYTES: typing.Final = 9200
+MAX_LINK_BYTES: typing.Final = 2_000_000
+
+
+class Forward(typing.NamedTuple):
+    """A caller's packet on its way to the flow's home.
+
+    Attributes:
+        hops: VMs it has passed.
+        packet: The IPv4 packet.
+    """
+
+    hops: int
+    packet: bytes
+
+
+class Relay(typing.NamedTuple):
+    """A target's SYN, FIN or RST on its way to the flow's home.
+
+    Attributes:
+        hops: VMs it has passed.
+        target: Name of the target that sent it.
+        packet: The IPv4 packet.
+    """
+
+    hops: int
+    target: str
+    packet: bytes
+
+
+class Ask(typing.NamedTuple):
+    """The present home asks a former one whether it knows a flow."""
+
+    flow: bytes
+
+
+class Tell(typing.NamedTuple):
+    """The answer to Ask; the target is empty when the flow is not known."""
+
+    flow: bytes
+    target: str
+
+
+class Ping(typing.NamedTuple):
+    """A heartbeat that asks for an Ack.
+
+    Attributes:
+        number: Matches the Ack to the Ping.
+        sender: The sender as it sees itself.
+        sequence: Configuration in force at the sender; 0 for none.
+        updates: News about other VMs.
+    """
+
+    number: int
+    sender: member.Member
+    sequence: int
+    updates: tuple[member.Member, ...]
+
+
+class Ack(typing.NamedTuple):
+    """The answer to a Ping; the fields are those of Ping."""
+
+    number: int
+    sender: member.Member
+    sequence: int
+    updates: tuple[member.Member, ...]
+
+
+class PingVia(typing.NamedTuple):
+    """Asks the receiver to ping a VM that did not answer the sender.
+
+    Attributes:
+        number: Number that the relayed Ack must carry.
+        suspect: Name of the VM to ping.
+    """
+
+    number: int
+    suspect: str
+
+
+class Placed(typing.NamedTuple):
+    """One flow that is not on its default target."""
+
+    flow: bytes
+    target: str
+
+
+class Keep(typing.NamedTuple):
+    """A home asks its backup to keep exceptions."""
+
+    entries: tuple[Placed, ...]
+
+
+class Forget(typing.NamedTuple):
+    """A home tells its backup that flows have ended."""
+
+    flows: tuple[bytes, ...]
+
+
+class Handover(typing.NamedTuple):
+    """Exceptions for the VM that has become the home of their flows."""
+
+    entries: tuple[Placed, ...]
+
+
+class OpenFlows(typing.NamedTuple):
+    """Open flows one home has on one target."""
+
+    target: str
+    flows: int
+
+
+class LoadReport(typing.NamedTuple):
+    """Open flows of one home, for the others' estimates."""
+
+    entries: tuple[OpenFlows, ...]
+
+
+class ConfigOffer(typing.NamedTuple):
+    """A configuration document, pushed or sent for a ConfigWant."""
+
+    value: bytes
+
+
+class ConfigWant(typing.NamedTuple):
+    """Asks for the document when the receiver has a newer one.
+
+    Attributes:
+        sequence: What the sender has in force; 0 for none.
+    """
+
+    sequence: int
+
+
+PeerMessage = (
+    Forward
+    | Relay
+    | Ask
+    | Tell
+    | Ping
+    | Ack
+    | PingVia
+    | Keep
+    | Forget
+    | Handover
+    | LoadReport
+    | ConfigOffer
+    | ConfigWant
+)
+
+_TYPES: typing.Final[dict[int, type[PeerMessage]]] = {
+    1: Forward,
+    2: Relay,
+    3: Ask,
+    4: Tell,
+    5: Ping,
+    6: Ack,
+    7: PingVia,
+    8: Keep,
+    9: Forget,
+    10: Handover,
+    11: LoadReport,
+    12: ConfigOffer,
+    13: ConfigWant,
+}
+_CODES: typing.Final[dict[type[PeerMessage], int]] = {
+    kind: code for code, kind in _TYPES.items()
+}
+_FLOW_BYTES: typing.Final = 13
+
+
+def encode(item: PeerMessage) -> bytes:
+    """Return the CBOR form of a message."""
+    return cbor2.dumps((_CODES[type(item)], *item))
+
+
+def decode(payload: bytes) -> PeerMessage:
+    """Read a message.
+
+    Args:
+        payload: Bytes from another VM.
+
+    Returns:
+        The message, with all field types checked.
+
+    Raises:
+        errors.MessageInvalidError: The bytes are no message we know.
+    """
+    if len(payload) > MAX_LINK_BYTES:
+        raise errors.MessageInvalidError("message is too large")
+    try:
+        plain = cbor2.loads(payload)
+    except (cbor2.CBORDecodeError, ValueError, RecursionError) as error:
+        raise errors.MessageInvalidError(f"not CBOR: {error}") from error
+    if not isinstance(plain, (list, tuple)) or not plain:
+        raise errors.MessageInvalidError("not an array")
+    code, *fields = plain
+    kind = _TYPES.get(code) if type(code) is int else None
+    if kind is None:
+        raise errors.MessageInvalidError("unknown message code")
+    try:
+        return msgspec.convert(fields, kind, builtin_types=(bytes,))
+    except msgspec.ValidationError as error:
+        raise errors.MessageInvalidError(f"{kind.__name__}: {error}") from error
+
+
+def flow_key(packed: bytes) -> packet.FlowKey:
+    """Read the thirteen bytes that ``FlowKey.packed`` makes.
+
+    Raises:
+        errors.MessageInvalidError: The length is not thirteen.
+    """
+    if len(packed) != _FLOW_BYTES:
+        raise errors.MessageInvalidError("flow key is not 13 bytes")
+    return packet.FlowKey(
+        packed[0],
+        packed[1:5],
+        int.from_bytes(packed[5:7], "big"),
+        packed[7:11],
+        int.from_bytes(packed[11:13], "big"),
+    )
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests and the demo that starts processes."""
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,26 @@
+"""Fixtures that several test modules share."""
+
+import hypothesis
+import pytest
+
+from tests import fleet, world
+
+# The same verdict every time: no random seeds and no time limits.
+hypothesis.settings.register_profile("same", derandomize=True, deadline=None)
+hypothesis.settings.load_profile("same")
+
+
+@pytest.fixture
+def rules_text() -> str:
+    """Rules of two services with ten targets in three zones."""
+    return fleet.rules_text()
+
+
+@pytest.fixture
+def small_world(rules_text: str) -> world.World:
+    """Eight VMs in three zones that serve two services."""
+    made = world.World(seed=7)
+    made.add_fleet(8)
+    made.apply(rules_text)
+    made.run(4000)
+    return made
--- /dev/null
+++ b/tests/whole_path.py
@@ -0,0 +1,189 @@
+"""The demo: a whole fleet on loopback, with a leave, a kill and a drain."""
+
+import collections
+import json
+import pathlib
+import signal
+import sys
+import tempfile
+import time
+import typing
+
+from tests import fleet
+
+VM_COUNT = 8
+CALL_S = 16
+LISTING_LAG_S = 1.0
+
+
+class Summary(typing.NamedTuple):
+    """What the run came to; the fields are the keys of the last line."""
+
+    flows: int
+    requests: int
+    whole: int
+    broken: int
+    broken_by_kill: int
+    wrong_service: int
+    doubled: int
+    lost: int
+    refused: int
+    refused_but_ran: int
+    imbalance: float
+    config_in_force_ms: int
+
+    @property
+    def passed(self) -> bool:
+        """True when the run kept what must always hold."""
+        return not (
+            self.broken
+            or self.wrong_service
+            or self.doubled
+            or self.lost
+            or self.refused_but_ran
+        )
+
+
+def main() -> int:
+    """Run the demo and return the exit code."""
+    with tempfile.TemporaryDirectory() as name:
+        run = fleet.Fleet(pathlib.Path(name), VM_COUNT)
+        try:
+            killed_ms = play(run)
+        finally:
+            run.end()
+        summary = summarize(run, killed_ms)
+        if not summary.passed:
+            for log in sorted(run.folder.glob("*.log")):
+                print(f"--- {log.name}\n{log.read_text()[-1500:]}", file=sys.stderr)
+    print(" ".join(f"{key}={value}" for key, value in summary._asdict().items()))
+    return 0 if summary.passed else 1
+
+
+def play(run: fleet.Fleet) -> int:
+    """Carry the scene out and return when the VM was killed, in ms."""
+    say("starting platform, fabric and targets")
+    run.start("platform", "standin", "platform", run.platform)
+    run.await_platform()
+    common = ("--platform", run.url)
+    run.start(
+        "fabric",
+        "standin",
+        "fabric",
+        run.fabric_inside,
+        run.fabric_outside,
+        *common,
+    )
+    report = str(run.folder / "targets.json")
+    run.start("targets", "standin", "targets", str(run.rules), report, *common)
+    say(f"starting {VM_COUNT} entry VMs")
+    for node in run.nodes:
+        run.start_vm(node)
+    say(
+        run.command("apply", str(run.rules), *common, "--author", "demo")
+        .stdout.strip()
+        .splitlines()[-1]
+    )
+    time.sleep(4)
+    callers = run.start(
+        "callers",
+        "standin",
+        "callers",
+        str(run.rules),
+        run.fabric_outside,
+        str(run.folder / "callers.json"),
+        "--rate-per-s",
+        "30",
+        "--duration-s",
+        str(CALL_S),
+        "--grace-s",
+        "14",
+    )
+    time.sleep(3)
+    say("vm2 leaves")
+    run.list_vm(run.nodes[1], "leaving")
+    run.stop("vm2")
+    time.sleep(1)
+    run.list_vm(run.nodes[1], "gone")
+    time.sleep(3)
+    say("target d4 drains")
+    run.rules.write_text(run.rules.read_text() + "drain d4  # asked by Wanjiru\n")
+    say(
+        run.command("apply", str(run.rules), *common, "--author", "demo")
+        .stdout.strip()
+        .splitlines()[-1]
+    )
+    time.sleep(3)
+    say("vm5 is killed")
+    killed_ms = time.time_ns() // 1_000_000
+    run.stop("vm5", signal.SIGKILL)
+    time.sleep(LISTING_LAG_S)
+    run.list_vm(run.nodes[4], "gone")
+    log = run.folder / "callers.log"
+    while callers.poll() is None:
+        time.sleep(1)
+        lines = log.read_text().splitlines()
+        if lines:
+            say(lines[-1])
+    return killed_ms
+
+
+def summarize(run: fleet.Fleet, killed_ms: int) -> Summary:
+    """Check the histories of callers against what the targets ran."""
+    calls = json.loads((run.folder / "callers.json").read_text())
+    targets = json.loads((run.folder / "targets.json").read_text())
+    ran: collections.Counter[int] = collections.Counter()
+    for item in targets.values():
+        ran.update({int(number): n for number, n in item["executed"].items()})
+    ends = collections.Counter(call[6] for call in calls)
+    broken = [call for call in calls if call[6] in ("broken", "unfinished")]
+    by_kill = [
+        call for call in broken if call[3] <= killed_ms + 3000 and call[5] >= killed_ms
+    ]
+    for call in broken:
+        print("broken", call, file=sys.stderr)
+    refused = [call[0] for call in calls if call[6] == "refused"]
+    return Summary(
+        flows=len(calls),
+        requests=sum(ran.values()),
+        whole=ends["whole"],
+        broken=len(broken) - len(by_kill),
+        broken_by_kill=len(by_kill),
+        wrong_service=ends["wrong_service"]
+        + sum(item["wrong_service"] for item in targets.values()),
+        doubled=sum(1 for count in ran.values() if count > 1),
+        lost=sum(1 for call in calls if call[6] == "whole" and not ran[call[0]]),
+        refused=len(refused),
+        refused_but_ran=sum(1 for number in refused if ran[number]),
+        imbalance=imbalance(targets),
+        config_in_force_ms=slowest(run),
+    )
+
+
+def imbalance(targets: dict[str, typing.Any]) -> float:
+    """Return max over mean of requests per weight, of the desk's targets."""
+    loads = [
+        len(targets[f"d{index + 1}"]["executed"]) / weight
+        for index, weight in enumerate(fleet.WEIGHTS)
+        if index != 3
+    ]
+    return round(max(loads) / (sum(loads) / len(loads)), 3)
+
+
+def slowest(run: fleet.Fleet) -> int:
+    """Return the longest time until the second change was in force at a VM."""
+    times = []
+    for node in run.nodes:
+        for line in run.lines(node.name, "config_in_force"):
+            if fleet.field(line, "sequence") == "2":
+                times.append(int(fleet.field(line, "accepted_ms_ago")))
+    return max(times, default=-1)
+
+
+def say(text: str) -> None:
+    """Print a progress line."""
+    print(f"[{time.strftime('%H:%M:%S')}] {text}", flush=True)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/world.py
@@ -0,0 +1,476 @@
+"""Many engines in virtual time, with fakes at their interfaces.
+
+Not a simulator: one clock, one fake link between any two addresses that
+delays, drops, doubles and cuts, and the emulators of targets, callers and
+platform that the product brings.
+"""
+
+import collections
+import json
+import random
+import typing
+
+from twisted.internet import defer, task
+
+from eelgrasswick import (
+    change,
+    config,
+    emulated_caller,
+    emulated_platform,
+    emulated_target,
+    engine,
+    errors,
+    member,
+    message,
+    packet,
+    peer,
+    placement,
+    rule,
+    store,
+    watcher,
+)
+
+START_MS = 1_800_000_000_000
+STEP_MS = 1
+PLATFORM = "platform"
+CALLERS = "callers"
+
+
+class Link(typing.NamedTuple):
+    """How datagrams fare between two places.
+
+    Attributes:
+        delay_ms: Shortest delay one way.
+        jitter_ms: Further delay, drawn evenly; it reorders.
+        loss: Share that is lost.
+        double: Share that arrives twice.
+    """
+
+    delay_ms: float = 0.5
+    jitter_ms: float = 1.0
+    loss: float = 0.0
+    double: float = 0.0
+
+
+class Vm:
+    """One entry VM: an engine, its watcher, and whether it runs."""
+
+    def __init__(self, runs: engine.Engine, me: member.Member, zone: str) -> None:
+        """Keep the engine of a VM in a zone."""
+        self.engine = runs
+        self.me = me
+        self.zone = zone
+        self.alive = True
+        self.paused = False
+        self.stopped = False
+        self.in_force: list[int] = []
+        self.watcher: watcher.Watcher
+        self.ticking: task.LoopingCall
+        self.waiting: list[message.Event] = []
+
+
+class World:
+    """A fleet, its targets, its callers and the platform, in virtual time.
+
+    Attributes:
+        cuts: Pairs of places that can't reach each other. A place is a zone,
+            ``PLATFORM`` or ``CALLERS``.
+        logs: All log actions, with the VM's name.
+    """
+
+    def __init__(self, seed: int = 1, link: Link | None = None) -> None:
+        """Start a world without VMs or targets."""
+        self.rng = random.Random(seed)
+        self.clock = task.Clock()
+        self.clock.rightNow = START_MS / 1000
+        self.link = link or Link()
+        self.cuts: set[frozenset[str]] = set()
+        self.vms: dict[str, Vm] = {}
+        self.targets: dict[str, emulated_target.Target] = {}
+        self.logs: list[tuple[str, message.Log]] = []
+        self.platform = emulated_platform.EmulatedStore(self.clock)
+        self.callers = emulated_caller.Callers(random.Random(seed + 1))
+        self.policy: typing.Callable[[], placement.Placement] = placement.BoundedHash
+        self.sprayed: collections.Counter[str] = collections.Counter()
+        self.dead_targets: set[str] = set()
+        self.wrong_deliveries = 0
+        self._codec = packet.FouCodec()
+        self._addresses: dict[packet.Address, tuple[str, str]] = {}
+        self._target_zones: dict[str, str] = {}
+        self._spread: list[str] = []
+        self._numbers = 0
+        self._loop = task.LoopingCall(self._tick_edges)
+        self._loop.clock = self.clock
+        self._loop.start(0.01)
+
+    # Time.
+
+    @property
+    def now_ms(self) -> int:
+        """Virtual time in milliseconds."""
+        return round(self.clock.seconds() * 1000)
+
+    def run(self, ms: int) -> None:
+        """Let time pass."""
+        for _ in range(ms // STEP_MS):
+            self.clock.advance(STEP_MS / 1000)
+
+    def run_until(self, done: typing.Callable[[], bool], limit_ms: int) -> None:
+        """Let time pass until something holds; fail after a limit."""
+        for _ in range(limit_ms // 10):
+            if done():
+                return
+            self.run(10)
+        assert done(), f"not reached within {limit_ms} ms"
+
+    def wait(
+        self, work: typing.Coroutine[typing.Any, typing.Any, typing.Any]
+    ) -> typing.Any:
+        """Run a coroutine to its end and return its result."""
+        ended: list[typing.Any] = []
+        failed: list[typing.Any] = []
+        done = defer.Deferred.fromCoroutine(work)
+        done.addCallbacks(ended.append, failed.append)
+        for _ in range(20_000):
+            if ended or failed:
+                break
+            self.run(1)
+        if failed:
+            failed[0].raiseException()
+        assert ended, "work did not end"
+        return ended[0]
+
+    # VMs.
+
+    def add_vm(self, name: str, zone: str, size: int = 1, ip: str = "") -> Vm:
+        """Start an entry VM."""
+        number = len(self.vms) + 1
+        me = member.Member(
+            name,
+            zone,
+            ip or f"10.0.{number // 250}.{number % 250 + 1}",
+            6081,
+            6082,
+            size,
+            self.now_ms,
+            member.MemberState.JOINING,
+        )
+        seeds = [peer.address_of(item.me) for item in list(self.vms.values())[:3]]
+        rng = random.Random(self.rng.random())
+        runs = engine.Engine(me, seeds, self._codec, self.policy(), rng)
+        vm = Vm(runs, me, zone)
+        reach = _Reach(self, zone)
+        vm.watcher = watcher.Watcher(
+            self.clock, reach, zone, lambda event: self.feed(vm, event), rng
+        )
+        self.vms[name] = vm
+        data = packet.address(f"{me.ip}:6080")
+        self._addresses[data] = ("data", name)
+        self._addresses[peer.address_of(me)] = ("peer", name)
+        self._addresses[packet.address(f"{me.ip}:6082")] = ("link", name)
+        self.list_vm(name)
+        self._spread.append(name)
+        vm.ticking = task.LoopingCall(lambda: self.feed(vm, message.Tick()))
+        vm.ticking.clock = self.clock
+        vm.ticking.start(engine.TICK_MS / 1000)
+        return vm
+
+    def add_fleet(
+        self, count: int, zones: typing.Sequence[str] = ("z1", "z2", "z3")
+    ) -> None:
+        """Start VMs named vm1, vm2, ... spread over zones."""
+        for index in range(count):
+            self.add_vm(f"vm{index + 1}", zones[index % len(zones)])
+
+    def list_vm(self, name: str) -> None:
+        """Put a VM into the platform's list."""
+        me = self.vms[name].me
+        value = {
+            "zone": me.zone,
+            "ip": me.ip,
+            "peer_port": me.peer_port,
+            "link_port": me.link_port,
+        }
+        put = store.Put(store.VMS_PREFIX + name, json.dumps(value).encode())
+        self.platform.write((), (put,))
+
+    def kill(self, name: str, fabric_lag_ms: int = 1000) -> None:
+        """End a VM without warning; the fabric notices after a while."""
+        vm = self.vms[name]
+        vm.alive = False
+        vm.ticking.stop()
+        vm.watcher.set_active(False)
+        self.clock.callLater(fabric_lag_ms / 1000, self._withdraw, name)
+
+    def leave(self, name: str, fabric_lag_ms: int = 1000) -> None:
+        """Ask a VM to stop; the fabric follows after a while."""
+        self.feed(self.vms[name], message.Leave())
+        self.clock.callLater(fabric_lag_ms / 1000, self._withdraw, name)
+
+    def pause(self, name: str, ms: int) -> None:
+        """Freeze a VM; what arrives meanwhile is delivered when it wakes."""
+        vm = self.vms[name]
+        vm.paused = True
+        self.clock.callLater(ms / 1000, self._wake, vm)
+
+    def _wake(self, vm: Vm) -> None:
+        vm.paused = False
+        waiting, vm.waiting = vm.waiting[-2000:], []
+        for event in waiting:
+            self.feed(vm, event)
+
+    def _withdraw(self, name: str) -> None:
+        if name in self._spread:
+            self._spread.remove(name)
+
+    def cut(self, *places: str) -> None:
+        """Cut the first place off from each of the others."""
+        for other in places[1:]:
+            self.cuts.add(frozenset((places[0], other)))
+
+    def heal(self) -> None:
+        """End all cuts."""
+        self.cuts.clear()
+
+    # Rules.
+
+    def apply(self, text: str, author: str = "test") -> change.Result:
+        """Submit rules as an operator; start targets that are new."""
+        operator = change.Operator(self.platform, author)
+        plan = self.wait(operator.plan(text, self.now_ms))
+        result: change.Result = self.wait(operator.submit(plan))
+        self.start_targets(text)
+        return result
+
+    def start_targets(self, text: str, speeds: dict[str, float] | None = None) -> None:
+        """Start an emulated target for each target line that has none."""
+        for line in rule.parse(text).rules.targets:
+            self._target_zones[line.name] = line.zone
+            self._addresses[line.endpoint] = ("target", line.name)
+            if line.name not in self.targets:
+                speed = (speeds or {}).get(line.name, line.weight / line.slots)
+                model = emulated_target.Model(
+                    line.name, line.service, line.slots, line.connections, speed, 0
+                )
+                self.targets[line.name] = emulated_target.Target(
+                    model, self.now_ms, random.Random(self.rng.random())
+                )
+                self._endpoints[line.name] = line.endpoint
+
+    @property
+    def _endpoints(self) -> dict[str, packet.Address]:
+        return self.__dict__.setdefault("_endpoint_by_target", {})
+
+    # Callers.
+
+    def call(
+        self,
+        service: str,
+        work_ms: int = 10,
+        answer_bytes: int = 800,
+        parts: int = 1,
+        every_ms: int = 100,
+        caller: int | None = None,
+    ) -> packet.FlowKey:
+        """Open a flow to a service by its name."""
+        current = self.config()
+        self._numbers += 1
+        request = emulated_target.Request(
+            self._numbers, service, work_ms, answer_bytes, parts, every_ms
+        )
+        address = current.services[service].address
+        key = self.callers.call(self.now_ms, address, request, caller)
+        self._flush_callers()
+        return key
+
+    def config(self) -> config.Config:
+        """Return the newest configuration that any VM has in force."""
+        present = [
+            vm.engine.keeper.current
+            for vm in self.vms.values()
+            if vm.engine.keeper.current is not None
+        ]
+        return max(present, key=lambda item: item.sequence)
+
+    def histories(self) -> list[emulated_caller.History]:
+        """Return the flows that have ended."""
+        return self.callers.histories
+
+    def ends(self) -> collections.Counter[str]:
+        """Count ended flows by how they ended."""
+        return collections.Counter(item.end.value for item in self.callers.histories)
+
+    def executed(self) -> collections.Counter[int]:
+        """Count how often each request was begun, over all targets."""
+        total: collections.Counter[int] = collections.Counter()
+        for item in self.targets.values():
+            total.update(item.executed)
+        return total
+
+    def total(self, counter: message.Counter) -> int:
+        """Add a counter up over all VMs."""
+        return sum(vm.engine.outbox.counts[counter] for vm in self.vms.values())
+
+    # Carrying.
+
+    def feed(self, vm: Vm, event: message.Event) -> None:
+        """Feed an event to a VM and carry its actions out."""
+        if not vm.alive:
+            return
+        if vm.paused:
+            if not isinstance(event, message.Tick):
+                vm.waiting.append(event)
+            return
+        for action in vm.engine.feed(self.now_ms, event):
+            self._do(vm, action)
+        sequence = vm.engine.keeper.sequence
+        if sequence and (not vm.in_force or vm.in_force[-1] != sequence):
+            vm.in_force.append(sequence)
+
+    def _do(self, vm: Vm, action: message.Action) -> None:
+        match action:
+            case message.SendDatagram():
+                self._carry(vm.zone, action.destination, vm, action.payload)
+            case message.SendFabric():
+                if frozenset((vm.zone, CALLERS)) not in self.cuts:
+                    self._later(self._to_caller, action.payload)
+            case message.SendPeer():
+                self._carry(vm.zone, action.destination, vm, action.payload)
+            case message.SendLink():
+                self._carry_link(vm, action)
+            case message.WatchStore():
+                vm.watcher.set_active(action.active)
+            case message.ReportInForce():
+                vm.watcher.report(action)
+            case message.RepairStore():
+                vm.watcher.repair(action)
+            case message.Log():
+                self.logs.append((vm.me.name, action))
+            case message.Stopped():
+                vm.alive = False
+                vm.stopped = True
+                if vm.ticking.running:
+                    vm.ticking.stop()
+                vm.watcher.set_active(False)
+                self._withdraw(vm.me.name)
+
+    def _carry(
+        self, zone: str, destination: packet.Address, sender: Vm, payload: bytes
+    ) -> None:
+        kind, name = self._addresses.get(destination, ("", ""))
+        if kind == "peer":
+            receiver = self.vms[name]
+            source = peer.address_of(sender.me)
+            if not self._apart(zone, receiver.zone):
+                event = message.PeerDatagram(source, payload)
+                self._datagram(lambda: self.feed(receiver, event))
+        elif kind == "target" and not self._apart(zone, self._target_zones[name]):
+            self._datagram(lambda: self._to_target(name, payload))
+
+    def _carry_link(self, vm: Vm, action: message.SendLink) -> None:
+        kind, name = self._addresses.get(action.destination, ("", ""))
+        if kind != "link" or self._apart(vm.zone, self.vms[name].zone):
+            return
+        event = message.LinkReceived(vm.me.name, action.payload)
+        receiver = self.vms[name]
+        self.clock.callLater(
+            self.link.delay_ms * 2 / 1000, lambda: self.feed(receiver, event)
+        )
+
+    def _apart(self, one: str, other: str) -> bool:
+        return one != other and frozenset((one, other)) in self.cuts
+
+    def _datagram(self, deliver: typing.Callable[[], None]) -> None:
+        if self.rng.random() < self.link.loss:
+            return
+        self._later(deliver)
+        if self.rng.random() < self.link.double:
+            self._later(deliver)
+
+    def _later(
+        self, deliver: typing.Callable[..., None], *arguments: typing.Any
+    ) -> None:
+        delay_ms = self.link.delay_ms + self.rng.random() * self.link.jitter_ms
+        self.clock.callLater(delay_ms / 1000, deliver, *arguments)
+
+    def _spray(self, place: str) -> Vm | None:
+        names = [n for n in self._spread if not self._apart(place, self.vms[n].zone)]
+        if not names:
+            return None
+        name = self.rng.choice(names)
+        self.sprayed[name] += 1
+        return self.vms[name]
+
+    def _from_edge(self, place: str, source: packet.Address, payload: bytes) -> None:
+        vm = self._spray(place)
+        if vm is not None:
+            event = message.FabricDatagram(source, payload)
+            self._datagram(lambda: self.feed(vm, event))
+
+    def _to_target(self, name: str, payload: bytes) -> None:
+        if name in self.dead_targets:
+            return
+        target = self.targets[name]
+        target.receive(self.now_ms, self._codec.decode(payload))
+        self._flush_target(name)
+
+    def _to_caller(self, payload: bytes) -> None:
+        item = self._codec.decode(payload)
+        self.callers.receive(self.now_ms, item)
+        self._flush_callers()
+
+    def _flush_target(self, name: str) -> None:
+        target = self.targets[name]
+        outgoing, target.outgoing = target.outgoing, []
+        for payload in outgoing:
+            self._from_edge(self._target_zones[name], self._endpoints[name], payload)
+
+    def _flush_callers(self) -> None:
+        outgoing, self.callers.outgoing = self.callers.outgoing, []
+        for payload in outgoing:
+            self._from_edge(CALLERS, packet.address("10.255.0.1:6080"), payload)
+
+    def _tick_edges(self) -> None:
+        for name, target in self.targets.items():
+            if name not in self.dead_targets:
+                target.tick(self.now_ms)
+                self._flush_target(name)
+        self.callers.tick(self.now_ms)
+        self._flush_callers()
+
+
+class _Reach(store.Store):
+    """The platform as reached from a zone, which may be cut off from it."""
+
+    def __init__(self, world: World, zone: str) -> None:
+        self._world = world
+        self._zone = zone
+
+    def _target(self) -> emulated_platform.EmulatedStore:
+        if frozenset((self._zone, PLATFORM)) in self._world.cuts:
+            raise errors.StoreError("cut off from the platform")
+        return self._world.platform
+
+    async def read(self, key: str) -> store.Row | None:
+        return await self._target().read(key)
+
+    async def read_prefix(self, prefix: str) -> tuple[store.Row, ...]:
+        return await self._target().read_prefix(prefix)
+
+    async def commit(
+        self, compares: typing.Sequence[store.Compare], puts: typing.Sequence[store.Put]
+    ) -> store.Committed:
+        return await self._target().commit(compares, puts)
+
+    async def grant(self, ttl_s: int) -> int:
+        return await self._target().grant(ttl_s)
+
+    async def keep_alive(self, lease: int) -> bool:
+        return await self._target().keep_alive(lease)
+
+    async def watch(self, prefix: str, after: int, listener: store.Listener) -> None:
+        def reached(rows: tuple[store.Row, ...]) -> None:
+            if frozenset((self._zone, PLATFORM)) not in self._world.cuts:
+                listener(rows)
+
+        await self._target().watch(prefix, after, reached)
