--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -37,8 +37,8 @@
         )
     for index in range(3):
         lines.append(
-            f"target v{index + 1} vault 127.{block}.11.{index + 1}:5555 zone={ZONES[index]} "
-            f"slots=2  # asked by Otieno"
+            f"target v{index + 1} vault 127.{block}.11.{index + 1}:5555 "
+            f"zone={ZONES[index]} slots=2  # asked by Otieno"
         )
     return "\n".join(lines) + "\n"
 
