Trials in virtual time and the cost of a packet, as commands

`trial placement` weighs a slot table, the home design and a full relay under one load; `trial spread` measures push with pull repair against pull alone; `packet-cost` times a packet in the codec, the engine and the daemon next to a bare Twisted UDP echo, all in turns, so that a change of the machine's pace meets them alike. (Timed one after the other, the floor moved between 3.0 and 4.9 us within one run and a stage came out negative; that form was dropped.)

--- a/eelgrasswick/command.py
+++ b/eelgrasswick/command.py
@@ -21,9 +21,11 @@
     gateway,
     log,
     packet,
+    packet_cost,
     rule,
     setting,
     store,
+    trial,
 )
 
 _TIMEOUT_MS: typing.Final = 3000
@@ -290,7 +292,17 @@
 class Eelgrasswick:
     """All commands."""
 
-    command: cappa.Subcommands[Check | Apply | Watch | Show | Audit | Entry | Standin]
+    command: cappa.Subcommands[
+        Check
+        | Apply
+        | Watch
+        | Show
+        | Audit
+        | Entry
+        | Standin
+        | trial.Trial
+        | packet_cost.PacketCost
+    ]
 
 
 def main() -> None:
--- /dev/null
+++ b/eelgrasswick/packet_cost.py
@@ -0,0 +1,160 @@
+"""What one packet costs, next to the floor of a bare Twisted UDP echo.
+
+The engine is timed on its own, then inside the daemon on loopback sockets.
+Sending the packets and reading what comes out are left out of the time; the
+reactor's turns are in it, for the daemon as for the echo.
+"""
+
+import cProfile
+import dataclasses
+import io
+import pstats
+import typing
+
+import cappa
+
+from eelgrasswick import (
+    message,
+    packet,
+    packet_path,
+    packet_socket,
+    peer,
+    trial,
+    virtual_fleet,
+    wire,
+)
+
+READY_MS: typing.Final = 10_000.0
+SETTLE_MS: typing.Final = 7000.0
+FABRIC: typing.Final = "10.255.0.1:6080"
+_TOP: typing.Final = 12
+
+
+class Cost(typing.NamedTuple):
+    """Microseconds per packet on one path.
+
+    Attributes:
+        path: Which way the packet goes.
+        parse_us: In the codec.
+        decide_us: In the engine without the codec.
+        send_us: Receiving, sending and the reactor's turns.
+        total_us: The whole daemon.
+        floor_us: A bare Twisted UDP echo of the same size.
+        ratio: ``total_us`` over ``floor_us``.
+    """
+
+    path: str
+    parse_us: float
+    decide_us: float
+    send_us: float
+    total_us: float
+    floor_us: float
+    ratio: float
+
+
+@cappa.command(name="packet-cost", help="measure what one packet costs")
+@dataclasses.dataclass
+class PacketCost:
+    """Arguments of ``packet-cost``."""
+
+    profile: typing.Annotated[
+        bool, cappa.Arg(long="--profile", help="print costly functions instead")
+    ] = False
+
+    def __call__(self) -> None:
+        """Print one line per path."""
+        if self.profile:
+            bench = EngineBench()
+            for path in bench.paths():
+                print(bench.profile(path))
+            return
+        for cost in measure():
+            trial.print_row(cost)
+
+
+def measure() -> typing.Iterator[Cost]:
+    """Time every path in the engine and in the daemon."""
+    bench = EngineBench()
+    sockets = packet_socket.SocketBench()
+    pairs = zip(bench.paths(), sockets.paths(), strict=True)
+    for path, same in pairs:
+        timing = sockets.time(same, bench.stages(path))
+        parse_us, engine_us = timing.stages_us
+        yield Cost(
+            path.name,
+            round(parse_us, 1),
+            round(engine_us - parse_us, 1),
+            round(timing.daemon_us - engine_us, 1),
+            round(timing.daemon_us, 1),
+            round(timing.floor_us, 1),
+            round(timing.daemon_us / timing.floor_us, 2),
+        )
+
+
+class EngineBench:
+    """Two engines in virtual time; the first one is measured."""
+
+    def __init__(self) -> None:
+        """Start the engines and wait until both serve."""
+        self._codec = packet.FouCodec()
+        self._fleet = virtual_fleet.VirtualFleet(2, ("z1",), seed=1)
+        text = virtual_fleet.rules_text(2, 10, ("z1",))
+        self._fleet.put_rules(virtual_fleet.document(1, text))
+        self._fleet.run_until(self._fleet.ready, READY_MS)
+        # While the epochs of the start are fresh, a new flow would be asked
+        # for at former homes.
+        self._fleet.run(SETTLE_MS)
+        self._vm = self._fleet.vms[0]
+        self._other = self._fleet.vms[1]
+
+    def paths(self) -> list[packet_path.Path]:
+        """Return the paths through the measured engine."""
+        current = self._vm.engine.books.epochs.current
+        assert current is not None
+        owner = current.config.services["s0"]
+        return packet_path.build(current, owner, self._vm.me.name, self._other.me.name)
+
+    def count(self, counter: message.Counter) -> int:
+        """Return a count of the measured engine."""
+        return self._vm.engine.outbox.counts[counter]
+
+    def stages(self, path: packet_path.Path) -> list[packet_socket.Stage]:
+        """Return the codec and the whole engine as stages to time."""
+        events = self.events(path)
+
+        def parse(start: int, end: int) -> None:
+            for raw in path.packets[start:end]:
+                self._codec.decode(raw)
+
+        return [parse, lambda start, end: self.feed(events[start:end])]
+
+    def profile(self, path: packet_path.Path) -> str:
+        """Return the functions in which one path spends its time."""
+        watch = cProfile.Profile()
+        watch.runcall(self.feed, self.events(path))
+        text = io.StringIO()
+        stats = pstats.Stats(watch, stream=text)
+        stats.strip_dirs().sort_stats("tottime").print_stats(_TOP)
+        return f"path={path.name}\n{text.getvalue()}"
+
+    def feed(self, events: typing.Sequence[message.Event]) -> None:
+        """Feed events to the measured engine."""
+        now_ms = round(self._fleet.now_ms)
+        for event in events:
+            self._vm.engine.feed(now_ms, event)
+
+    def events(self, path: packet_path.Path) -> list[message.Event]:
+        """Return the events that hand a path's packets to the engine."""
+        fabric = packet.address(FABRIC)
+        other = peer.address_of(self._other.me)
+        match path.sender:
+            case packet_path.Sender.FABRIC:
+                return [message.FabricDatagram(fabric, raw) for raw in path.packets]
+            case packet_path.Sender.TARGET:
+                pairs = zip(path.sources, path.packets, strict=True)
+                return [message.FabricDatagram(source, raw) for source, raw in pairs]
+            case packet_path.Sender.PEER:
+                return [
+                    message.PeerDatagram(other, wire.encode(wire.Forward(1, raw)))
+                    for raw in path.packets
+                ]
--- /dev/null
+++ b/eelgrasswick/packet_socket.py
@@ -0,0 +1,231 @@
+"""A daemon and a bare echo on loopback, to time packets through sockets."""
+
+import random
+import socket
+import statistics
+import time
+import typing
+
+from twisted.internet import protocol
+from twisted.internet import reactor as default_reactor
+
+from eelgrasswick import (
+    compose,
+    config,
+    daemon,
+    emulated_platform,
+    engine,
+    member,
+    message,
+    packet,
+    packet_path,
+    setting,
+    store,
+    virtual_fleet,
+    wire,
+)
+
+ROUNDS: typing.Final = 10
+BATCH: typing.Final = 50
+READY_S: typing.Final = 10.0
+SETTLE_S: typing.Final = 6.0
+ZONE: typing.Final = "z1"
+ME: typing.Final = "vm1"
+OTHER: typing.Final = "vm2"
+_IP: typing.Final = "127.3.200.1"
+_OTHER_IP: typing.Final = "127.3.200.2"
+_FABRIC: typing.Final = "127.3.201.1:6080"
+_ECHO: typing.Final = ("127.3.203.1", 6080)
+_TARGETS: typing.Final = "127.3.202."
+_GIVE_UP_S: typing.Final = 0.5
+
+
+# A stage handles the packets from one index up to another.
+Stage = typing.Callable[[int, int], object]
+
+
+class Timing(typing.NamedTuple):
+    """Microseconds per packet, as medians over batches.
+
+    Attributes:
+        daemon_us: Through the daemon.
+        floor_us: Through the echo.
+        stages_us: Through each stage that was asked for.
+    """
+
+    daemon_us: float
+    floor_us: float
+    stages_us: tuple[float, ...]
+
+
+class _Echo(protocol.DatagramProtocol):
+    """The floor: a Twisted UDP socket that sends back what it gets."""
+
+    handled = 0
+
+    def datagramReceived(self, datagram: bytes, addr: tuple[str, int]) -> None:  # noqa: N802
+        self.handled += 1
+        typing.cast(typing.Any, self.transport).write(datagram, addr)
+
+
+class SocketBench:
+    """A daemon, an echo and the sockets of their surroundings in one process."""
+
+    def __init__(self) -> None:
+        """Start the daemon and the echo, and wait until the daemon serves."""
+        self._reactor = typing.cast(typing.Any, default_reactor)
+        self._echo = _Echo()
+        self._reactor.listenUDP(_ECHO[1], self._echo, _ECHO[0], 65536)
+        self._fabric = _socket(packet.address(_FABRIC))
+        self._other = _socket(packet.address(f"{_OTHER_IP}:6081"))
+        self._engine = self._start_daemon()
+        self._reactor.startRunning(installSignalHandlers=False)
+        self._await(lambda: self._engine.membership.me.serves)
+        self._greet()
+        self._await(lambda: len(self._epoch.members) == 2)
+        self._settle()
+        current = self._engine.books.epochs.current
+        assert current is not None
+        self._targets = {
+            item.endpoint: _socket(item.endpoint)
+            for item in current.config.targets.values()
+        }
+
+    @property
+    def _epoch(self) -> typing.Any:
+        return self._engine.books.epochs.current
+
+    def paths(self) -> list[packet_path.Path]:
+        """Return the paths through the daemon."""
+        owner = self._epoch.config.services["s0"]
+        return packet_path.build(self._epoch, owner, ME, OTHER)
+
+    def time(self, path: packet_path.Path, stages: typing.Sequence[Stage]) -> Timing:
+        """Time the daemon, the echo and some stages in turns.
+
+        A shared machine changes its pace within seconds. Timed one after the
+        other, a stage could seem to cost more than the whole.
+
+        Args:
+            path: What to send to the daemon; the echo gets the same sizes.
+            stages: What else to time on the same packets.
+        """
+        counts = self._engine.outbox.counts
+        request = message.Counter.PACKETS_REQUEST
+        answer = message.Counter.PACKETS_ANSWER
+        daemon_us = []
+        floor_us = []
+        stages_us: list[list[float]] = [[] for _ in stages]
+        for _ in range(1 if path.once else ROUNDS):
+            for start in range(0, len(path.packets), BATCH):
+                daemon_us.append(
+                    self._batch(path, start, lambda: counts[request] + counts[answer])
+                )
+                floor_us.append(self._echo_batch(len(path.packets[start])))
+                for stage, samples in zip(stages, stages_us, strict=True):
+                    samples.append(_stage_us(stage, start, start + BATCH))
+        return Timing(
+            statistics.median(daemon_us),
+            statistics.median(floor_us),
+            tuple(statistics.median(samples) for samples in stages_us),
+        )
+
+    def _echo_batch(self, size_bytes: int) -> float:
+        for _ in range(BATCH):
+            self._fabric.sendto(bytes(size_bytes), _ECHO)
+        taken_us = self._drain(BATCH, lambda: self._echo.handled)
+        _empty(self._fabric)
+        return taken_us
+
+    def _settle(self) -> None:
+        # While the epochs of the start are fresh, a new flow would be asked
+        # for at former homes.
+        until_s = time.monotonic() + SETTLE_S
+        while time.monotonic() < until_s:
+            self._greet()
+            self._reactor.iterate(0.05)
+
+    def _batch(
+        self, path: packet_path.Path, start: int, handled: typing.Callable[[], int]
+    ) -> float:
+        self._greet()
+        self._reactor.iterate(0)
+        self._reactor.iterate(0)
+        end = min(start + BATCH, len(path.packets))
+        for index in range(start, end):
+            self._send(path, index)
+        taken_us = self._drain(end - start, handled)
+        for item in (self._fabric, self._other, *self._targets.values()):
+            _empty(item)
+        return taken_us
+
+    def _send(self, path: packet_path.Path, index: int) -> None:
+        raw = path.packets[index]
+        match path.sender:
+            case packet_path.Sender.FABRIC:
+                self._fabric.sendto(raw, (_IP, 6080))
+            case packet_path.Sender.TARGET:
+                self._targets[path.sources[index]].sendto(raw, (_IP, 6080))
+            case packet_path.Sender.PEER:
+                self._other.sendto(wire.encode(wire.Forward(1, raw)), (_IP, 6081))
+
+    def _drain(self, count: int, handled: typing.Callable[[], int]) -> float:
+        goal = handled() + count
+        deadline_s = time.monotonic() + _GIVE_UP_S
+        before_ns = time.thread_time_ns()
+        while handled() < goal and time.monotonic() < deadline_s:
+            self._reactor.iterate(0)
+        return (time.thread_time_ns() - before_ns) / 1000 / count
+
+    def _greet(self) -> None:
+        # The other VM is a mere socket that answers no heartbeat. Without this
+        # ping before each batch it would be taken for dead, and its flows
+        # would no longer be another VM's.
+        state = member.MemberState.ALIVE
+        other = member.Member(OTHER, ZONE, _OTHER_IP, 6081, 6082, 1, 1, state)
+        sequence = self._engine.keeper.sequence
+        ping = wire.Ping(0, other, sequence, ())
+        self._other.sendto(wire.encode(ping), (_IP, 6081))
+
+    def _start_daemon(self) -> engine.Engine:
+        rng = random.Random(1)
+        settings = setting.read(
+            f"[vm]\nname = {ME}\nzone = {ZONE}\nip = {_IP}\n"
+            f"[fabric]\negress = {_FABRIC}\n[fleet]\nnetworks = 127.3.200.0/24\n"
+            "[platform]\nurl = http://127.3.200.1:1\n[log]\ndropped_per_s = 1\n"
+        )
+        runs = compose.entry_engine(settings, rng)
+        platform = emulated_platform.EmulatedStore(self._reactor)
+        text = virtual_fleet.rules_text(2, 10, (ZONE,)).replace("10.1.0.", _TARGETS)
+        document = config.encode(virtual_fleet.document(1, text))
+        platform.write((), (store.Put(store.RULES_KEY, document),))
+        daemon.Daemon(self._reactor, settings, runs, platform, rng).start()
+        return runs
+
+    def _await(self, done: typing.Callable[[], bool]) -> None:
+        deadline_s = time.monotonic() + READY_S
+        while not done():
+            if time.monotonic() > deadline_s:
+                raise TimeoutError("the daemon does not get ready")
+            self._reactor.iterate(0.05)
+
+
+def _stage_us(stage: Stage, start: int, end: int) -> float:
+    before_ns = time.thread_time_ns()
+    stage(start, end)
+    return (time.thread_time_ns() - before_ns) / 1000 / (end - start)
+
+
+def _socket(address: packet.Address) -> socket.socket:
+    made = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    made.bind((socket.inet_ntoa(address.ip), address.port))
+    made.setblocking(False)
+    return made
+
+
+def _empty(taken: socket.socket) -> None:
+    while True:
+        try:
+            taken.recv(65536)
+        except BlockingIOError:
+            return
--- /dev/null
+++ b/eelgrasswick/trial.py
@@ -0,0 +1,84 @@
+"""The command that runs the trials on which the design rests."""
+
+import dataclasses
+import typing
+
+import cappa
+
+from eelgrasswick import (
+    placement,
+    trial_engine,
+    trial_load,
+    trial_placement,
+    trial_spread,
+)
+
+Seed = typing.Annotated[int, cappa.Arg(long="--seed", help="seed of random choices")]
+Vms = typing.Annotated[int, cappa.Arg(long="--vms", help="number of entry VMs")]
+
+
+@cappa.command(name="spread", help="how a newer configuration reaches every VM")
+@dataclasses.dataclass
+class Spread:
+    """Arguments of ``trial spread``."""
+
+    vms: Vms = 8
+    fan_outs: typing.Annotated[
+        list[int], cappa.Arg(long="--fan-out", help="VMs to announce to; 0 for none")
+    ] = dataclasses.field(default_factory=lambda: [0, 1, 2, 4, 8])
+    losses: typing.Annotated[
+        list[float], cappa.Arg(long="--loss", help="share of datagrams lost")
+    ] = dataclasses.field(default_factory=lambda: [0.0, 0.05, 0.2])
+    seed: Seed = 1
+
+    def __call__(self) -> None:
+        """Print one line for each loss and fan-out."""
+        for loss in self.losses:
+            for fan_out in self.fan_outs:
+                print_row(trial_spread.measure(self.vms, fan_out, loss, self.seed))
+
+
+@cappa.command(name="placement", help="weigh three ways to place flows")
+@dataclasses.dataclass
+class Placement:
+    """Arguments of ``trial placement``."""
+
+    vms: Vms = 8
+    rate_per_s: typing.Annotated[
+        int, cappa.Arg(long="--rate-per-s", help="new flows a second")
+    ] = 2000
+    duration_s: typing.Annotated[
+        int, cappa.Arg(long="--duration-s", help="virtual seconds")
+    ] = 20
+    engines: typing.Annotated[
+        bool, cappa.Arg(long="--engines", help="run the engines, not the models")
+    ] = False
+    factor: typing.Annotated[
+        float, cappa.Arg(long="--factor", help="bound on a target's load")
+    ] = placement.BOUND_FACTOR
+    seed: Seed = 1
+
+    def __call__(self) -> None:
+        """Print one line for each way, or one for the engines."""
+        load = trial_load.Load(
+            self.vms, self.rate_per_s, self.duration_s, self.seed, self.factor
+        )
+        if self.engines:
+            print_row(trial_engine.run(load))
+            return
+        for row in trial_placement.run(load):
+            print_row(row)
+
+
+@cappa.command(name="trial", help="run a trial in virtual time")
+@dataclasses.dataclass
+class Trial:
+    """The group of trials."""
+
+    part: cappa.Subcommands[Spread | Placement]
+
+
+def print_row(row: typing.Any) -> None:
+    """Print a named tuple as one line of key=value pairs."""
+    pairs = row._asdict().items()
+    print(" ".join(f"{key}={value}" for key, value in pairs), flush=True)
--- /dev/null
+++ b/eelgrasswick/trial_load.py
@@ -0,0 +1,96 @@
+"""The load of the placement trial: many short flows and some long ones.
+
+Short flows are check-ins and lookups; their length is lognormal. Long flows are
+open boards, with a request now and then, and downloads, with an acknowledgement
+every few milliseconds; their length is a bounded Pareto, as Crovella and
+Bestavros found for transfers ("Self-similarity in World Wide Web traffic",
+1997). The flows that are open at the start have begun during a warm-up.
+"""
+
+import random
+import typing
+
+from eelgrasswick import packet, placement
+
+LONG_SHARE: typing.Final = 0.2
+SHORT_MEDIAN_MS: typing.Final = 300.0
+SHORT_SIGMA: typing.Final = 1.0
+SHORT_PACKETS: typing.Final = 4
+LONG_MIN_MS: typing.Final = 2000.0
+LONG_MAX_MS: typing.Final = 60_000.0
+LONG_ALPHA: typing.Final = 1.2
+BOARD_EVERY_MS: typing.Final = 500.0
+DOWNLOAD_EVERY_MS: typing.Final = 20.0
+DOWNLOAD_SHARE: typing.Final = 0.25
+ADDRESS: typing.Final = packet.address("10.100.0.1:443")
+
+
+class Load(typing.NamedTuple):
+    """Size of a trial.
+
+    Attributes:
+        vms: Entry VMs.
+        rate_per_s: New flows a second over the whole fleet.
+        duration_s: Virtual seconds.
+        seed: Seed of every random choice.
+        factor: Bound on a target's load over its share.
+    """
+
+    vms: int
+    rate_per_s: int
+    duration_s: int
+    seed: int
+    factor: float = placement.BOUND_FACTOR
+
+
+class Flow(typing.NamedTuple):
+    """One flow of the load.
+
+    Attributes:
+        key: Its addresses.
+        at_ms: When it opens; the trial begins at 0.
+        until_ms: When it closes.
+        every_ms: Time between two requests on it.
+    """
+
+    key: packet.FlowKey
+    at_ms: float
+    until_ms: float
+    every_ms: float
+
+    def requests_ms(self) -> list[float]:
+        """Return when the caller sends; the first is the opening packet."""
+        count = int((self.until_ms - self.at_ms) / self.every_ms) + 1
+        return [self.at_ms + index * self.every_ms for index in range(count)]
+
+
+def flows(load: Load, warm_up: bool = True) -> list[Flow]:
+    """Return the flows of a trial in the order in which they open.
+
+    Args:
+        load: Size of the trial.
+        warm_up: Include the long flows that are open when the trial begins.
+    """
+    rng = random.Random(load.seed)
+    begin_ms = -LONG_MAX_MS if warm_up else 0.0
+    at_ms = begin_ms
+    found: list[Flow] = []
+    while at_ms < load.duration_s * 1000:
+        at_ms += rng.expovariate(load.rate_per_s / 1000)
+        item = _flow(rng, at_ms, len(found))
+        if item.until_ms > 0:
+            found.append(item)
+    return found
+
+
+def _flow(rng: random.Random, at_ms: float, number: int) -> Flow:
+    ip = bytes((10, 8 + (number >> 22), number >> 14 & 255, number >> 6 & 255))
+    port = 20_000 + (number & 63) * 100 + rng.randrange(100)
+    key = packet.FlowKey(packet.Protocol.TCP, ip, port, ADDRESS.ip, ADDRESS.port)
+    if rng.random() < LONG_SHARE:
+        length_ms = min(LONG_MAX_MS, LONG_MIN_MS * rng.paretovariate(LONG_ALPHA))
+        download = rng.random() < DOWNLOAD_SHARE
+        every_ms = DOWNLOAD_EVERY_MS if download else BOARD_EVERY_MS
+        return Flow(key, at_ms, at_ms + length_ms, every_ms)
+    length_ms = SHORT_MEDIAN_MS * rng.lognormvariate(0.0, SHORT_SIGMA)
+    return Flow(key, at_ms, at_ms + length_ms, length_ms / SHORT_PACKETS)
