Add the fleet's strength up once per epoch, not for each new flow

Cause: admission worked a VM's share out from the sizes of all VMs for every new flow, so opening cost grew with the fleet.

--- /dev/null
+++ b/eelgrasswick/capacity_slope.py
@@ -0,0 +1,346 @@
+"""Slopes: what each part costs as the fleet, the rules and the flows grow.
+
+All of them are measured in this process; the fleets run in virtual time.
+"""
+
+import gc
+import random
+import time
+import tracemalloc
+import typing
+
+from eelgrasswick import (
+    config,
+    epoch,
+    flow,
+    hint,
+    load,
+    member,
+    message,
+    packet,
+    packet_path,
+    target,
+    virtual_fleet,
+    wire,
+)
+
+ZONES: typing.Final = ("z1", "z2", "z3", "z4", "z5")
+READY_MS: typing.Final = 60_000.0
+SETTLE_MS: typing.Final = 7000.0
+SPAN_MS: typing.Final = 5000.0
+SAMPLE: typing.Final = 20_000
+SERVICE_SHARE: typing.Final = 0.3
+_ROUNDS: typing.Final = 5
+
+
+class FleetPoint(typing.NamedTuple):
+    """One fleet at rest.
+
+    Attributes:
+        vms: Entry VMs.
+        ready_ms: Virtual time until every VM served and knew all others.
+        heartbeat_bytes_per_s: Pings, Acks and PingVias sent per VM.
+        report_bytes_per_s: Other control bytes sent per VM.
+        messages_per_s: Control messages sent per VM.
+        cpu_share: Processor time of one engine, as a share of a core.
+        store_calls_per_s: Calls to the store by the whole fleet.
+        watches: Watches that wait at the store.
+    """
+
+    vms: int
+    ready_ms: int
+    heartbeat_bytes_per_s: int
+    report_bytes_per_s: int
+    messages_per_s: float
+    cpu_share: float
+    store_calls_per_s: float
+    watches: int
+
+
+class RulesPoint(typing.NamedTuple):
+    """One size of the rules.
+
+    Attributes:
+        lines: Lines of the rules file.
+        text_bytes: Its size.
+        document_bytes: The document as the store and the links carry it.
+        compile_ms: Processor time to read and compile it.
+        epoch_ms: Processor time to make an epoch of it.
+        memory_bytes: Memory of the compiled form and one epoch.
+    """
+
+    lines: int
+    text_bytes: int
+    document_bytes: int
+    compile_ms: float
+    epoch_ms: float
+    memory_bytes: int
+
+
+class Unit(typing.NamedTuple):
+    """What one more of something costs.
+
+    Attributes:
+        what: One more of what, and in which unit it is counted.
+        value: The cost.
+    """
+
+    what: str
+    value: float
+
+
+def fleet_point(vms: int, seed: int = 1) -> FleetPoint:
+    """Measure a fleet at rest, with two services of ten targets."""
+    fleet = virtual_fleet.VirtualFleet(vms, ZONES, seed)
+    text = virtual_fleet.rules_text(2, 10, ZONES)
+    fleet.put_rules(virtual_fleet.document(1, text))
+    fleet.run_until(fleet.ready, READY_MS)
+    ready_ms = fleet.now_ms - virtual_fleet.START_MS
+    fleet.run(SETTLE_MS)
+    _load_targets(fleet)
+    before, sizes_before = fleet.traffic(), _heartbeat_bytes(fleet)
+    cpu_before_ns = sum(vm.cpu_ns for vm in fleet.vms)
+    calls_before = sum(fleet.platform.calls.values())
+    fleet.run(SPAN_MS)
+    after, sizes_after = fleet.traffic(), _heartbeat_bytes(fleet)
+    cpu_ns = sum(vm.cpu_ns for vm in fleet.vms) - cpu_before_ns
+    each_s = vms * SPAN_MS / 1000
+    heartbeat_bytes = sizes_after - sizes_before
+    all_bytes = after.size_bytes - before.size_bytes
+    calls = sum(fleet.platform.calls.values()) - calls_before
+    return FleetPoint(
+        vms,
+        round(ready_ms),
+        round(heartbeat_bytes / each_s),
+        round((all_bytes - heartbeat_bytes) / each_s),
+        round((after.messages - before.messages) / each_s, 1),
+        round(cpu_ns / 1e9 / each_s, 4),
+        round(calls / SPAN_MS * 1000, 2),
+        fleet.platform.watching,
+    )
+
+
+def _load_targets(fleet: virtual_fleet.VirtualFleet) -> None:
+    # A home reports the targets on which it has flows. One flow per target at
+    # each VM makes every report whole.
+    for index, vm in enumerate(fleet.vms):
+        current = vm.engine.keeper.current
+        assert current is not None
+        for number, item in enumerate(current.targets.values()):
+            key = packet_path.flow(index * 64 + number, item.endpoint)
+            vm.engine.books.flows.add(key, _record(item, round(fleet.now_ms)))
+
+
+def _record(item: target.Target, now_ms: int) -> flow.Record:
+    return flow.Record(item, flow.Origin.PLACED, flow.State.OPEN, now_ms, 3_600_000)
+
+
+def _heartbeat_bytes(fleet: virtual_fleet.VirtualFleet) -> int:
+    codes = [
+        virtual_fleet.code_of(item)
+        for item in (
+            wire.Ping(0, fleet.vms[0].me, 0, ()),
+            wire.Ack(0, fleet.vms[0].me, 0, ()),
+            wire.PingVia(0, ""),
+        )
+    ]
+    return sum(vm.sizes[code] for vm in fleet.vms for code in codes)
+
+
+def rules_point(lines: int) -> RulesPoint:
+    """Measure rules with a number of lines."""
+    services = max(1, round(lines * SERVICE_SHARE))
+    text = virtual_fleet.rules_text(services, lines - services, ZONES)
+    document = virtual_fleet.document(1, text)
+    value = config.encode(document)
+    gc.collect()
+    tracemalloc.start()
+    kept = _compiled(document)
+    memory_bytes = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    before_ns = time.thread_time_ns()
+    compiled = config.Config(config.decode(value))
+    compile_ns = time.thread_time_ns() - before_ns
+    before_ns = time.thread_time_ns()
+    epoch.Epoch(compiled, kept.members.values())
+    epoch_ns = time.thread_time_ns() - before_ns
+    return RulesPoint(
+        lines,
+        len(text),
+        len(value),
+        round(compile_ns / 1e6, 1),
+        round(epoch_ns / 1e6, 1),
+        memory_bytes,
+    )
+
+
+def _compiled(document: config.Document) -> epoch.Epoch:
+    return epoch.Epoch(config.Config(document), _members(8))
+
+
+def _members(count: int) -> list[member.Member]:
+    return [
+        member.Member(
+            f"vm{n}",
+            ZONES[n % len(ZONES)],
+            f"10.0.{n // 250}.{n % 250 + 1}",
+            6081,
+            6082,
+            1,
+            1,
+            member.MemberState.ALIVE,
+        )
+        for n in range(count)
+    ]
+
+
+def units() -> list[Unit]:
+    """Measure the costs that grow by one flow, target or VM."""
+    text = virtual_fleet.rules_text(2, 10, ZONES)
+    compiled = config.Config(virtual_fleet.document(1, text))
+    chosen = next(iter(compiled.targets.values()))
+    return [
+        Unit("record_bytes", _record_bytes(chosen)),
+        Unit("hint_bytes", _hint_bytes(chosen)),
+        Unit("member_bytes", _member_bytes()),
+        Unit("rehome_us_per_flow", _rehome_us(chosen)),
+        *_report_units(),
+        *_open_units(),
+    ]
+
+
+def _record_bytes(chosen: target.Target) -> float:
+    def build() -> object:
+        table = flow.FlowTable()
+        for number in range(SAMPLE):
+            key = packet_path.flow(number, chosen.endpoint)
+            table.add(key, _record(chosen, 1000))
+        return table
+
+    return _memory(build) / SAMPLE
+
+
+def _hint_bytes(chosen: target.Target) -> float:
+    def build() -> object:
+        table = hint.HintTable(10_000, SAMPLE)
+        for number in range(SAMPLE):
+            table.learn(1000, packet_path.flow(number, chosen.endpoint), chosen)
+        return table
+
+    return _memory(build) / SAMPLE
+
+
+def _member_bytes() -> float:
+    count = 2000
+    return _memory(lambda: {item.name: item for item in _members(count)}) / count
+
+
+def _memory(build: typing.Callable[[], object]) -> int:
+    gc.collect()
+    tracemalloc.start()
+    kept = build()
+    size_bytes = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del kept
+    return size_bytes
+
+
+def _rehome_us(chosen: target.Target) -> float:
+    fleet = virtual_fleet.VirtualFleet(2, ZONES[:1], 1)
+    text = virtual_fleet.rules_text(2, 10, ZONES[:1])
+    fleet.put_rules(virtual_fleet.document(1, text))
+    fleet.run_until(fleet.ready, READY_MS)
+    runs = fleet.vms[0].engine
+    current = runs.books.epochs.current
+    assert current is not None
+    owner = current.config.services["s0"]
+    now_ms = round(fleet.now_ms)
+    for number in range(SAMPLE):
+        key = packet_path.flow(number, owner.address)
+        place = current.locate(key, owner)
+        if place.home == fleet.vms[0].me.name and place.default is not None:
+            runs.books.flows.add(key, _record(place.default, now_ms))
+    flows = len(runs.books.flows)
+    before_ns = time.thread_time_ns()
+    runs.rehomer.start()
+    for _ in range(flows // 1000 + 1):
+        runs.rehomer.step(now_ms)
+    return (time.thread_time_ns() - before_ns) / 1000 / flows
+
+
+def _report_units() -> list[Unit]:
+    count = 1000
+    entries = tuple(wire.OpenFlows(f"t{n}", 20_000 + n) for n in range(count))
+    report = wire.LoadReport(entries)
+    payload = wire.encode(report)
+    book = load.LoadBook()
+    encode_us = _us(lambda: wire.encode(report))
+    decode_us = _us(lambda: wire.decode(payload))
+    take_us = _us(lambda: book.take(0, "vm1", report))
+    return [
+        Unit("report_bytes_per_target", len(payload) / count),
+        Unit("report_encode_us_per_target", encode_us / count),
+        Unit("report_take_us_per_target", (decode_us + take_us) / count),
+    ]
+
+
+def _open_units() -> list[Unit]:
+    costs = [_open_us(vms) for vms in (100, 2000)]
+    return [
+        Unit("open_us_at_100_vms", costs[0]),
+        Unit("open_us_per_further_vm", (costs[1] - costs[0]) / 1900),
+    ]
+
+
+def _open_us(vms: int) -> float:
+    # The engine is told of the other VMs by one heartbeat each.
+    fleet = virtual_fleet.VirtualFleet(1, ZONES[:1], 1)
+    text = virtual_fleet.rules_text(2, 10, ZONES[:1])
+    fleet.put_rules(virtual_fleet.document(1, text))
+    fleet.run_until(fleet.ready, READY_MS)
+    vm = fleet.vms[0]
+    other_zones = [
+        item._replace(zone="z9", name=f"far{n}", ip=f"10.1.{n // 250}.{n % 250 + 1}")
+        for n, item in enumerate(_members(vms))
+    ]
+    vm.engine.membership.others.update({item.name: item for item in other_zones})
+    vm.engine.membership.changed = True
+    fleet.feed(vm, message.Tick())
+    rng = random.Random(1)
+    fabric = packet.address("10.255.0.1:6080")
+    current = vm.engine.books.epochs.current
+    assert current is not None
+    address = current.config.services["s0"].address
+    numbers = rng.sample(range(60_000), 500)
+    events = [
+        message.FabricDatagram(
+            fabric,
+            packet_path.request(packet_path.flow(n, address), packet.Flags.SYN, 0),
+        )
+        for n in numbers
+    ]
+    # Late enough that no former epoch is asked.
+    now_ms = round(fleet.now_ms) + 10_000
+    before_ns = time.thread_time_ns()
+    for event in events:
+        vm.engine.feed(now_ms, event)
+    return (time.thread_time_ns() - before_ns) / 1000 / len(events)
+
+
+def _us(work: typing.Callable[[], object]) -> float:
+    samples = []
+    for _ in range(_ROUNDS):
+        before_ns = time.thread_time_ns()
+        work()
+        samples.append((time.thread_time_ns() - before_ns) / 1000)
+    return sorted(samples)[_ROUNDS // 2]
+
+
+def line(points: typing.Sequence[tuple[float, float]]) -> tuple[float, float]:
+    """Return base and slope of the least-squares line through points."""
+    count = len(points)
+    mean_x = sum(x for x, _ in points) / count
+    mean_y = sum(y for _, y in points) / count
+    spread = sum((x - mean_x) ** 2 for x, _ in points)
+    slope = sum((x - mean_x) * (y - mean_y) for x, y in points) / spread
+    return mean_y - slope * mean_x, slope
--- a/eelgrasswick/epoch.py
+++ b/eelgrasswick/epoch.py
@@ -56,6 +56,19 @@
             entry = rendezvous.candidate(item.name, item.size)
             self._by_zone.setdefault(item.zone, []).append(entry)
         self._owners: dict[tuple[str, int], _Owners] = {}
+        # Added up here and not for each new flow, or opening a flow would cost
+        # more with every VM that joins.
+        self._total_size = sum(item.size for item in self.members.values())
+
+    def share(self, name: str) -> float:
+        """Return a VM's part of the fleet's strength, 0 to 1.
+
+        Without any serving VM a VM is on its own and has the whole.
+        """
+        if not self._total_size:
+            return 1.0
+        known = self.members.get(name)
+        return known.size / self._total_size if known is not None else 0.0
 
     @property
     def zones(self) -> frozenset[str]:
--- a/eelgrasswick/opener.py
+++ b/eelgrasswick/opener.py
@@ -123,9 +123,7 @@
     def _share(self) -> float:
         current = self._books.epochs.current
         assert current is not None
-        sizes = {name: item.size for name, item in current.members.items()}
-        total = sum(sizes.values())
-        return sizes.get(self._name, total) / total if total else 1.0
+        return current.share(self._name)
 
     def choose(
         self,
--- a/eelgrasswick/virtual_fleet.py
+++ b/eelgrasswick/virtual_fleet.py
@@ -88,6 +88,7 @@
         cpu_ns: Processor time spent in the engine, nanoseconds.
         feeds: Events fed so far.
         kinds: Messages sent, by their code in ``wire``.
+        sizes: Bytes sent, likewise.
         in_force_ms: When each sequence came into force here, virtual time.
     """
 
@@ -98,10 +99,17 @@
         self.cpu_ns = 0
         self.feeds = 0
         self.kinds: collections.Counter[int] = collections.Counter()
+        self.sizes: collections.Counter[int] = collections.Counter()
         self.in_force_ms: dict[int, float] = {}
         self.watcher: watcher.Watcher
         self.alive = True
 
+    def note(self, payload: bytes) -> None:
+        """Count a message that this VM sends."""
+        # Every message is a CBOR array whose first item is its code.
+        self.kinds[payload[_CODE_AT]] += 1
+        self.sizes[payload[_CODE_AT]] += len(payload)
+
     @property
     def announced(self) -> int:
         """Pings sent to announce a newer configuration."""
@@ -267,8 +275,7 @@
                 pass
 
     def _send_peer(self, vm: Vm, action: message.SendPeer) -> None:
-        # Every message is a CBOR array whose first item is its code.
-        vm.kinds[action.payload[_CODE_AT]] += 1
+        vm.note(action.payload)
         receiver = self._by_peer.get(action.destination)
         if receiver is None or self._rng.random() < self._loss:
             return
@@ -276,7 +283,7 @@
         self.later(self.delay_ms(), lambda: self.feed(receiver, event))
 
     def _send_link(self, vm: Vm, action: message.SendLink) -> None:
-        vm.kinds[action.payload[_CODE_AT]] += 1
+        vm.note(action.payload)
         receiver = self._by_link[action.destination]
         event = message.LinkReceived(vm.me.name, action.payload)
         wait_ms = 2 * self.delay_ms()
