Put a document in force whose target was removed

Cause: the retired part of a document was read on its own. Ruled out: the store and the operator's side; the refusal is logged by each VM as config_invalid, 'service desk has no line of its own'. Fix: both parts are read together, told apart by their line.

--- a/eelgrasswick/config.py
+++ b/eelgrasswick/config.py
@@ -125,47 +125,34 @@
 
 
 def _services(document: Document) -> dict[str, service.Service]:
-    current = rule.read(document.text)
-    retired = rule.read(document.retired)
+    # A retired target's service may still be in the rules. Read on its own, the
+    # retired part would name services without a line, and every VM would refuse
+    # a document that the store has accepted; so both parts are read together.
+    whole = rule.read(f"{document.text}\n{document.retired}")
+    last_line = document.text.count("\n") + 1
     reused = frozenset(document.reused)
-    built = {}
-    for line in (*retired.services, *current.services):
-        gone = line in retired.services
-        built[line.name] = _service(line, current, retired, gone, reused)
-    return built
-
-
-def _service(
-    line: rule.ServiceRule,
-    current: rule.Rules,
-    retired: rule.Rules,
-    gone: bool,
-    reused: frozenset[str],
-) -> service.Service:
-    drains = {item.target for item in current.drains}
-    limits = {item.service: item.limit for item in current.limits}
-    targets = [
-        _target(item, item.name in drains, False)
-        for item in current.targets
-        if item.service == line.name
-    ]
-    targets += [
-        _target(item, True, True)
-        for item in retired.targets
-        if item.service == line.name
-    ]
-    return service.Service(
-        line.name,
-        line.address,
-        line.protocol,
-        line.shutdown,
-        line.wait_ms,
-        line.idle_s,
-        limits.get(line.name, service.NO_LIMIT),
-        tuple(sorted(targets)),
-        gone,
-        address_label(line) in reused,
-    )
+    drains = {item.target for item in whole.drains}
+    limits = {item.service: item.limit for item in whole.limits}
+    targets: dict[str, list[target.Target]] = {}
+    for line in whole.targets:
+        retired = line.line > last_line
+        built = _target(line, retired or line.name in drains, retired)
+        targets.setdefault(line.service, []).append(built)
+    return {
+        line.name: service.Service(
+            line.name,
+            line.address,
+            line.protocol,
+            line.shutdown,
+            line.wait_ms,
+            line.idle_s,
+            limits.get(line.name, service.NO_LIMIT),
+            tuple(sorted(targets.get(line.name, ()))),
+            line.line > last_line,
+            address_label(line) in reused,
+        )
+        for line in whole.services
+    }
 
 
 def address_label(line: rule.ServiceRule) -> str:
