Bring both sides of a cut together, and doubt what proves nothing

Cause of the split: news of a death rides on heartbeats for a few seconds. A VM cut off for longer never hears that it is held for dead, so it never raises its incarnation, and its heartbeats carry no more weight than the death. Ruled out: the heartbeats themselves; both sides ping VMs that are gone each second and get answers. Fix: a heartbeat tells its receiver what the sender holds it for, when that is worse than alive.

Packets that waited during a pause were handled by the old view. - A VM seen again under another address or size did not change the view. - One lost probe killed a VM that was joining or leaving. - VMs that are gone were kept for ever; now for an hour.

--- a/eelgrasswick/engine.py
+++ b/eelgrasswick/engine.py
@@ -93,6 +93,10 @@
         Returns:
             What to do, in order.
         """
+        if self.membership.check_pause(now_ms):
+            # Packets that waited in the socket are handled as no home, or they
+            # would be placed by a view that the others have left behind.
+            self._follow(now_ms)
         match event:
             case message.FabricDatagram():
                 self.switch.datagram(now_ms, event)
@@ -278,11 +282,10 @@
     def _begin_epoch(self, now_ms: int, current: config.Config) -> None:
         before = self.books.epochs.current
         members = [item for item in self.membership.members if item.serves]
-        names = {item.name for item in members}
         if before is None:
             self.books.epochs.advance(now_ms, epoch.Epoch(current, members))
             return
-        if before.config is current and set(before.members) == names:
+        if before.config is current and before.same_members(members):
             return
         self.books.epochs.advance(now_ms, epoch.Epoch(current, members))
         self._note_return(now_ms, before, members)
--- a/eelgrasswick/epoch.py
+++ b/eelgrasswick/epoch.py
@@ -62,6 +62,11 @@
         """Zones in which at least one VM serves."""
         return frozenset(self._by_zone)
 
+    def same_members(self, members: typing.Iterable[member.Member]) -> bool:
+        """Tell whether homes would be the same with these serving VMs."""
+        here = {(item.name, item.zone, item.size) for item in self.members.values()}
+        return here == {(item.name, item.zone, item.size) for item in members}
+
     def locate(self, flow: packet.FlowKey, owner: service.Service) -> Location:
         """Tell where a flow to a service belongs."""
         key = flow.packed
--- a/eelgrasswick/membership.py
+++ b/eelgrasswick/membership.py
@@ -6,36 +6,31 @@
 grow with the fleet.
 """
 
-import collections
 import random
 import typing
 
-from eelgrasswick import member, message, packet, peer, wire
+from eelgrasswick import (
+    contact,
+    gossip,
+    member,
+    message,
+    packet,
+    peer,
+    probe,
+    stranger,
+    wire,
+)
 
 PERIOD_MS: typing.Final = 200
-ACK_MS: typing.Final = 100
 SUSPECT_MS: typing.Final = 900
 PAUSE_MS: typing.Final = 1000
-ALONE_MS: typing.Final = 1500
 RETRY_GONE_MS: typing.Final = 1000
 VIA_COUNT: typing.Final = 2
-MAX_UPDATES: typing.Final = 6
-SPREAD_FACTOR: typing.Final = 4
 LEAVE_MS: typing.Final = 4000
+STRANGER_COUNT: typing.Final = 3
 
 
-class _Probe:
-    __slots__ = ("due_ms", "indirect", "name")
-
-    def __init__(self, name: str, due_ms: int) -> None:
-        self.name = name
-        self.due_ms = due_ms
-        self.indirect = False
-
-
-class _Via(typing.NamedTuple):
-    number: int
-    asker: packet.Address
+_DOUBTED: typing.Final = member.GONE | {member.MemberState.SUSPECT}
 
 
 class Membership:
@@ -63,22 +58,19 @@
         self.sequences: dict[str, int] = {}
         self.changed = True
         self.sequence = 0
-        self._seeds = list(seeds)
+        self._strangers = stranger.Strangers(seeds)
         self._peers = peers
         self._outbox = outbox
         self._rng = rng
-        self._listed: dict[str, member.Member] = {}
         self._round: list[str] = []
-        self._probes: dict[int, _Probe] = {}
-        self._vias: dict[int, _Via] = {}
+        self._probes = probe.Probes()
         self._suspects: dict[str, int] = {}
-        self._news: collections.Counter[str] = collections.Counter()
-        self._number = 0
+        self._holders: dict[packet.Address, str] = {}
+        self._news = gossip.Gossip()
         self._next_ms = 0
         self._retry_ms = 0
         self._last_ms: int | None = None
-        self._started_ms: int | None = None
-        self._contact = False
+        self._contact = contact.Contact()
         self._leaving_ms: int | None = None
 
     @property
@@ -86,11 +78,6 @@
         """All known VMs, this one and the gone ones included."""
         return [self.me, *self.others.values()]
 
-    @property
-    def joined(self) -> bool:
-        """True once this VM serves as a home, or has begun to leave."""
-        return self.me.state is not member.MemberState.JOINING
-
     @property
     def left(self) -> bool:
         """True when this VM has left and may stop."""
@@ -102,9 +89,7 @@
         It lags both ways, so it only names VMs that are worth a ping; what a
         VM is, its own heartbeats say.
         """
-        self._listed = {
-            item.name: item for item in members if item.name != self.me.name
-        }
+        self._strangers.list(members)
 
     def leave(self, now_ms: int) -> None:
         """Begin to leave; the VM gives up its homes and stays for a while."""
@@ -119,7 +104,6 @@
             now_ms: Present time in milliseconds.
             ready: True when this VM has a configuration to serve by.
         """
-        self._check_pause(now_ms)
         self._check_probes(now_ms)
         self._check_suspects(now_ms)
         self._check_own_state(now_ms, ready)
@@ -129,39 +113,42 @@
         if now_ms >= self._retry_ms:
             self._retry_ms = now_ms + RETRY_GONE_MS
             self._ping_strangers()
+            for name in self._strangers.outdated(now_ms):
+                self._forget(name)
 
     def ping(self, now_ms: int, source: packet.Address, item: wire.Ping) -> None:
         """Answer a heartbeat."""
         self._hear(now_ms, item.sender, item.sequence, item.updates)
+        known = self.others.get(item.sender.name)
+        told = known if known is not None and known.newer_than(item.sender) else None
+        updates = self._updates(told)
         self._peers.send_to(
-            source, wire.Ack(item.number, self.me, self.sequence, self._updates())
+            source, wire.Ack(item.number, self.me, self.sequence, updates)
         )
 
     def ack(self, now_ms: int, item: wire.Ack) -> None:
         """Take the answer to a heartbeat."""
-        self._probes.pop(item.number, None)
-        via = self._vias.pop(item.number, None)
-        if via is not None:
-            self._peers.send_to(via.asker, item._replace(number=via.number))
-        self._contact = True
+        relayed = self._probes.answered(item.number, item.sender.name)
+        if relayed is not None:
+            self._peers.send_to(relayed.asker, item._replace(number=relayed.number))
+        self._contact.answered(item.number)
         self._hear(now_ms, item.sender, item.sequence, item.updates)
+        self._clear_suspicion(now_ms, item.sender)
 
     def ping_via(self, source: packet.Address, item: wire.PingVia) -> None:
         """Ping a VM for another one that got no Ack from it."""
         suspect = self.others.get(item.suspect)
         if suspect is None:
             return
-        number = self._take_number()
-        self._vias[number] = _Via(item.number, source)
-        if len(self._vias) > 256:
-            self._vias.pop(next(iter(self._vias)))
-        self._send_ping(number, peer.address_of(suspect))
+        relayed = probe.Relayed(item.number, source, item.suspect)
+        number = self._probes.relay(relayed)
+        self._send_ping(number, peer.address_of(suspect), suspect)
 
     def announce(self, count: int) -> None:
         """Ping some VMs at once, because there is a new configuration."""
         names = [item.name for item in self.others.values() if not item.gone]
         for name in self._rng.sample(names, min(count, len(names))):
-            self._send_ping(self._take_number(), peer.address_of(self.others[name]))
+            self._ping_known(self.others[name])
 
     # Hearing of VMs.
 
@@ -175,7 +162,6 @@
         if sender.name != self.me.name:
             self.sequences[sender.name] = sequence
             self._merge(now_ms, sender)
-            self._clear_suspicion(now_ms, sender)
         for item in updates:
             self._merge(now_ms, item)
 
@@ -188,32 +174,46 @@
             return
         if known is None and news.gone:
             return
-        self._replace_address(news)
+        if not news.gone and not self._take_address(now_ms, news):
+            if known is None:
+                return
+            news = news._replace(state=member.MemberState.DEAD)
         self._set(now_ms, news)
 
-    def _replace_address(self, news: member.Member) -> None:
+    def _take_address(self, now_ms: int, news: member.Member) -> bool:
         # A VM can be replaced by another under the same address. Kept as alive,
         # the old name would share the address and be the home of flows that
-        # the new VM does not know.
-        for other in list(self.others.values()):
-            same = (other.ip, other.peer_port) == (news.ip, news.peer_port)
-            if same and other.name != news.name and not other.gone:
-                if other.incarnation > news.incarnation:
-                    continue
-                self._set(0, other._replace(state=member.MemberState.DEAD))
+        # the new VM does not know. The VM that started later has the address.
+        address = peer.address_of(news)
+        own = address == peer.address_of(self.me)
+        holder = self.me if own else self.others.get(self._holders.get(address, ""))
+        if holder is None or holder.name == news.name or holder.gone:
+            return True
+        if peer.address_of(holder) != address:
+            return True
+        if holder.incarnation > news.incarnation:
+            return False
+        if holder.name != self.me.name:
+            self._set(now_ms, holder._replace(state=member.MemberState.DEAD))
+        return True
 
     def _set(self, now_ms: int, news: member.Member) -> None:
         known = self.others.get(news.name)
         self.others[news.name] = news
-        self._news[news.name] = 0
+        self._news.add(news.name)
+        if news.gone:
+            self._strangers.gone(now_ms, news.name)
+        else:
+            self._strangers.back(news.name)
+            self._holders[peer.address_of(news)] = news.name
         if news.state is member.MemberState.SUSPECT:
             self._suspects.setdefault(news.name, now_ms + SUSPECT_MS)
         else:
             self._suspects.pop(news.name, None)
-        served = known is not None and known.serves
-        if known is None or known.state != news.state or served != news.serves:
-            self.changed = True
+        if known is None or known.state != news.state:
             self._log(news)
+        if known is None or known._replace(incarnation=news.incarnation) != news:
+            self.changed = True
 
     def _log(self, news: member.Member) -> None:
         self._outbox.put(
@@ -231,9 +231,12 @@
         if known is None or known.incarnation != sender.incarnation:
             return
         if known.state is member.MemberState.SUSPECT and sender.serves:
-            # It speaks, so it lives. Its own higher incarnation, told by it
+            # It answers, so the way there and back is open; its pings alone
+            # would prove one way only. Its own higher incarnation, told by it
             # when it hears of the suspicion, makes the others follow.
             self._set(now_ms, known._replace(state=sender.state))
+        elif known.state is not member.MemberState.SUSPECT:
+            self._suspects.pop(sender.name, None)
 
     def _refute(self, news: member.Member) -> None:
         mine = self.me
@@ -242,40 +245,46 @@
         if news.state <= mine.state and news.incarnation == mine.incarnation:
             return
         self.me = mine._replace(incarnation=news.incarnation + 1)
-        self._news[mine.name] = 0
+        self._news.add(mine.name)
 
     # This VM's own state.
 
     def _become(self, state: member.MemberState) -> None:
         self.me = self.me._replace(state=state, incarnation=self.me.incarnation + 1)
-        self._news[self.me.name] = 0
+        self._news.add(self.me.name)
         self.changed = True
         self._log(self.me)
 
-    def _check_pause(self, now_ms: int) -> None:
+    def check_pause(self, now_ms: int) -> bool:
+        """Find out whether this process was paused before the present event.
+
+        Args:
+            now_ms: Present time in milliseconds.
+
+        Returns:
+            True when it was; this VM is no home any more until it has joined.
+        """
         last = self._last_ms
         self._last_ms = now_ms
         if last is None or now_ms - last < PAUSE_MS:
-            return
+            return False
         # The process did not run for a while and does not know what the others
-        # agreed meanwhile. It notices by the gap between two ticks, stops to
-        # be a home, and joins anew once another VM has answered.
+        # agreed meanwhile. It notices by the gap between two events, stops to
+        # be a home, and joins anew once another VM has answered. Answers that
+        # waited in its socket meanwhile do not count.
         self._outbox.put(message.log("vm_paused", pause_ms=now_ms - last))
         self._probes.clear()
         self._suspects = dict.fromkeys(self._suspects, now_ms + SUSPECT_MS)
         if self.me.serves:
-            self._contact = False
-            self._started_ms = None
+            self._contact.restart(self._probes.last_number)
             self._become(member.MemberState.JOINING)
+        return True
 
     def _check_own_state(self, now_ms: int, ready: bool) -> None:
-        if self._started_ms is None:
-            self._started_ms = now_ms
         state = self.me.state
-        if state is member.MemberState.JOINING and ready:
-            alone = now_ms - self._started_ms >= ALONE_MS
-            if alone or (self._contact and self._caught_up()):
-                self._become(member.MemberState.ALIVE)
+        may_join = self._contact.may_join(now_ms, self._caught_up())
+        if state is member.MemberState.JOINING and ready and may_join:
+            self._become(member.MemberState.ALIVE)
         if state is member.MemberState.LEAVING:
             assert self._leaving_ms is not None
             if now_ms - self._leaving_ms >= LEAVE_MS:
@@ -293,7 +302,7 @@
     def _tell_all(self) -> None:
         for other in self.others.values():
             if not other.gone:
-                self._send_ping(self._take_number(), peer.address_of(other))
+                self._ping_known(other)
 
     # Heartbeats.
 
@@ -301,9 +310,8 @@
         name = self._next_name()
         if name is None:
             return
-        number = self._take_number()
-        self._probes[number] = _Probe(name, now_ms + ACK_MS)
-        self._send_ping(number, peer.address_of(self.others[name]))
+        number = self._ping_known(self.others[name])
+        self._probes.begin(now_ms, number, name)
 
     def _next_name(self) -> str | None:
         while self._round:
@@ -316,36 +324,32 @@
         return self._round.pop() if self._round else None
 
     def _ping_strangers(self) -> None:
-        # After a cut both sides take each other for dead. Were dead VMs never
-        # pinged again, the two halves would stay apart after the cut heals.
-        known = {
-            peer.address_of(item) for item in self.others.values() if not item.gone
-        }
-        gone = [peer.address_of(item) for item in self.others.values() if item.gone]
-        listed = [peer.address_of(item) for item in self._listed.values()]
-        own = peer.address_of(self.me)
-        strange = sorted({*self._seeds, *gone, *listed} - known - {own})
-        for address in self._rng.sample(strange, min(3, len(strange))):
-            self._send_ping(self._take_number(), address)
+        here = [self.me, *self.others.values()]
+        known = {peer.address_of(item) for item in here if not item.gone}
+        found = self._strangers.addresses(self.others)
+        strange = sorted(found.keys() - known)
+        for address in self._rng.sample(strange, min(STRANGER_COUNT, len(strange))):
+            self._send_ping(self._probes.take_number(), address, found[address])
+
+    def _forget(self, name: str) -> None:
+        place = peer.address_of(self.others.pop(name))
+        if self._holders.get(place) == name:
+            del self._holders[place]
+        self._strangers.back(name)
+        self.sequences.pop(name, None)
+        self._news.discard(name)
+        self.changed = True
 
     def _check_probes(self, now_ms: int) -> None:
-        for number, probe in list(self._probes.items()):
-            if probe.due_ms > now_ms:
-                continue
-            if probe.indirect:
-                del self._probes[number]
-                self._suspect(now_ms, probe.name)
+        for item in self._probes.overdue(now_ms):
+            if item.final:
+                self._suspect(now_ms, item.name)
             else:
-                probe.indirect = True
-                probe.due_ms = now_ms + 2 * ACK_MS
-                self._ask_others(number, probe.name)
+                self._ask_others(item.number, item.name)
 
     def _ask_others(self, number: int, suspect: str) -> None:
-        names = [
-            item.name
-            for item in self.others.values()
-            if item.serves and item.name != suspect
-        ]
+        serving = [item.name for item in self.others.values() if item.serves]
+        names = [name for name in serving if name != suspect]
         for name in self._rng.sample(names, min(VIA_COUNT, len(names))):
             self._peers.send(name, wire.PingVia(number, suspect))
 
@@ -353,10 +357,10 @@
         known = self.others.get(name)
         if known is None or known.gone:
             return
-        if known.state in (member.MemberState.JOINING, member.MemberState.LEAVING):
-            self._set(now_ms, known._replace(state=member.MemberState.DEAD))
-        elif known.state is member.MemberState.ALIVE:
+        if known.state is member.MemberState.ALIVE:
             self._set(now_ms, known._replace(state=member.MemberState.SUSPECT))
+        else:
+            self._suspects.setdefault(name, now_ms + SUSPECT_MS)
 
     def _check_suspects(self, now_ms: int) -> None:
         for name, due_ms in list(self._suspects.items()):
@@ -364,24 +368,32 @@
                 known = self.others[name]
                 self._set(now_ms, known._replace(state=member.MemberState.DEAD))
 
-    def _updates(self) -> tuple[member.Member, ...]:
-        limit = SPREAD_FACTOR * (len(self.others) + 2).bit_length()
-        fresh = sorted(self._news.items(), key=lambda item: item[1])[:MAX_UPDATES]
-        chosen = []
-        for name, sent in fresh:
-            known = self.me if name == self.me.name else self.others.get(name)
-            if known is not None:
-                chosen.append(known)
-            self._news[name] = sent + 1
-            if sent + 1 >= limit:
-                del self._news[name]
+    def _updates(self, told: member.Member | None) -> tuple[member.Member, ...]:
+        """Return the news for one heartbeat.
+
+        Args:
+            told: What the receiver must hear about itself, if anything. The
+                news of a death is passed on for some seconds only. A VM that
+                is cut off for longer would never hear that the others take it
+                for dead, never refute it, and stay apart after the cut heals.
+        """
+        names = self._news.take(len(self.others) + 1)
+        known = [self.me if n == self.me.name else self.others.get(n) for n in names]
+        chosen = [item for item in known if item is not None]
+        if told is not None and told not in chosen:
+            chosen.insert(0, told)
         return tuple(chosen)
 
-    def _send_ping(self, number: int, destination: packet.Address) -> None:
+    def _ping_known(self, known: member.Member) -> int:
+        number = self._probes.take_number()
+        self._send_ping(number, peer.address_of(known), known)
+        return number
+
+    def _send_ping(
+        self, number: int, destination: packet.Address, receiver: member.Member | None
+    ) -> None:
+        doubted = receiver is not None and receiver.state in _DOUBTED
+        updates = self._updates(receiver if doubted else None)
         self._peers.send_to(
-            destination, wire.Ping(number, self.me, self.sequence, self._updates())
+            destination, wire.Ping(number, self.me, self.sequence, updates)
         )
-
-    def _take_number(self) -> int:
-        self._number += 1
-        return self._number
--- /dev/null
+++ b/eelgrasswick/probe.py
@@ -0,0 +1,110 @@
+"""Heartbeats that wait for an Ack, own ones and those sent for other VMs."""
+
+import typing
+
+from eelgrasswick import packet
+
+ACK_MS: typing.Final = 100
+INDIRECT_MS: typing.Final = 200
+MAX_RELAYED: typing.Final = 256
+
+
+class Overdue(typing.NamedTuple):
+    """A heartbeat whose Ack did not come in time.
+
+    Attributes:
+        number: Number of the heartbeat.
+        name: The VM it went to.
+        final: True when other VMs were asked to try as well, in vain.
+    """
+
+    number: int
+    name: str
+    final: bool
+
+
+class Relayed(typing.NamedTuple):
+    """A heartbeat sent for another VM that got no Ack itself.
+
+    Attributes:
+        number: Number that the asker gave its heartbeat.
+        asker: Peer address of the asker.
+        name: The VM it went to.
+    """
+
+    number: int
+    asker: packet.Address
+    name: str
+
+
+class _Waiting:
+    __slots__ = ("due_ms", "final", "name")
+
+    def __init__(self, name: str, due_ms: int) -> None:
+        self.name = name
+        self.due_ms = due_ms
+        self.final = False
+
+
+class Probes:
+    """Numbers heartbeats and matches Acks to them."""
+
+    def __init__(self) -> None:
+        """Start with nothing under way."""
+        self.last_number = 0
+        self._waiting: dict[int, _Waiting] = {}
+        self._relayed: dict[int, Relayed] = {}
+
+    def take_number(self) -> int:
+        """Return a number for a heartbeat."""
+        self.last_number += 1
+        return self.last_number
+
+    def begin(self, now_ms: int, number: int, name: str) -> None:
+        """Wait for the Ack of a VM to a numbered heartbeat."""
+        self._waiting[number] = _Waiting(name, now_ms + ACK_MS)
+
+    def relay(self, item: Relayed) -> int:
+        """Return the number for a heartbeat that is sent for another VM."""
+        number = self.take_number()
+        self._relayed[number] = item
+        if len(self._relayed) > MAX_RELAYED:
+            self._relayed.pop(next(iter(self._relayed)))
+        return number
+
+    def answered(self, number: int, name: str) -> Relayed | None:
+        """Take an Ack.
+
+        Args:
+            number: Number it carries.
+            name: The VM that sent it. Another VM may have got the address of a
+                dead one; its answers prove nothing about the VM that was
+                pinged, which would stay the home of flows for ever.
+
+        Returns:
+            The other VM's heartbeat that the Ack has to be passed on for.
+        """
+        waiting = self._waiting.get(number)
+        if waiting is not None and waiting.name == name:
+            del self._waiting[number]
+        relayed = self._relayed.get(number)
+        if relayed is None or relayed.name != name:
+            return None
+        return self._relayed.pop(number)
+
+    def overdue(self, now_ms: int) -> list[Overdue]:
+        """Return the heartbeats whose time is up, each once or twice in all."""
+        found = []
+        for number, item in list(self._waiting.items()):
+            if item.due_ms > now_ms:
+                continue
+            found.append(Overdue(number, item.name, item.final))
+            if item.final:
+                del self._waiting[number]
+            item.final = True
+            item.due_ms = now_ms + INDIRECT_MS
+        return found
+
+    def clear(self) -> None:
+        """Expect no Ack any more."""
+        self._waiting.clear()
