Close the connection of a watch that is laid down

Cause: treq's collector has no canceller, so a cancelled watch went on: its connection stayed open, counted as a waiting call at the platform, and passed rows on. It also kept the whole body, which a long watch never ends. Ruled out: the emulated store, which ends a watch once its connection closes. Before: 1 watch waits after it was cancelled. After: 0, and no row comes late. The timeout of the watch's first answer now runs on the clock it is given.

--- a/eelgrasswick/gateway.py
+++ b/eelgrasswick/gateway.py
@@ -6,8 +6,10 @@
 
 import treq
 from treq import client
-from twisted.internet import defer, error, interfaces
+from twisted.internet import defer, error, interfaces, protocol
+from twisted.python import failure as python_failure
 from twisted.web import client as web_client
+from twisted.web import http
 
 from eelgrasswick import errors, store
 
@@ -20,6 +22,8 @@
     web_client.ResponseFailed,
     web_client.RequestTransmissionFailed,
     web_client.ResponseNeverReceived,
+    web_client.ResponseDone,
+    http.PotentialDataLoss,
     ValueError,
     KeyError,
     TypeError,
@@ -101,8 +105,10 @@
                 f"{self._url}/v3/watch",
                 data=json.dumps({"create_request": create}).encode(),
                 timeout=self._timeout_s,
+                reactor=self._reactor,
+                unbuffered=True,
             )
-            await treq.collect(response, lines.take)
+            await _Body(lines).read(response)
         except _FAILURES as failure:
             raise errors.StoreError(f"watch: {failure!r}") from failure
 
@@ -127,6 +133,45 @@
         return json.loads(content)
 
 
+class _Body(protocol.Protocol):
+    """Reads the body of a watch until it ends or is cancelled.
+
+    treq's own collector leaves the connection open when it is cancelled, and
+    keeps the whole body. A VM that lays its watch down would go on to count as
+    a waiting call, and one that watches for long would run out of memory.
+    """
+
+    def __init__(self, lines: "_Lines") -> None:
+        self._lines = lines
+        self._done: defer.Deferred[None] = defer.Deferred(lambda _: self._close())
+        self._closed = False
+
+    def read(self, response: typing.Any) -> defer.Deferred[None]:
+        response.deliverBody(self)
+        return self._done
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        if self._closed:
+            return
+        try:
+            self._lines.take(data)
+        except (ValueError, KeyError, TypeError):
+            self._close()
+            self._done.errback()
+
+    def connectionLost(  # noqa: N802
+        self, reason: python_failure.Failure = protocol.connectionDone
+    ) -> None:
+        if not self._closed:
+            self._done.errback(reason)
+
+    def _close(self) -> None:
+        self._closed = True
+        transport: typing.Any = self.transport
+        if transport is not None:
+            transport.loseConnection()
+
+
 class _Lines:
     """Cuts a watch's byte stream into JSON lines and passes rows on."""
 
