Notice a watch that went mute and a store that went back

Cause: a watch waited without end. A connection dropped on the way, or a store replaced behind its address, shows nothing to it, and an accepted change came into force with the next restart only. Deleted rules and the platform's list of VMs were read at the start of a watch only, too. Fix: a watch is begun anew after 1.5 to 2 s from the last revision seen, which carries nothing when nothing is new, and all is read again each 10 s. With a slow store a watch gets longer, or it would never begin. A watch that ends at once is backed off from. A repair of the store now leaves an entry in the trail.

--- a/eelgrasswick/change.py
+++ b/eelgrasswick/change.py
@@ -21,6 +21,7 @@
     ACCEPTED = "accepted"
     UNCHANGED = "unchanged"
     CONFLICT = "conflict"
+    REPAIRED = "repaired"
 
 
 class AuditEntry(typing.NamedTuple):
@@ -217,6 +218,20 @@
     return msgspec.json.decode(row.value, type=AuditEntry)
 
 
+def repair_put(document: config.Document) -> store.Put:
+    """Return the trail's entry for a document put back into the store."""
+    entry = AuditEntry(
+        document.sequence,
+        document.change_id,
+        document.author,
+        document.at_ms,
+        Outcome.REPAIRED.value,
+        (),
+    )
+    key = f"{_audit_key(document.sequence)}-{Outcome.REPAIRED.value}"
+    return store.Put(key, msgspec.json.encode(entry))
+
+
 def _difference(before: str, after: str) -> tuple[str, ...]:
     lines = difflib.unified_diff(before.splitlines(), after.splitlines(), n=0)
     return tuple(
--- a/eelgrasswick/emulated_platform.py
+++ b/eelgrasswick/emulated_platform.py
@@ -22,11 +22,14 @@
         outage: No call is answered.
         delay_ms: Each answer comes this late.
         lost_answers: Next transactions that take effect without an answer.
+        late_ms: Those transactions take effect this late, after the answer
+            was given up on.
     """
 
     outage: bool = False
     delay_ms: int = 0
     lost_answers: int = 0
+    late_ms: int = 0
 
 
 class _Entry(typing.NamedTuple):
@@ -64,6 +67,10 @@
             for item in watchers:
                 item.ended.errback(errors.StoreError("platform outage"))
 
+    def mute_watches(self) -> None:
+        """Let the present watches wait on without ever passing on a change."""
+        self._watchers = []
+
     def save(self) -> None:
         """Take the copy that ``restore`` goes back to."""
         self._snapshot = dict(self._entries)
@@ -99,13 +106,24 @@
     ) -> store.Committed:
         """Commit a transaction; see the base class."""
         await self._enter("commit")
-        committed = self.write(compares, puts)
         if self.faults.lost_answers > 0:
             self.faults = self.faults._replace(
                 lost_answers=self.faults.lost_answers - 1
             )
+            self._write_late(compares, puts)
             raise errors.StoreError("answer lost")
-        return committed
+        return self.write(compares, puts)
+
+    def _write_late(
+        self,
+        compares: typing.Sequence[store.Compare],
+        puts: typing.Sequence[store.Put],
+    ) -> None:
+        if self.faults.late_ms:
+            late_s = self.faults.late_ms / 1000
+            self._clock.callLater(late_s, self.write, compares, puts)
+        else:
+            self.write(compares, puts)
 
     def write(
         self,
@@ -239,6 +257,8 @@
             self._store.save()
         if body.pop("restore", False):
             self._store.restore()
+        if body.pop("mute_watches", False):
+            self._store.mute_watches()
         self._store.set_faults(self._store.faults._replace(**body))
         return b"{}"
 
--- a/eelgrasswick/watcher.py
+++ b/eelgrasswick/watcher.py
@@ -8,9 +8,11 @@
 import eliot
 from twisted.internet import defer, task
 
-from eelgrasswick import backoff, config, errors, member, message, store
+from eelgrasswick import backoff, change, config, errors, member, message, store
 
 LEASE_S: typing.Final = 15
+WATCH_MS: typing.Final = 2000
+READ_MS: typing.Final = 10_000
 
 
 class Watcher:
@@ -33,6 +35,7 @@
         self._watch: defer.Deferred[None] | None = None
         self._turn = 0
         self._lease = 0
+        self._revision = 0
 
     def set_active(self, active: bool) -> None:
         """Take up or lay down the watch."""
@@ -67,26 +70,65 @@
         failures = 0
         while turn == self._turn:
             try:
-                revision = await self._read_all()
+                await self._watch_until_read(turn)
                 failures = 0
-                await self._store.watch(store.RULES_KEY, revision, self._on_rows)
+                continue
             except errors.StoreError as error:
+                if turn != self._turn:
+                    return
                 self._feed(message.StoreFailed(error.detail))
             failures += 1
             wait_ms = backoff.wait_ms(failures, self._rng.random())
             await task.deferLater(self._clock, wait_ms / 1000)
 
-    async def _read_all(self) -> int:
+    async def _watch_until_read(self, turn: int) -> None:
+        """Read all, then watch until it is time to read again."""
+        begun_ms = self._now_ms()
+        await self._read_all()
+        read_ms = self._now_ms() - begun_ms
+        until_ms = self._now_ms() + READ_MS
+        while turn == self._turn and self._now_ms() < until_ms:
+            # A slow store also takes long to begin a watch. Given up before it
+            # has begun, no watch would ever come about.
+            fraction = 0.75 + 0.25 * self._rng.random()
+            await self._watch_for(int(WATCH_MS * fraction) + 2 * read_ms)
+
+    async def _watch_for(self, wait_ms: int) -> None:
+        # A watch can go mute without an end, when a connection is dropped on
+        # the way or the store behind it was replaced. An accepted change would
+        # not come into force here; so each watch is given up after a while, and
+        # the next one begins after the last revision seen.
+        watching = defer.Deferred.fromCoroutine(
+            self._store.watch(store.RULES_KEY, self._revision, self._on_rows)
+        )
+        lapse = _Lapse(watching)
+        timer = self._clock.callLater(wait_ms / 1000, lapse.end)
+        try:
+            await watching
+        except (errors.StoreError, defer.CancelledError):
+            if not lapse.ended:
+                raise
+        finally:
+            if timer.active():
+                timer.cancel()
+        if not lapse.ended:
+            raise errors.StoreError("the platform ended the watch")
+
+    def _now_ms(self) -> int:
+        return round(self._clock.seconds() * 1000)
+
+    async def _read_all(self) -> None:
         row = await self._store.read(store.RULES_KEY)
+        self._revision = row.revision if row is not None else 0
         self._feed(message.StoreRead(row.value if row is not None else None))
         rows = await self._store.read_prefix(store.VMS_PREFIX)
         members = tuple(item for item in map(_listed, rows) if item is not None)
         self._feed(message.VmsListed(members))
-        return row.revision if row is not None else 0
 
     def _on_rows(self, rows: tuple[store.Row, ...]) -> None:
         for row in rows:
             if row.key == store.RULES_KEY:
+                self._revision = max(self._revision, row.revision)
                 self._feed(message.StoreRead(row.value))
 
     async def _report(self, action: message.ReportInForce) -> None:
@@ -102,8 +144,11 @@
         if row is not None and _sequence(row.value) >= action.sequence:
             return
         compare = store.Compare(store.RULES_KEY, revision)
-        put = store.Put(store.RULES_KEY, action.value)
-        committed = await self._store.commit((compare,), (put,))
+        puts = (
+            store.Put(store.RULES_KEY, action.value),
+            change.repair_put(config.decode(action.value)),
+        )
+        committed = await self._store.commit((compare,), puts)
         eliot.log_message(
             message_type="store_repaired",
             zone=self._zone,
@@ -112,6 +157,18 @@
         )
 
 
+class _Lapse:
+    """Gives a watch up, and remembers that it did."""
+
+    def __init__(self, watching: defer.Deferred[None]) -> None:
+        self.ended = False
+        self._watching = watching
+
+    def end(self) -> None:
+        self.ended = True
+        self._watching.cancel()
+
+
 def _sequence(value: bytes) -> int:
     try:
         return config.decode(value).sequence
