Keep names of retired lines, and every document readable

Retired lines were cut off at their bound after targets without a service had been left out, not before, so no VM could read the document. Rules with faults in the store, as another version may write them, could not be replaced by any operator, since planning insisted on reading them.

--- a/eelgrasswick/change.py
+++ b/eelgrasswick/change.py
@@ -100,7 +100,7 @@
         rules = rule.read(text)
         row = await self._store.read(store.RULES_KEY)
         before = config.decode(row.value) if row is not None else _EMPTY
-        _check_identity(rule.read(before.text), rules)
+        _check_identity(before, rules)
         after = _document(before, rules, text, self._author, now_ms)
         lines = _difference(before.text, text)
         return Plan(before, row.revision if row is not None else 0, after, lines)
@@ -152,11 +152,11 @@
                     return _accepted(plan)
                 if present.sequence > plan.before.sequence:
                     return await self._overtaken(plan)
-                if await self._fence(row):
-                    raise errors.StoreError(f"not accepted; {cause.detail}")
-            except errors.StoreError as error:
-                if error.detail.startswith("not accepted"):
-                    raise
+                fenced = await self._fence(row)
+            except errors.StoreError:
+                continue
+            if fenced:
+                raise errors.StoreError(f"not accepted; {cause.detail}")
         raise errors.ChangeUnknownError(cause.detail)
 
     async def _overtaken(self, plan: Plan) -> Result:
@@ -241,30 +241,45 @@
     )
 
 
-def _check_identity(before: rule.Rules, after: rule.Rules) -> None:
-    """Refuse a known name with another address.
+def _check_identity(before: config.Document, after: rule.Rules) -> None:
+    """Refuse a known name with another address, and a known target's new name.
 
     Flows that are open go to the old address. Were the name to move, they
     would be cut, or would reach a machine that now works for another service.
+    The same holds for names whose lines have left the rules. The lines of the
+    document may have faults, when another version wrote them; those are left
+    out, or no operator could ever replace them.
     """
-    services = {item.name: item for item in before.services}
-    targets = {item.name: item for item in before.targets}
-    faults = []
-    for service in after.services:
-        old = services.get(service.name)
-        if old and (old.address, old.protocol) != (service.address, service.protocol):
-            faults.append(_renamed(service.line, "service", service.name))
-    for target in after.targets:
-        known = targets.get(target.name)
-        if known and (known.endpoint, known.service) != (
-            target.endpoint,
-            target.service,
-        ):
-            faults.append(_renamed(target.line, "target", target.name))
+    former = rule.parse(f"{before.text}\n{before.retired}").rules
+    faults = _service_faults(former, after) + _target_faults(former, after)
     if faults:
         raise errors.RulesInvalidError("\n".join(str(item) for item in faults))
 
 
+def _service_faults(before: rule.Rules, after: rule.Rules) -> list[rule.Fault]:
+    known = {item.name: (item.address, item.protocol) for item in before.services}
+    return [
+        _renamed(item.line, "service", item.name)
+        for item in after.services
+        if known.get(item.name, (item.address, item.protocol))
+        != (item.address, item.protocol)
+    ]
+
+
+def _target_faults(before: rule.Rules, after: rule.Rules) -> list[rule.Fault]:
+    known = {item.name: (item.endpoint, item.service) for item in before.targets}
+    names = {place: name for name, place in known.items()}
+    faults = []
+    for item in after.targets:
+        place = (item.endpoint, item.service)
+        if known.get(item.name, place) != place:
+            faults.append(_renamed(item.line, "target", item.name))
+        elif names.get(place, item.name) != item.name:
+            problem = f"target {names[place]!r} has this endpoint already"
+            faults.append(rule.Fault(item.line, 1, problem, "keep the name"))
+    return faults
+
+
 def _renamed(line: int, what: str, name: str) -> rule.Fault:
     return rule.Fault(
         line,
@@ -302,28 +317,30 @@
     addresses = {config.address_label(item) for item in rules.services}
     targets = {item.name for item in rules.targets}
     endpoints = {item.endpoint for item in rules.targets}
-    kept: dict[str, str] = {}
+    kept: dict[tuple[str, str], str] = {}
     for line in lines:
         parsed = rule.parse(line).rules
         for service in parsed.services:
             label = config.address_label(service)
             if service.name not in services and label not in addresses:
-                kept[f"service {service.name}"] = line
+                kept[("service", service.name)] = line
         for target in parsed.targets:
             if target.name not in targets and target.endpoint not in endpoints:
-                kept[f"target {target.name}"] = line
-    return "\n".join(_with_services(kept, services)[-RETIRED_LINES:])
+                kept[("target", target.name)] = line
+    return "\n".join(_with_services(list(kept.values())[-RETIRED_LINES:], services))
 
 
-def _with_services(kept: dict[str, str], present: set[str]) -> list[str]:
-    retired = {name.removeprefix("service ") for name in kept if name[:3] == "ser"}
+def _with_services(lines: list[str], present: set[str]) -> list[str]:
+    # Cut off at the bound, or with its address taken, a service can be missing
+    # while its targets are still here. No VM could read such a document.
+    parsed = {line: rule.parse(line).rules for line in lines}
+    retired = {item.name for rules in parsed.values() for item in rules.services}
     known = present | retired
-    lines = []
-    for line in kept.values():
-        targets = rule.parse(line).rules.targets
-        if all(item.service in known for item in targets):
-            lines.append(line)
-    return lines
+    return [
+        line
+        for line, rules in parsed.items()
+        if all(item.service in known for item in rules.targets)
+    ]
 
 
 def _reused(before: config.Document, rules: rule.Rules) -> tuple[str, ...]:
