Keep the fleet whole when a sequence is given twice

Cause: after a restore of the store, an operator's change can be accepted under the sequence of one that is in force. The VMs refuse it for ever, VMs that start take it, and the store was repaired only when its sequence was lower. Fix: the document in force goes into the store under the next sequence; the other operator's next plan shows it. Second cause: with no serving VM in a zone every VM of it watched, so a start of the whole fleet brought a call from each VM. Now two of those that start watch, after 500 ms in which they hear of each other. Ruled out: taking the later document instead, which would undo an accepted change that is in force.

--- a/eelgrasswick/keeper.py
+++ b/eelgrasswick/keeper.py
@@ -14,6 +14,7 @@
 WANT_MS: typing.Final = 250
 REPORT_MS: typing.Final = 5000
 REPORT_SOON_MS: typing.Final = 300
+LONELY_MS: typing.Final = 500
 _COUNT: typing.Final = message.Counter
 
 
@@ -29,6 +30,7 @@
         self.changed = False
         self.watching = False
         self._value = b""
+        self._begun_ms: int | None = None
         self._want_ms = 0
         self._report_ms = 0
         self._reported: tuple[message.InForce, ...] = ()
@@ -107,11 +109,26 @@
             self.offer(now_ms, value, "store")
         if self.current is None or value == self._value:
             return
-        if _sequence_of(value) < self.sequence:
+        document = _document(value)
+        if document is None or document.sequence < self.sequence:
             # The store was restored from an older copy. Left so, the next
             # change would get a sequence that all VMs refuse; the operator
             # would see it accepted and never in force.
             self._outbox.put(message.RepairStore(self._value, self.sequence))
+        elif document.sequence == self.sequence:
+            self._repair_twin(document)
+
+    def _repair_twin(self, document: config.Document) -> None:
+        # After a restore an operator's change can get the sequence of one that
+        # is in force already. VMs that start would take it, the others refuse
+        # it, and the fleet would be divided. What is in force stays and gets a
+        # higher sequence; the operator's next plan shows that it won.
+        assert self.current is not None
+        mine = self.current.document
+        if document == mine:
+            return
+        raised = mine._replace(sequence=mine.sequence + 1)
+        self._outbox.put(message.RepairStore(config.encode(raised), raised.sequence))
 
     def heard(self, now_ms: int, name: str, sequence: int) -> None:
         """Ask a VM for its configuration when it is newer."""
@@ -132,8 +149,14 @@
         sequences: dict[str, int],
     ) -> None:
         """Take up or lay down the watch, and report what is in force."""
-        order = _watch_order(me, members)
-        active = me.name in order[:WATCHERS] or not order
+        if self._begun_ms is None:
+            self._begun_ms = now_ms
+        serving = _watch_order(me, members, True)
+        order = serving or _watch_order(me, members, False)
+        # When all VMs start at once each knows itself only. Did each watch at
+        # once, the platform would get a call from every VM of the fleet.
+        known = bool(serving) or now_ms - self._begun_ms >= LONELY_MS
+        active = known and me.name in order[:WATCHERS]
         if active != self.watching:
             self.watching = active
             self._outbox.put(message.WatchStore(active))
@@ -156,21 +179,21 @@
         self._outbox.put(message.ReportInForce(entries))
 
 
-def _sequence_of(value: bytes | None) -> int:
+def _document(value: bytes | None) -> config.Document | None:
     if value is None:
-        return 0
+        return None
     try:
-        return config.decode(value).sequence
+        return config.decode(value)
     except errors.RulesInvalidError:
-        return 0
+        return None
 
 
 def _watch_order(
-    me: member.Member, members: typing.Sequence[member.Member]
+    me: member.Member, members: typing.Sequence[member.Member], serving: bool
 ) -> list[str]:
-    serving = [
+    candidates = [
         rendezvous.candidate(item.name, 1.0)
         for item in members
-        if item.zone == me.zone and item.serves
+        if item.zone == me.zone and (item.serves if serving else not item.gone)
     ]
-    return rendezvous.ranked(b"watch", serving)
+    return rendezvous.ranked(b"watch", candidates)
