Split the commands and mend watch and apply

Cause, found by reading and by trying each command: watch ended when an editor replaced the file, dropped a save that met an outage, and submitted an old copy at its start; apply and watch compared revisions only between their own read and write, so that a file edited from an older text silently took another operator's lines out. Errors of several lines named their kind only once.

--- /dev/null
+++ b/eelgrasswick/command_operator.py
@@ -0,0 +1,252 @@
+"""Commands of operators: check, apply, watch, show and audit."""
+
+import dataclasses
+import getpass
+import json
+import pathlib
+import sys
+import typing
+
+import cappa
+from twisted.internet import task
+
+from eelgrasswick import (
+    backoff,
+    change,
+    console,
+    errors,
+    gateway,
+    rule,
+    store,
+)
+
+_WATCH_S: typing.Final = 0.5
+_NEVER_SEEN: typing.Final = -1
+BasedOn = typing.Annotated[
+    int | None,
+    cappa.Arg(long="--based-on", help="sequence that the file was edited from"),
+]
+
+
+@cappa.command(name="check", help="check a rules file and print every fault")
+@dataclasses.dataclass
+class Check:
+    """Arguments of ``check``."""
+
+    file: pathlib.Path
+    as_json: console.Json = False
+
+    def __call__(self) -> None:
+        """Print the faults; exit with 1 if there are any."""
+        faults = rule.parse(console.text(self.file)).faults
+        if self.as_json:
+            print(json.dumps([item._asdict() for item in faults]))
+        for item in faults:
+            print(f"{self.file}: {item}", file=sys.stderr)
+        if faults:
+            raise cappa.Exit(
+                code=errors.ANSWERS[errors.ErrorKind.RULES_INVALID].exit_code
+            )
+        if not self.as_json:
+            print(f"{self.file}: no faults")
+
+
+@cappa.command(name="apply", help="submit a rules file")
+@dataclasses.dataclass
+class Apply:
+    """Arguments of ``apply``."""
+
+    file: pathlib.Path
+    platform: console.Platform
+    dry_run: typing.Annotated[bool, cappa.Arg(long="--dry-run")] = False
+    based_on: BasedOn = None
+    author: console.Author = ""
+    as_json: console.Json = False
+
+    def __call__(self) -> None:
+        """Show the difference, submit it and tell how it ended."""
+        console.run(self._apply)
+
+    async def _apply(self, reactor: typing.Any) -> None:
+        operator = _operator(reactor, self.platform, self.author)
+        plan = await operator.plan(console.text(self.file), console.now_ms())
+        if self.based_on is not None:
+            await _check_base(operator, plan, self.based_on)
+        if self.dry_run:
+            before = plan.before.sequence
+            console.print_lines(
+                plan.lines, self.as_json, outcome="dry_run", sequence=before
+            )
+            return
+        _tell(await operator.submit(plan), self.as_json)
+
+
+async def _check_base(
+    operator: change.Operator, plan: change.Plan, based_on: int
+) -> None:
+    # The comparison in the store only covers the moment between reading and
+    # writing. A file that was edited from an older text would take another
+    # operator's lines out again; the other one would see them accepted and then
+    # gone. So the sequence that the edit started from is compared as well.
+    if plan.empty or plan.before.sequence == based_on:
+        return
+    print(
+        f"accepted since sequence {based_on}, up to {plan.before.sequence}:",
+        file=sys.stderr,
+    )
+    for entry in await operator.audit():
+        if entry.sequence > based_on and entry.outcome == change.Outcome.ACCEPTED.value:
+            for line in entry.lines:
+                print(f"{entry.sequence} {entry.author}: {line}", file=sys.stderr)
+    raise errors.ChangeConflictError("the lines above were accepted first")
+
+
+@cappa.command(name="watch", help="submit a rules file whenever it is saved")
+@dataclasses.dataclass
+class Watch:
+    """Arguments of ``watch``."""
+
+    file: pathlib.Path
+    platform: console.Platform
+    author: console.Author = ""
+
+    def __call__(self) -> None:
+        """Submit on every save until interrupted."""
+        console.run(self._watch)
+
+    async def _watch(self, reactor: typing.Any) -> None:
+        operator = _operator(reactor, self.platform, self.author)
+        follower = Follower(operator, self.file)
+        while True:
+            wait_s = await follower.look(console.now_ms())
+            await task.deferLater(reactor, wait_s)
+
+
+class Follower:
+    """Submits a file whenever its text has changed."""
+
+    def __init__(self, operator: change.Operator, file: pathlib.Path) -> None:
+        """Follow one file in the name of one operator."""
+        self._operator = operator
+        self._file = file
+        self._seen: str | None = None
+        self._sequence = _NEVER_SEEN
+        self._failures = 0
+        self._trouble = ""
+
+    async def look(self, now_ms: int) -> float:
+        """Submit the file if it was saved since the last look.
+
+        Args:
+            now_ms: Wall-clock time in milliseconds.
+
+        Returns:
+            Seconds to wait before the next look.
+        """
+        text = self._read()
+        if text is None or text == self._seen:
+            return _WATCH_S
+        try:
+            await self._submit(text, now_ms)
+        except (errors.StoreError, errors.ChangeUnknownError) as error:
+            # An outage must not lose a save: the operator would take it for
+            # submitted. The same text is tried again until there is an answer.
+            console.print_error(error)
+            self._failures += 1
+            return max(_WATCH_S, backoff.wait_ms(self._failures, 0.5) / 1000)
+        except errors.EelgrasswickError as error:
+            console.print_error(error)
+        self._failures = 0
+        self._seen = text
+        return _WATCH_S
+
+    def _read(self) -> str | None:
+        # An editor may replace the file, so that for a moment there is none.
+        # Were that an end of the watch, later saves would go nowhere.
+        try:
+            text = self._file.read_text(encoding="utf-8")
+        except (OSError, UnicodeDecodeError) as error:
+            if str(error) != self._trouble:
+                print(f"{self._file}: {error}", file=sys.stderr, flush=True)
+            self._trouble = str(error)
+            return None
+        self._trouble = ""
+        return text
+
+    async def _submit(self, text: str, now_ms: int) -> None:
+        plan = await self._operator.plan(text, now_ms)
+        base = self._sequence
+        # After a conflict is shown once, the next save is taken as an answer.
+        self._sequence = plan.before.sequence
+        if base == _NEVER_SEEN:
+            # A start is no save: the file may be older than what is accepted.
+            console.print_lines(plan.lines, False, outcome="waits_for_save")
+            return
+        await _check_base(self._operator, plan, base)
+        result = await self._operator.submit(plan)
+        self._sequence = result.sequence
+        _tell(result, False)
+
+
+@cappa.command(name="show", help="show the sequence in force at each entry VM")
+@dataclasses.dataclass
+class Show:
+    """Arguments of ``show``."""
+
+    platform: console.Platform
+    as_json: console.Json = False
+
+    def __call__(self) -> None:
+        """Print one line per VM."""
+        console.run(self._show)
+
+    async def _show(self, reactor: typing.Any) -> None:
+        platform = gateway.Gateway(reactor, self.platform, console.STORE_TIMEOUT_MS)
+        rows = await platform.read_prefix(store.IN_FORCE_PREFIX)
+        console.print_table(
+            [item for row in rows for item in _in_force(row)], self.as_json
+        )
+
+
+def _in_force(row: store.Row) -> list[console.Row]:
+    zone = row.key.removeprefix(store.IN_FORCE_PREFIX)
+    try:
+        sequences = sorted(json.loads(row.value).items())
+    except (ValueError, AttributeError) as error:
+        print(f"{row.key}: {error}", file=sys.stderr)
+        return []
+    return [{"zone": zone, "vm": vm, "sequence": number} for vm, number in sequences]
+
+
+@cappa.command(name="audit", help="show who changed what, and how it ended")
+@dataclasses.dataclass
+class Audit:
+    """Arguments of ``audit``."""
+
+    platform: console.Platform
+    as_json: console.Json = False
+
+    def __call__(self) -> None:
+        """Print one line per submission."""
+        console.run(self._audit)
+
+    async def _audit(self, reactor: typing.Any) -> None:
+        entries = await _operator(reactor, self.platform, "").audit()
+        console.print_table([item._asdict() for item in entries], self.as_json)
+
+
+def _operator(reactor: typing.Any, url: str, author: str) -> change.Operator:
+    platform = gateway.Gateway(reactor, url, console.STORE_TIMEOUT_MS)
+    return change.Operator(platform, author or getpass.getuser())
+
+
+def _tell(result: change.Result, as_json: bool) -> None:
+    console.print_lines(
+        result.lines,
+        as_json,
+        outcome=result.outcome.value,
+        sequence=result.sequence,
+        change_id=result.change_id,
+    )
+    if result.outcome is change.Outcome.CONFLICT:
+        raise errors.ChangeConflictError("the lines above were accepted first")
--- /dev/null
+++ b/eelgrasswick/console.py
@@ -0,0 +1,107 @@
+"""What the commands share: running work, printing, and ending with a code."""
+
+import json
+import pathlib
+import sys
+import time
+import typing
+
+import cappa
+from twisted.internet import defer, task
+
+from eelgrasswick import errors
+
+STORE_TIMEOUT_MS: typing.Final = 3000
+USAGE_EXIT_CODE: typing.Final = 1
+Platform = typing.Annotated[str, cappa.Arg(long="--platform", help="URL of the store")]
+Json = typing.Annotated[bool, cappa.Arg(long="--json", help="print JSON")]
+Author = typing.Annotated[str, cappa.Arg(long="--author", help="who submits")]
+Seed = typing.Annotated[int, cappa.Arg(long="--seed", help="seed of random choices")]
+
+Scalar = str | int | float | bool | tuple[str, ...]
+Row = typing.Mapping[str, Scalar]
+
+
+def run(
+    work: typing.Callable[[typing.Any], typing.Coroutine[typing.Any, typing.Any, None]],
+) -> None:
+    """Run a coroutine on the reactor and end the process with its outcome.
+
+    Args:
+        work: Called with the reactor.
+
+    Raises:
+        cappa.Exit: The work ended with an error of the closed list.
+    """
+    failures: list[BaseException] = []
+
+    def start(reactor: typing.Any) -> defer.Deferred[None]:
+        done: defer.Deferred[None] = defer.Deferred.fromCoroutine(work(reactor))
+        done.addErrback(note)
+        return done
+
+    def note(failure: typing.Any) -> None:
+        failures.append(failure.value)
+
+    try:
+        # ``react`` ends with SystemExit, also when the work has failed.
+        task.react(start)
+    except SystemExit:
+        if not failures:
+            raise
+    fail(failures[0])
+
+
+def fail(error: BaseException) -> typing.NoReturn:
+    """Print an error of the closed list to stderr and exit with its code."""
+    if not isinstance(error, errors.EelgrasswickError):
+        raise error
+    print_error(error)
+    raise cappa.Exit(code=error.answer.exit_code)
+
+
+def print_error(error: errors.EelgrasswickError) -> None:
+    """Print what went wrong, a line per fault, then what to do about it."""
+    for line in error.detail.splitlines():
+        print(f"{error.kind.value}: {line}", file=sys.stderr)
+    print(f"{error.kind.value}: {error.answer.remedy}", file=sys.stderr, flush=True)
+
+
+def text(path: pathlib.Path) -> str:
+    """Read a file that an operator named, or exit with what is wrong with it."""
+    try:
+        return path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        print(f"{path}: {error}", file=sys.stderr)
+        raise cappa.Exit(code=USAGE_EXIT_CODE) from error
+
+
+def print_lines(
+    lines: typing.Sequence[str], as_json: bool, **fields: str | int
+) -> None:
+    """Print lines and, last, key=value pairs; or all of it as one JSON object."""
+    if as_json:
+        print(json.dumps({**fields, "lines": list(lines)}), flush=True)
+        return
+    for line in lines:
+        print(line)
+    print(" ".join(f"{key}={value}" for key, value in fields.items()), flush=True)
+
+
+def print_table(rows: typing.Sequence[Row], as_json: bool) -> None:
+    """Print one line of key=value pairs per row, or a JSON array."""
+    if as_json:
+        print(json.dumps(rows))
+        return
+    for row in rows:
+        print(" ".join(f"{key}={_shown(value)}" for key, value in row.items()))
+
+
+def _shown(value: Scalar) -> str:
+    shown = "; ".join(value) if isinstance(value, tuple) else str(value)
+    return json.dumps(shown) if " " in shown or not shown else shown
+
+
+def now_ms() -> int:
+    """Return wall-clock time in milliseconds."""
+    return time.time_ns() // 1_000_000
