Check who speaks over a link, bound it, and offer mutual TLS

Cause, found by reading and then shown by tests: the sender of a link message was whatever its path said; a connection without a handshake was kept for good; a client whose handshake got no answer kept its messages for good; an open link whose other end stood still buffered without bound in the transport; after a partition the kernel could wait up to two minutes before its next retry; text frames and over-long announcements were neither counted nor ended; an address that could not be bound ended in a traceback.

Now the name must belong to a known VM at the peer's address, handshakes take five seconds at most, silent links end, a producer keeps the queue bounded, the kernel ends a connection that is not acknowledged for five seconds, and refused links are counted and logged at a bounded rate. With the three [tls] settings both ends need a certificate that names the VM.

Ruled out: Twisted's hostname check for the name, because it works for the client only. Both ends compare the certificate's names instead.

--- a/eelgrasswick/compose.py
+++ b/eelgrasswick/compose.py
@@ -4,7 +4,16 @@
 import time
 import typing
 
-from eelgrasswick import daemon, engine, gateway, member, packet, placement, setting
+from eelgrasswick import (
+    daemon,
+    engine,
+    gateway,
+    member,
+    packet,
+    placement,
+    setting,
+    tls,
+)
 
 
 def entry_engine(settings: setting.Settings, rng: random.Random) -> engine.Engine:
@@ -31,4 +40,11 @@
     platform = gateway.Gateway(
         reactor, settings.platform.url, settings.platform.timeout_ms
     )
-    return daemon.Daemon(reactor, settings, entry_engine(settings, rng), platform, rng)
+    return daemon.Daemon(
+        reactor,
+        settings,
+        entry_engine(settings, rng),
+        platform,
+        tls.load(settings.tls),
+        rng,
+    )
--- a/eelgrasswick/daemon.py
+++ b/eelgrasswick/daemon.py
@@ -8,20 +8,26 @@
 import typing
 
 import eliot
-from twisted.internet import protocol, task
+from twisted.internet import error, protocol, task
 
 from eelgrasswick import (
     engine,
+    errors,
     link,
+    link_pool,
     log,
     message,
     metric,
     packet,
     setting,
     store,
+    tls,
     watcher,
 )
 
+IDLE_CHECK_S: typing.Final = 10.0
+MAX_CACHED_ADDRESSES: typing.Final = 100_000
+
 
 class _Port(protocol.DatagramProtocol):
     """A UDP socket that passes datagrams to the daemon."""
@@ -35,7 +41,7 @@
         source = self._sources.get(addr)
         if source is None:
             source = packet.Address(socket.inet_aton(addr[0]), addr[1])
-            if len(self._sources) < 100_000:
+            if len(self._sources) < MAX_CACHED_ADDRESSES:
                 self._sources[addr] = source
         self._receive(source, datagram)
 
@@ -61,6 +67,7 @@
         settings: setting.Settings,
         runs: engine.Engine,
         platform: store.Store,
+        identity: tls.Identity | None,
         rng: random.Random,
     ) -> None:
         """Take the parts that the composition root has built."""
@@ -72,24 +79,50 @@
         )
         self._meter = metric.Meter(runs)
         self._logger = log.Logger(settings.vm.name, settings.log.dropped_per_s)
-        self._links = link.LinkPool(reactor, settings.vm.name, settings.vm.ip)
+        self._identity = identity
+        self._links = link_pool.LinkPool(
+            reactor, settings.vm.name, settings.vm.ip, identity, self._on_link_drop
+        )
         self._data = _Port(self._on_data)
         self._peer = _Port(self._on_peer)
         self._stopping = False
 
     def start(self) -> None:
-        """Bind the sockets and begin to tick."""
+        """Bind the sockets and begin to tick.
+
+        Raises:
+            errors.SettingsInvalidError: An address can't be bound.
+        """
         vm = self._settings.vm
-        self._reactor.listenUDP(vm.data_port, self._data, vm.ip, 65536)
-        self._reactor.listenUDP(vm.peer_port, self._peer, vm.ip, 65536)
-        factory = link.LinkServerFactory(self._settings.fleet.networks, self._on_link)
-        self._reactor.listenTCP(vm.link_port, factory, interface=vm.ip)
+        try:
+            self._listen(vm)
+        except error.CannotListenError as failed:
+            raise errors.SettingsInvalidError(f"[vm]: {failed}") from failed
         task.LoopingCall(self._tick).start(engine.TICK_MS / 1000)
         interval_s = self._settings.log.metrics_interval_s
         task.LoopingCall(self._write_metrics).start(interval_s, now=False)
+        task.LoopingCall(self._links.close_idle).start(IDLE_CHECK_S, now=False)
         signal.signal(signal.SIGTERM, self._on_term)
+        signal.signal(signal.SIGINT, self._on_term)
         signal.signal(signal.SIGHUP, self._on_hup)
-        eliot.log_message(message_type="vm_started", vm=vm.name, zone=vm.zone)
+        eliot.log_message(
+            message_type="vm_started",
+            vm=vm.name,
+            zone=vm.zone,
+            tls=self._identity is not None,
+        )
+
+    def _listen(self, vm: setting.VmSettings) -> None:
+        self._reactor.listenUDP(vm.data_port, self._data, vm.ip, 65536)
+        self._reactor.listenUDP(vm.peer_port, self._peer, vm.ip, 65536)
+        listener = link.Listener(self._on_link, self._on_link_fault)
+        networks = self._settings.fleet.networks
+        factory = link.LinkServerFactory(networks, listener, self._identity is not None)
+        if self._identity is None:
+            self._reactor.listenTCP(vm.link_port, factory, interface=vm.ip)
+        else:
+            options = self._identity.options
+            self._reactor.listenSSL(vm.link_port, factory, options, interface=vm.ip)
 
     def _on_term(self, *_: object) -> None:
         self._reactor.callFromThread(self._feed, message.Leave())
@@ -117,14 +150,36 @@
         address = ipaddress.IPv4Address(host)
         return any(address in network for network in networks)
 
-    def _on_link(self, sender: str, payload: bytes) -> None:
-        self._feed(message.LinkReceived(sender, payload))
+    def _on_link(self, arrival: link.Arrival) -> None:
+        # The name in a link's path is a claim. Believed from any address, one
+        # process in the trusted networks could report loads, hand over flows or
+        # offer configurations as any VM.
+        if self._engine.peers.speaks_from(arrival.sender, arrival.host):
+            self._feed(message.LinkReceived(arrival.sender, arrival.payload))
+            return
+        claim = f"claims to be {arrival.sender}"
+        self._on_link_fault(link.Fault(arrival.host, claim, False))
+
+    def _on_link_fault(self, fault: link.Fault) -> None:
+        kind = errors.ErrorKind.MESSAGE_INVALID
+        counter = message.Counter.MESSAGES_INVALID
+        if not fault.known:
+            kind = errors.ErrorKind.SENDER_UNKNOWN
+            counter = message.Counter.PACKETS_UNKNOWN_SENDER
+        self._engine.outbox.count(counter)
+        item = message.log(
+            "link_refused", kind=kind.value, sender=fault.host, detail=fault.detail
+        )
+        self._logger.write(_now_ms(), item)
+
+    def _on_link_drop(self) -> None:
+        self._engine.outbox.count(message.Counter.MESSAGES_DROPPED)
 
     def _tick(self) -> None:
         self._feed(message.Tick())
 
     def _feed(self, event: message.Event) -> None:
-        now_ms = time.time_ns() // 1_000_000
+        now_ms = _now_ms()
         try:
             for action in self._engine.feed(now_ms, event):
                 self._do(now_ms, action)
@@ -143,7 +198,8 @@
             case message.SendPeer():
                 self._peer.send(action.destination, action.payload)
             case message.SendLink():
-                self._links.send(action.destination, action.payload)
+                receiver = link_pool.Receiver(action.receiver, action.destination)
+                self._links.send(receiver, action.payload)
             case message.WatchStore():
                 self._watcher.set_active(action.active)
             case message.ReportInForce():
@@ -172,7 +228,10 @@
         }
         vm = self._settings.vm.name
         eliot.log_message(message_type="metrics", vm=vm, **values)
-        self._links.close_idle()
+
+
+def _now_ms() -> int:
+    return time.time_ns() // 1_000_000
 
 
 def _stop_reactor(reactor: typing.Any) -> None:
--- a/eelgrasswick/message.py
+++ b/eelgrasswick/message.py
@@ -209,6 +209,7 @@
     FLOWS_EXPIRED = "flows_expired"
     FLOWS_DROPPED = "flows_dropped"
     MESSAGES_INVALID = "messages_invalid"
+    MESSAGES_DROPPED = "messages_dropped"
     CONFIG_ACCEPTED = "config_accepted"
     CONFIG_REFUSED = "config_refused"
     CONTROL_SENT_BYTES = "control_sent_bytes"
--- a/eelgrasswick/peer.py
+++ b/eelgrasswick/peer.py
@@ -27,6 +27,11 @@
         """Return the VM that speaks from a peer address."""
         return self._names.get(source)
 
+    def speaks_from(self, name: str, ip: str) -> bool:
+        """Tell whether a VM of this name is known at an IPv4 address."""
+        known = self._members.get(name)
+        return known is not None and known.ip == ip
+
     def reachable(self, name: str) -> bool:
         """Tell whether a VM is known and not taken for dead."""
         known = self._members.get(name)
--- a/eelgrasswick/setting.py
+++ b/eelgrasswick/setting.py
@@ -42,6 +42,14 @@
     metrics_interval_s: int
 
 
+class TlsSettings(typing.NamedTuple):
+    """Section ``tls``: PEM files for the links; all empty for plain TCP."""
+
+    certificate: str
+    key: str
+    authority: str
+
+
 class Settings(typing.NamedTuple):
     """All settings of one entry VM."""
 
@@ -49,6 +57,7 @@
     fabric: packet.Address
     fleet: FleetSettings
     platform: PlatformSettings
+    tls: TlsSettings
     log: LogSettings
 
 
@@ -130,6 +139,9 @@
     Entry(
         "platform", "timeout_ms", "wait for one call, ms", _integer(50, 60_000), "2000"
     ),
+    Entry("tls", "certificate", "PEM file that names this VM", str, ""),
+    Entry("tls", "key", "PEM file of its private key", str, ""),
+    Entry("tls", "authority", "PEM file of who signs all VMs", str, ""),
     Entry(
         "log", "dropped_per_s", "log lines of one sort per s", _integer(1, 1000), "10"
     ),
@@ -187,6 +199,7 @@
         values["fabric"]["egress"],
         FleetSettings(**values["fleet"]),
         PlatformSettings(**values["platform"]),
+        TlsSettings(**values["tls"]),
         LogSettings(**values["log"]),
     )
 
