Type the answers of the store, and end a watch that is laid down

Cause: the gateway client decoded rows outside of the part that turns failures into typed errors, so an answer of another shape ended a VM's watch task for good. A watch whose connection a cut had swallowed waited without end.

Now msgspec checks each answer, a body of our own ends its connection when it is cancelled, no copy is kept, and a watch is begun anew after 30 s: one watch and two reads more per watcher in that time.

Ruled out: TCP keepalive alone, since its default first probe comes after two hours, and treq does not hand out the socket.

--- a/eelgrasswick/gateway.py
+++ b/eelgrasswick/gateway.py
@@ -1,19 +1,21 @@
 """The store over HTTP, in the shape of the etcd v3 JSON gateway."""
 
 import base64
+import binascii
 import json
 import typing
 
-import treq
+import msgspec
 from treq import client
-from twisted.internet import defer, error, interfaces
+from twisted.internet import defer, error
 from twisted.web import client as web_client
 
-from eelgrasswick import errors, store
+from eelgrasswick import _body, errors, store
 
 _FAILURES: typing.Final = (
     error.ConnectError,
     error.ConnectionClosed,
+    error.DNSLookupError,
     error.TimeoutError,
     defer.CancelledError,
     defer.TimeoutError,
@@ -21,18 +23,134 @@
     web_client.RequestTransmissionFailed,
     web_client.ResponseNeverReceived,
     ValueError,
-    KeyError,
-    TypeError,
 )
 MAX_LINE_BYTES: typing.Final = 4_000_000
+MAX_ANSWER_BYTES: typing.Final = 64_000_000
+MAX_WATCH_S: typing.Final = 30.0
+_OK: typing.Final = 200
+
+
+class Pair(msgspec.Struct):
+    """One key and its value, as the gateway encodes them."""
+
+    key: str
+    mod_revision: str
+    value: str = ""
+
+    def row(self) -> store.Row:
+        """Return the decoded pair.
+
+        Raises:
+            ValueError: A field is not what it should be.
+        """
+        return store.Row(
+            base64.b64decode(self.key, validate=True).decode(),
+            base64.b64decode(self.value, validate=True),
+            int(self.mod_revision),
+        )
+
+
+class Header(msgspec.Struct):
+    """What stands at the head of each answer."""
+
+    revision: str
+
+
+class RangeAnswer(msgspec.Struct):
+    """Answer to ``kv/range``."""
+
+    kvs: list[Pair] = []
+
+
+class TxnAnswer(msgspec.Struct):
+    """Answer to ``kv/txn``; a failed comparison is left out as false."""
+
+    header: Header
+    succeeded: bool = False
+
+
+class GrantAnswer(msgspec.Struct):
+    """Answer to ``lease/grant``."""
+
+    ID: str  # noqa: N815
+
+
+class KeptLease(msgspec.Struct):
+    """A lease after it was kept alive; without TTL when it has ended."""
+
+    TTL: str = "0"  # noqa: N815
+
+
+class KeepAliveAnswer(msgspec.Struct):
+    """Answer to ``lease/keepalive``."""
+
+    result: KeptLease
+
+
+class WatchEvent(msgspec.Struct):
+    """One change that a watch reports; a put when no type is given."""
+
+    kv: Pair
+    type: str = "PUT"
+
+
+class WatchResult(msgspec.Struct):
+    """The changes of one line."""
+
+    events: list[WatchEvent] = []
+
+
+class WatchLine(msgspec.Struct):
+    """One line of a watch."""
+
+    result: WatchResult
+
+
+Answer = typing.TypeVar("Answer", bound=msgspec.Struct)
+
+
+def read_answer(content: bytes, kind: type[Answer]) -> Answer:
+    """Read an answer of the gateway.
+
+    Args:
+        content: Body of the HTTP answer.
+        kind: What it should be.
+
+    Returns:
+        The answer, with all field types checked.
+
+    Raises:
+        errors.StoreError: The bytes are something else.
+    """
+    try:
+        return msgspec.json.decode(content, type=kind)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as failed:
+        raise errors.StoreError(f"{kind.__name__}: {failed}") from failed
+
+
+def read_rows(pairs: typing.Iterable[Pair]) -> tuple[store.Row, ...]:
+    """Decode pairs.
+
+    Raises:
+        errors.StoreError: A pair is not encoded as it should be.
+    """
+    try:
+        return tuple(item.row() for item in pairs)
+    except (binascii.Error, ValueError) as failed:
+        raise errors.StoreError(f"pair: {failed}") from failed
+
+
+def _number(text: str) -> int:
+    try:
+        return int(text)
+    except ValueError as failed:
+        raise errors.StoreError(f"{text!r} is no number") from failed
 
 
 class Gateway(store.Store):
     """A store behind ``URL/v3/...``; treq sends the calls."""
 
-    def __init__(
-        self, reactor: interfaces.IReactorTime, url: str, timeout_ms: int
-    ) -> None:
+    def __init__(self, reactor: typing.Any, url: str, timeout_ms: int) -> None:
         """Call the gateway at a URL, each call for at most ``timeout_ms``."""
         self._reactor = reactor
         self._url = url
@@ -43,13 +161,15 @@
 
     async def read(self, key: str) -> store.Row | None:
         """Read one key; see the base class."""
-        answer = await self._call("kv/range", {"key": _encode(key.encode())})
-        rows = _rows(answer)
+        body = {"key": _encode(key.encode())}
+        answer = await self._call("kv/range", body, RangeAnswer)
+        rows = read_rows(answer.kvs)
         return rows[0] if rows else None
 
     async def read_prefix(self, prefix: str) -> tuple[store.Row, ...]:
         """Read all keys with a prefix; see the base class."""
-        return _rows(await self._call("kv/range", _range(prefix)))
+        answer = await self._call("kv/range", _range(prefix), RangeAnswer)
+        return read_rows(answer.kvs)
 
     async def commit(
         self,
@@ -78,79 +198,120 @@
                 for item in puts
             ],
         }
-        answer = await self._call("kv/txn", body)
-        accepted = bool(answer.get("succeeded", False))
-        return store.Committed(accepted, int(answer["header"]["revision"]))
+        answer = await self._call("kv/txn", body, TxnAnswer)
+        return store.Committed(answer.succeeded, _number(answer.header.revision))
 
     async def grant(self, ttl_s: int) -> int:
         """Grant a lease; see the base class."""
-        answer = await self._call("lease/grant", {"TTL": str(ttl_s), "ID": "0"})
-        return int(answer["ID"])
+        body = {"TTL": str(ttl_s), "ID": "0"}
+        return _number((await self._call("lease/grant", body, GrantAnswer)).ID)
 
     async def keep_alive(self, lease: int) -> bool:
         """Keep a lease alive; see the base class."""
-        answer = await self._call("lease/keepalive", {"ID": str(lease)})
-        return int(answer["result"].get("TTL", 0)) > 0
+        body = {"ID": str(lease)}
+        answer = await self._call("lease/keepalive", body, KeepAliveAnswer)
+        return _number(answer.result.TTL) > 0
 
     async def watch(self, prefix: str, after: int, listener: store.Listener) -> None:
         """Watch a prefix; see the base class."""
         create = {**_range(prefix), "start_revision": str(after + 1)}
-        lines = _Lines(listener)
+        body = _body.Body(WatchLines(listener).take)
         try:
-            response = await self._http.post(
-                f"{self._url}/v3/watch",
-                data=json.dumps({"create_request": create}).encode(),
-                timeout=self._timeout_s,
+            response = await self._post("watch", {"create_request": create}).addTimeout(
+                self._timeout_s, self._reactor
             )
-            await treq.collect(response, lines.take)
+            # A cut between this VM and the platform ends a waiting connection
+            # without a word. The watch would wait for good, and changes would
+            # come by the other VMs only. So it is begun anew after a while.
+            ending = self._reactor.callLater(MAX_WATCH_S, body.stop)
+            response.deliverBody(body)
+            try:
+                await body.done
+            finally:
+                if ending.active():
+                    ending.cancel()
         except _FAILURES as failure:
             raise errors.StoreError(f"watch: {failure!r}") from failure
 
-    async def _call(self, path: str, body: dict[str, typing.Any]) -> typing.Any:
+    async def _call(
+        self, path: str, body: dict[str, typing.Any], kind: type[Answer]
+    ) -> Answer:
+        content = _Content()
         try:
-            return await self._post(path, body).addTimeout(
+            await self._fetch(path, body, content).addTimeout(
                 self._timeout_s, self._reactor
             )
         except _FAILURES as failure:
             raise errors.StoreError(f"{path}: {failure!r}") from failure
+        return read_answer(content.joined(), kind)
+
+    @defer.inlineCallbacks
+    def _fetch(
+        self, path: str, body: dict[str, typing.Any], content: "_Content"
+    ) -> typing.Generator[defer.Deferred[typing.Any], typing.Any, None]:
+        response = yield self._post(path, body)
+        taking = _body.Body(content.take)
+        response.deliverBody(taking)
+        yield taking.done
 
     @defer.inlineCallbacks
     def _post(
         self, path: str, body: dict[str, typing.Any]
     ) -> typing.Generator[defer.Deferred[typing.Any], typing.Any, typing.Any]:
+        # treq keeps a copy of each body unless told otherwise; that of a watch
+        # would grow for as long as the watch lasts.
         response = yield self._http.post(
-            f"{self._url}/v3/{path}", data=json.dumps(body).encode()
+            f"{self._url}/v3/{path}", data=json.dumps(body).encode(), unbuffered=True
         )
-        content = yield treq.content(response)
-        if response.code != 200:
+        if response.code != _OK:
+            response.deliverBody(_body.Body(lambda _: None))
             raise ValueError(f"HTTP status {response.code}")
-        return json.loads(content)
+        return response
+
+
+class _Content:
+    """Collects an answer up to a size."""
+
+    def __init__(self) -> None:
+        self._parts: list[bytes] = []
+        self._bytes = 0
+
+    def take(self, data: bytes) -> None:
+        self._bytes += len(data)
+        if self._bytes > MAX_ANSWER_BYTES:
+            raise errors.StoreError("answer is too long")
+        self._parts.append(data)
+
+    def joined(self) -> bytes:
+        return b"".join(self._parts)
 
 
-class _Lines:
+class WatchLines:
     """Cuts a watch's byte stream into JSON lines and passes rows on."""
 
     def __init__(self, listener: store.Listener) -> None:
+        """Pass the rows of each line to a listener."""
         self._listener = listener
         self._rest = b""
 
     def take(self, data: bytes) -> None:
+        """Take the next bytes of the stream.
+
+        Raises:
+            errors.StoreError: A line is not what a watch sends.
+        """
         *lines, self._rest = (self._rest + data).split(b"\n")
         if len(self._rest) > MAX_LINE_BYTES:
-            raise ValueError("watch line is too long")
+            raise errors.StoreError("watch line is too long")
         for line in lines:
             if line.strip():
                 self._line(line)
 
     def _line(self, line: bytes) -> None:
-        result = json.loads(line)["result"]
-        puts = [
-            _row(event["kv"])
-            for event in result.get("events", [])
-            if event.get("type", "PUT") == "PUT"
-        ]
+        events = read_answer(line, WatchLine).result.events
+        puts = read_rows(event.kv for event in events if event.type == "PUT")
         if puts:
-            self._listener(tuple(puts))
+            self._listener(puts)
 
 
 def _range(prefix: str) -> dict[str, str]:
@@ -160,15 +321,3 @@
 
 def _encode(value: bytes) -> str:
     return base64.b64encode(value).decode()
-
-
-def _rows(answer: typing.Any) -> tuple[store.Row, ...]:
-    return tuple(_row(item) for item in answer.get("kvs", []))
-
-
-def _row(item: typing.Any) -> store.Row:
-    return store.Row(
-        base64.b64decode(item["key"]).decode(),
-        base64.b64decode(item.get("value", "")),
-        int(item["mod_revision"]),
-    )
