Smoke tests on real processes

Eight tests on one fleet of three VMs: whole calls, show and audit, a dry run and a stale base, SIGHUP, garbage at every port, a start during a platform outage, SIGTERM, and a second VM on a bound address. They poll with generous limits and assert no timing but the stated bound of 10 s for a planned stop.

--- /dev/null
+++ b/tests/test_process.py
@@ -0,0 +1,225 @@
+"""Real processes on loopback: start, stop, garbage and outages."""
+
+import json
+import pathlib
+import signal
+import socket
+import time
+import typing
+
+import pytest
+
+from tests import fleet
+
+BLOCK = 4
+LIMIT_S = 30
+STOP_BOUND_S = 10
+
+
+def until(done: typing.Callable[[], bool], what: str, limit_s: float = LIMIT_S) -> None:
+    """Poll until something holds; fail after a generous limit."""
+    end_s = time.monotonic() + limit_s
+    while not done():
+        assert time.monotonic() < end_s, f"not reached: {what}"
+        time.sleep(0.05)
+
+
+def in_force(run: fleet.Fleet, name: str, sequence: int) -> bool:
+    return any(
+        fleet.field(line, "sequence") == str(sequence)
+        for line in run.lines(name, "config_in_force")
+    )
+
+
+def counted(run: fleet.Fleet, name: str, metric: str) -> int:
+    """Return the latest value of a metric in a VM's log."""
+    lines = run.lines(name, "metrics")
+    return int(fleet.field(lines[-1], metric) or 0) if lines else 0
+
+
+def alive(run: fleet.Fleet, name: str) -> bool:
+    return any(
+        fleet.field(line, "member") == name and fleet.field(line, "state") == "alive"
+        for line in run.lines(name, "member_changed")
+    )
+
+
+def await_serving(run: fleet.Fleet, name: str) -> None:
+    """Wait until a VM has the first configuration and serves as a home."""
+    until(lambda: in_force(run, name, 1), f"configuration of {name}")
+    until(lambda: alive(run, name), f"{name} alive")
+
+
+def knows_left(run: fleet.Fleet, name: str, gone: str) -> bool:
+    return any(
+        fleet.field(line, "member") == gone and fleet.field(line, "state") == "left"
+        for line in run.lines(name, "member_changed")
+    )
+
+
+def apply(run: fleet.Fleet) -> str:
+    done = run.command("apply", str(run.rules), "--platform", run.url)
+    assert done.returncode == 0, done.stderr
+    return done.stdout
+
+
+@pytest.fixture(scope="module")
+def run(tmp_path_factory: pytest.TempPathFactory) -> typing.Iterator[fleet.Fleet]:
+    """Three VMs that have the first configuration in force."""
+    made = fleet.Fleet(tmp_path_factory.mktemp("fleet"), 4, BLOCK)
+    try:
+        made.start("platform", "standin", "platform", made.platform)
+        made.await_platform()
+        common = ("--platform", made.url)
+        made.start(
+            "fabric",
+            "standin",
+            "fabric",
+            made.fabric_inside,
+            made.fabric_outside,
+            *common,
+        )
+        report = str(made.folder / "targets.json")
+        made.start("targets", "standin", "targets", str(made.rules), report, *common)
+        for node in made.nodes[:3]:
+            made.start_vm(node)
+        assert "outcome=accepted" in apply(made)
+        for node in made.nodes[:3]:
+            await_serving(made, node.name)
+        yield made
+    finally:
+        made.end()
+
+
+def calls(run: fleet.Fleet, name: str) -> list[typing.Any]:
+    """Call for a while and return the histories."""
+    report = run.folder / f"{name}.json"
+    calling = run.start(
+        name,
+        "standin",
+        "callers",
+        str(run.rules),
+        run.fabric_outside,
+        str(report),
+        *("--rate-per-s", "20", "--duration-s", "2", "--grace-s", "15"),
+        *("--long-parts", "10"),
+    )
+    calling.wait(LIMIT_S)
+    return typing.cast(list[typing.Any], json.loads(report.read_text()))
+
+
+def test_calls_are_whole(run: fleet.Fleet) -> None:
+    until(lambda: in_force(run, "vm1", 1), "configuration")
+    ends = {item[6] for item in calls(run, "callers")}
+    assert ends == {"whole"}
+
+
+def test_show_and_audit_tell_what_is_in_force(run: fleet.Fleet) -> None:
+    def shown() -> dict[str, int]:
+        done = run.command("show", "--platform", run.url, "--json")
+        assert done.returncode == 0, done.stderr
+        return {item["vm"]: item["sequence"] for item in json.loads(done.stdout)}
+
+    until(lambda: shown() == {"vm1": 1, "vm2": 1, "vm3": 1}, "all reported")
+    audit = run.command("audit", "--platform", run.url, "--json")
+    entries = json.loads(audit.stdout)
+    assert [(item["sequence"], item["outcome"]) for item in entries] == [
+        (1, "accepted")
+    ]
+    plain = run.command("audit", "--platform", run.url)
+    assert "outcome=accepted" in plain.stdout
+
+
+def test_dry_run_and_stale_base_change_nothing(run: fleet.Fleet) -> None:
+    text = run.rules.read_text()
+    run.rules.write_text(text + "drain d1  # asked by Otieno\n")
+    common = ("apply", str(run.rules), "--platform", run.url)
+    dry = run.command(*common, "--dry-run")
+    stale = run.command(*common, "--based-on", "0")
+    run.rules.write_text(text)
+    assert dry.returncode == 0
+    assert "+drain d1  # asked by Otieno" in dry.stdout
+    assert "outcome=dry_run sequence=1" in dry.stdout
+    assert stale.returncode == 4
+    assert "change_conflict" in stale.stderr
+    assert "outcome=unchanged sequence=1" in apply(run)
+
+
+def test_hangup_is_refused_with_a_line(run: fleet.Fleet) -> None:
+    # An operator edits a settings file and sends SIGHUP, as other daemons want
+    # it. Ignored in silence, the operator would take the change for done.
+    run.stop("vm2", signal.SIGHUP)
+    until(lambda: bool(run.lines("vm2", "reload_refused")), "refusal")
+    assert run.running["vm2"].poll() is None
+
+
+def test_garbage_at_every_port_is_counted_and_survived(run: fleet.Fleet) -> None:
+    # Corrupt datagrams and strangers' connections reach a VM. Were it to end,
+    # the flows that it is the home of would stand still.
+    node = run.nodes[0]
+    garbage = [b"", b"\x45", b"\xff" * 200, b"\x60" + b"\0" * 60, b"\x45" + b"\0" * 19]
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        sender.bind((f"127.{BLOCK}.1.99", 0))
+        for payload in garbage:
+            sender.sendto(payload, (node.ip, 6080))
+            sender.sendto(payload, (node.ip, 6081))
+    for host in (f"127.{BLOCK}.1.99", f"127.{BLOCK}.7.1"):
+        link = socket.create_connection((node.ip, 6082), LIMIT_S, (host, 0))
+        link.settimeout(LIMIT_S)
+        link.sendall(b"\x16\x03garbage\r\n\r\n")
+        while True:
+            try:
+                if not link.recv(100):
+                    break
+            except OSError:
+                break
+        link.close()
+    until(lambda: counted(run, "vm1", "packets_malformed") >= 4, "malformed")
+    until(lambda: counted(run, "vm1", "packets_unsupported") >= 1, "unsupported")
+    until(lambda: counted(run, "vm1", "messages_invalid") >= 5, "invalid")
+    until(lambda: counted(run, "vm1", "packets_unknown_sender") >= 1, "stranger")
+    assert run.lines("vm1", "link_refused")
+    assert run.running["vm1"].poll() is None
+
+
+def test_vm_started_in_an_outage_gets_its_configuration_from_peers(
+    run: fleet.Fleet,
+) -> None:
+    # The platform is down when a VM is replaced. Without the peers it would
+    # have no rules, and the fabric's packets for it would go nowhere.
+    run.switch({"outage": True})
+    try:
+        node = run.nodes[3]
+        settings = run.folder / "vm4.ini"
+        settings.write_text(run.settings(node))
+        run.start("vm4", "entry", str(settings))
+        await_serving(run, "vm4")
+        line = run.lines("vm4", "config_in_force")[0]
+        assert fleet.field(line, "source") in {"vm1", "vm2", "vm3"}
+    finally:
+        run.switch({"outage": False})
+
+
+def test_terminated_vm_leaves_and_ends_by_itself(run: fleet.Fleet) -> None:
+    # A VM is replaced as planned. It must give up its homes and end, or its
+    # supervisor kills it and its flows are taken for lost.
+    until(lambda: alive(run, "vm1"), "vm1")
+    process = run.running["vm3"]
+    run.list_vm(run.nodes[2], "leaving")
+    run.stop("vm3")
+    assert process.wait(STOP_BOUND_S) == 0
+    assert run.lines("vm3", "vm_stopped")
+    until(lambda: knows_left(run, "vm1", "vm3"), "vm1 knows that vm3 left")
+    until(lambda: knows_left(run, "vm2", "vm3"), "vm2 knows that vm3 left")
+    run.list_vm(run.nodes[2], "gone")
+    assert {item[6] for item in calls(run, "callers2")} == {"whole"}
+
+
+def test_second_vm_on_the_same_address_is_refused(
+    run: fleet.Fleet, tmp_path: pathlib.Path
+) -> None:
+    settings = tmp_path / "vm1.ini"
+    settings.write_text(run.settings(run.nodes[0]))
+    done = run.command("entry", str(settings))
+    assert done.returncode == 2
+    assert "settings_invalid: [vm]" in done.stderr
