--- a/eelgrasswick/_body.py
+++ b/eelgrasswick/_body.py
@@ -1,4 +1,4 @@
-"""Takes the body of an HTTP answer piece by piece, and can stop at any time."""
+"""Takes the body of an HTTP answer piece by piece, and can be cancelled."""
 
 import typing
 
@@ -13,7 +13,7 @@
     """The body of one answer.
 
     Attributes:
-        done: Fires when the body has ended or was stopped. Cancelling it also
+        done: Fires when the body has ended. Cancelling it also
             ends the connection; were that left out, the platform would go on
             to count a watch that nobody listens to.
     """
@@ -42,12 +42,6 @@
         else:
             self.done.errback(reason)
 
-    def stop(self) -> None:
-        """End the connection and ``done`` now."""
-        if not self.done.called:
-            self.done.callback(None)
-        self._lose()
-
     def _lose(self) -> None:
         if self.transport is not None:
             typing.cast(typing.Any, self.transport).loseConnection()
--- a/eelgrasswick/gateway.py
+++ b/eelgrasswick/gateway.py
@@ -26,7 +26,6 @@
 )
 MAX_LINE_BYTES: typing.Final = 4_000_000
 MAX_ANSWER_BYTES: typing.Final = 64_000_000
-MAX_WATCH_S: typing.Final = 30.0
 _OK: typing.Final = 200
 
 
@@ -220,16 +219,8 @@
             response = await self._post("watch", {"create_request": create}).addTimeout(
                 self._timeout_s, self._reactor
             )
-            # A cut between this VM and the platform ends a waiting connection
-            # without a word. The watch would wait for good, and changes would
-            # come by the other VMs only. So it is begun anew after a while.
-            ending = self._reactor.callLater(MAX_WATCH_S, body.stop)
             response.deliverBody(body)
-            try:
-                await body.done
-            finally:
-                if ending.active():
-                    ending.cancel()
+            await body.done
         except _FAILURES as failure:
             raise errors.StoreError(f"watch: {failure!r}") from failure
 
