Record the history of a run and check it for five promises

The fleet's promises were checked by counts alone, which can't tell a second target from a first one. History records calls, deliveries, starts of work and ends; five checkers read them, and each is shown to fail on a planted fault. Callers can now ask over UDP. The emulated target rejects, as RFC 9293 says, a segment that acknowledges another connection's SYN; before, any higher number opened the connection and a run could report a double start that TCP prevents.

--- a/eelgrasswick/emulated_caller.py
+++ b/eelgrasswick/emulated_caller.py
@@ -9,6 +9,7 @@
 from eelgrasswick import emulated_stream, emulated_target, packet
 
 GIVE_UP_MS: typing.Final = 20_000
+DATAGRAM_RETRY_MS: typing.Final = 400
 _FIRST_PORT: typing.Final = 1024
 _PORTS: typing.Final = 64_000
 
@@ -35,6 +36,7 @@
         ended_ms: When it ended.
         end: How it ended.
         detail: What a refusal said, or why the flow broke.
+        flow: The flow, as ``packet.FlowKey`` prints it.
     """
 
     number: int
@@ -45,6 +47,21 @@
     ended_ms: int
     end: End
     detail: str
+    flow: str
+
+
+class _Exchange:
+    """One request over UDP, repeated until its reply comes."""
+
+    __slots__ = ("began_ms", "payload", "request", "sent_ms")
+
+    def __init__(
+        self, request: emulated_target.Request, payload: bytes, now_ms: int
+    ) -> None:
+        self.request = request
+        self.payload = payload
+        self.began_ms = now_ms
+        self.sent_ms = now_ms
 
 
 class _Flow:
@@ -88,12 +105,13 @@
         self._rng = rng
         self._addresses = addresses
         self._flows: dict[packet.FlowKey, _Flow] = {}
+        self._exchanges: dict[packet.FlowKey, _Exchange] = {}
         self._opened = 0
 
     @property
     def open_flows(self) -> int:
         """Flows that have not ended."""
-        return len(self._flows)
+        return len(self._flows) + len(self._exchanges)
 
     def call(
         self,
@@ -101,12 +119,21 @@
         service: packet.Address,
         request: emulated_target.Request,
         caller: int | None = None,
+        port: int | None = None,
     ) -> packet.FlowKey:
-        """Open a flow, send a request and expect its whole answer."""
-        index = self._opened % self._addresses if caller is None else caller
-        ip = bytes((10, 9, index // 250, index % 250 + 1))
-        local = packet.Address(ip, _FIRST_PORT + self._opened % _PORTS)
-        self._opened += 1
+        """Open a flow, send a request and expect its whole answer.
+
+        Args:
+            now_ms: Present time in milliseconds.
+            service: Address to call.
+            request: What to ask for.
+            caller: Number of the caller address; the next in turn if None.
+            port: Port of the caller; a port not used lately if None.
+
+        Returns:
+            The flow.
+        """
+        local = self._local(caller, port)
         initial = self._rng.randrange(1, 2**30)
         stream = emulated_stream.Stream(local, service, initial, now_ms)
         stream.send(now_ms, msgspec.json.encode(request) + b"\n")
@@ -115,12 +142,92 @@
         self._collect(stream)
         return key
 
+    def ask(
+        self,
+        now_ms: int,
+        service: packet.Address,
+        request: emulated_target.Request,
+        caller: int | None = None,
+        port: int | None = None,
+    ) -> packet.FlowKey:
+        """Send a request over UDP; the arguments are those of ``call``."""
+        local = self._local(caller, port)
+        payload = packet.build_udp(local, service, msgspec.json.encode(request))
+        key = packet.FlowKey(packet.Protocol.UDP, *local, *service)
+        self._exchanges[key] = _Exchange(request, payload, now_ms)
+        self.outgoing.append(payload)
+        return key
+
+    def _local(self, caller: int | None, port: int | None) -> packet.Address:
+        index = self._opened % self._addresses if caller is None else caller
+        ip = bytes((10, 9, index // 250, index % 250 + 1))
+        chosen = _FIRST_PORT + self._opened % _PORTS if port is None else port
+        self._opened += 1
+        return packet.Address(ip, chosen)
+
+    def unreachable(self, now_ms: int, key: packet.FlowKey) -> None:
+        """Handle an ICMP refusal of a datagram."""
+        found = self._exchanges.pop(key, None)
+        if found is not None:
+            self._answered(now_ms, key, found, "", End.REFUSED, "icmp")
+
+    def _reply(self, now_ms: int, item: packet.Packet) -> None:
+        key = item.answer_key()
+        found = self._exchanges.get(key)
+        if found is None:
+            return
+        data = item.raw[len(item.raw) - item.payload_bytes :]
+        reply = msgspec.json.decode(data, type=emulated_target.Reply)
+        if reply.number != found.request.number:
+            # Late answer to an earlier request from the same port.
+            return
+        del self._exchanges[key]
+        right = reply.service == found.request.service
+        end = End.WHOLE if right else End.WRONG_SERVICE
+        self._answered(now_ms, key, found, reply.target, end, "")
+
+    def _answered(
+        self,
+        now_ms: int,
+        key: packet.FlowKey,
+        found: _Exchange,
+        target: str,
+        end: End,
+        detail: str,
+    ) -> None:
+        first_ms = now_ms - found.began_ms if target else -1
+        self.histories.append(
+            History(
+                found.request.number,
+                found.request.service,
+                target,
+                found.began_ms,
+                first_ms,
+                now_ms,
+                end,
+                detail,
+                str(key),
+            )
+        )
+
+    def _repeat(self, now_ms: int) -> None:
+        for key, found in list(self._exchanges.items()):
+            if now_ms - found.began_ms > GIVE_UP_MS:
+                del self._exchanges[key]
+                self._answered(now_ms, key, found, "", End.BROKEN, "silence")
+            elif now_ms - found.sent_ms >= DATAGRAM_RETRY_MS:
+                found.sent_ms = now_ms
+                self.outgoing.append(found.payload)
+
     def receive(self, now_ms: int, item: packet.Packet) -> None:
         """Handle a packet from the fabric."""
+        if item.protocol == packet.Protocol.UDP:
+            self._reply(now_ms, item)
+            return
         key = item.answer_key()
         flow = self._flows.get(key)
         if flow is None:
-            if not item.resets and item.protocol == packet.Protocol.TCP:
+            if not item.resets:
                 self.outgoing.append(emulated_stream.reset_for(item))
             return
         flow.stream.receive(now_ms, item)
@@ -130,6 +237,7 @@
 
     def tick(self, now_ms: int) -> None:
         """Repeat packets and give up on flows that stand still."""
+        self._repeat(now_ms)
         for key, flow in list(self._flows.items()):
             flow.stream.tick(now_ms)
             self._collect(flow.stream)
@@ -142,6 +250,9 @@
         """End all open flows as unfinished."""
         for key, flow in list(self._flows.items()):
             self._end(now_ms, key, flow, End.UNFINISHED, "")
+        for key, found in list(self._exchanges.items()):
+            del self._exchanges[key]
+            self._answered(now_ms, key, found, "", End.UNFINISHED, "")
 
     def _read(self, now_ms: int, flow: _Flow) -> None:
         data = flow.stream.take()
@@ -188,6 +299,7 @@
                 now_ms,
                 end,
                 detail,
+                str(key),
             )
         )
 
--- a/eelgrasswick/emulated_stream.py
+++ b/eelgrasswick/emulated_stream.py
@@ -120,6 +120,8 @@
             return
         if not self.established and not self._answering and not syn:
             return
+        if self._answering and not self.established and not self._accepts(item):
+            return
         if item.flags & _ACK:
             self._on_ack(now_ms, item.acknowledgement)
         self._on_data(item)
@@ -154,6 +156,15 @@
             start = len(item.raw) - item.payload_bytes
             self.reset_data = item.raw[start:]
 
+    def _accepts(self, item: packet.Packet) -> bool:
+        # RFC 9293 section 3.10.7.4: in SYN-RECEIVED a segment that does not
+        # acknowledge our SYN belongs to another connection, and is reset.
+        if item.flags & _ACK and item.acknowledgement == self._next:
+            return True
+        if item.flags & _ACK:
+            self.outgoing.append(reset_for(item))
+        return False
+
     def _on_syn(self, item: packet.Packet) -> bool:
         if self._answering:
             if self._flying and self._flying[0].flags & _SYN:
--- a/eelgrasswick/emulated_target.py
+++ b/eelgrasswick/emulated_target.py
@@ -43,6 +43,20 @@
     total_bytes: int
 
 
+class Begun(typing.NamedTuple):
+    """A request that a target began to work on.
+
+    Attributes:
+        at_ms: When.
+        number: Request number.
+        flow: The flow on which it came.
+    """
+
+    at_ms: int
+    number: int
+    flow: packet.FlowKey
+
+
 class Model(typing.NamedTuple):
     """How a target behaves.
 
@@ -88,6 +102,7 @@
 
     Attributes:
         executed: How often each request number was begun.
+        begun: Every start of work since the owner last cleared the list.
         wrong_service: Requests that were meant for another service.
         outgoing: Packets to callers; the owner takes them.
     """
@@ -96,6 +111,7 @@
         """Start a target that takes connections at once."""
         self.model = model
         self.executed: collections.Counter[int] = collections.Counter()
+        self.begun: list[Begun] = []
         self.wrong_service = 0
         self.max_open = 0
         self.outgoing: list[bytes] = []
@@ -121,7 +137,7 @@
     def receive(self, now_ms: int, item: packet.Packet) -> None:
         """Handle a packet from a caller."""
         if item.protocol == packet.Protocol.UDP:
-            self._datagram(item)
+            self._datagram(now_ms, item)
             return
         key = item.request_key()
         stream = self._streams.get(key)
@@ -129,7 +145,7 @@
             self._accept(now_ms, item, key)
             return
         stream.receive(now_ms, item)
-        self._read(key, stream)
+        self._read(now_ms, key, stream)
         self._collect(now_ms, key, stream)
 
     def tick(self, now_ms: int) -> None:
@@ -160,24 +176,30 @@
         self.max_open = max(self.max_open, self.open_flows)
         self._collect(now_ms, key, stream)
 
-    def _read(self, key: packet.FlowKey, stream: emulated_stream.Stream) -> None:
+    def _read(
+        self, now_ms: int, key: packet.FlowKey, stream: emulated_stream.Stream
+    ) -> None:
         text = self._inputs.get(key, b"") + stream.take()
         *lines, rest = text.split(b"\n")
         self._inputs[key] = rest
         for line in lines:
             request = msgspec.json.decode(line, type=Request)
-            self._note(request)
+            self._note(now_ms, request, key)
             self._waiting.append(_Job(request, stream))
 
-    def _note(self, request: Request) -> None:
+    def _note(self, now_ms: int, request: Request, key: packet.FlowKey) -> None:
         self.executed[request.number] += 1
+        self.begun.append(Begun(now_ms, request.number, key))
         if request.service != self.model.service:
             self.wrong_service += 1
 
-    def _datagram(self, item: packet.Packet) -> None:
+    def _datagram(self, now_ms: int, item: packet.Packet) -> None:
         data = item.raw[len(item.raw) - item.payload_bytes :]
         request = msgspec.json.decode(data, type=Request)
-        self._note(request)
+        # Datagrams are repeated by callers and doubled by networks. A server
+        # that takes non-idempotent requests over UDP knows the ones it ran.
+        if request.number not in self.executed:
+            self._note(now_ms, request, item.request_key())
         reply = Reply(request.number, self.model.service, self.model.name, 0)
         self.outgoing.append(
             packet.build_udp(item.destination, item.source, msgspec.json.encode(reply))
--- a/eelgrasswick/packet.py
+++ b/eelgrasswick/packet.py
@@ -315,6 +315,25 @@
     )
 
 
+def refused_flow(datagram: bytes) -> FlowKey | None:
+    """Return the UDP flow that an ICMP refusal quotes.
+
+    Args:
+        datagram: An IPv4 packet, as ``build_refusal`` makes it.
+
+    Returns:
+        The flow, or None when the packet is no such refusal.
+    """
+    try:
+        quoted = dpkt.ip.IP(datagram).data.data.data
+        inner = quoted.data
+        source = Address(quoted.src, inner.sport)
+        destination = Address(quoted.dst, inner.dport)
+    except (dpkt.UnpackError, AttributeError, ValueError, IndexError):
+        return None
+    return FlowKey(Protocol.UDP, *source, *destination)
+
+
 def _build(source: bytes, destination: bytes, protocol: int, inner: object) -> bytes:
     outer = dpkt.ip.IP(
         src=source, dst=destination, p=protocol, ttl=_TTL_HOPS, data=inner
--- /dev/null
+++ b/tests/flow_steps.py
@@ -0,0 +1,137 @@
+"""Steps that the features about flows share."""
+
+import typing
+
+import pytest
+import pytest_bdd
+
+from tests import fleet, world
+
+UDP_RULES = """\
+service ratio 10.1.0.3:53 udp shutdown=2099-12-31  # asked by Chiara
+target u1 ratio 127.0.12.1:5555 zone=z1 slots=2  # asked by Chiara
+target u2 ratio 127.0.12.2:5555 zone=z2 slots=2  # asked by Chiara
+target u3 ratio 127.0.12.3:5555 zone=z3 slots=2  # asked by Chiara
+"""
+MORE_TARGETS = """\
+target d8 desk 127.0.10.8:5555 zone=z1 slots=2 weight=4  # asked by Wanjiru
+target v4 vault 127.0.11.4:5555 zone=z2 slots=2 weight=4  # asked by Otieno
+target u4 ratio 127.0.12.4:5555 zone=z2 slots=2 weight=4  # asked by Chiara
+"""
+DRAINS = """\
+drain d6  # asked by Wanjiru
+drain d7  # asked by Wanjiru
+drain v1  # asked by Otieno
+drain u1  # asked by Chiara
+"""
+
+
+class Bench:
+    """A world with the rules text that its operators edit."""
+
+    def __init__(self, made: world.World) -> None:
+        """Put the rules in force on a fleet of eight VMs."""
+        self.world = made
+        self.text = fleet.rules_text() + UDP_RULES
+        self.joined = 8
+        made.add_fleet(8)
+        made.apply(self.text)
+        made.run(4000)
+
+    def edit(self, text: str) -> None:
+        """Submit a changed rules text."""
+        self.text = text
+        self.world.apply(text)
+
+    def join(self, zone: str = "z1") -> str:
+        """Start one more VM and return its name."""
+        self.joined += 1
+        name = f"vm{self.joined}"
+        self.world.add_vm(name, zone)
+        return name
+
+    def replace_all(self) -> None:
+        """Start a new VM for each old one, which then leaves."""
+        for name in [item.me.name for item in self.world.vms.values()]:
+            self.join(self.world.vms[name].zone)
+            self.world.run(2500)
+            self.world.leave(name)
+            self.world.run(1500)
+
+    def replace_in_place(self, name: str) -> None:
+        """Kill a VM and start another one under its address."""
+        old = self.world.vms[name].me
+        self.world.kill(name, fabric_lag_ms=0)
+        self.world.run(200)
+        self.joined += 1
+        self.world.add_vm(f"vm{self.joined}", old.zone, ip=old.ip)
+
+    def reweigh(self) -> None:
+        """Give targets of each service another weight."""
+        text = self.text.replace("weight=4", "weight=1")
+        self.edit(text.replace("12.2:5555 zone=z2", "12.2:5555 zone=z2 weight=9"))
+
+
+CHANGES: dict[str, typing.Callable[[Bench], None]] = {
+    "nothing": lambda bench: None,
+    "vm2 leaves": lambda bench: bench.world.leave("vm2"),
+    "vm5 leaves": lambda bench: bench.world.leave("vm5"),
+    "a VM joins": lambda bench: typing.cast(None, bench.join()),
+    "a VM joins z2": lambda bench: typing.cast(None, bench.join("z2")),
+    "all VMs are replaced": Bench.replace_all,
+    "targets drain": lambda bench: bench.edit(bench.text + DRAINS),
+    "weights change": Bench.reweigh,
+    "targets are added": lambda bench: bench.edit(bench.text + MORE_TARGETS),
+    "vm2 is killed": lambda bench: bench.world.kill("vm2"),
+    "vm5 is killed": lambda bench: bench.world.kill("vm5"),
+    "vm2 pauses": lambda bench: bench.world.pause("vm2", 30_000),
+    "vm2 is replaced in place": lambda bench: bench.replace_in_place("vm2"),
+}
+
+
+@pytest.fixture
+def bench() -> Bench:
+    """Eight VMs in three zones, with two TCP services and one over UDP."""
+    return Bench(world.World(seed=7))
+
+
+@pytest_bdd.given(pytest_bdd.parsers.parse("{count:d} open flows of {seconds:d} s"))
+def open_flows(bench: Bench, count: int, seconds: int) -> None:
+    # Boards tick on; downloads are larger and come in fewer parts.
+    for _ in range(count // 2):
+        bench.world.call("desk", parts=seconds * 4, every_ms=250)
+        bench.world.call("vault", answer_bytes=4000, parts=seconds, every_ms=1000)
+        bench.world.run(10)
+    bench.world.run(1000)
+
+
+@pytest_bdd.when(pytest_bdd.parsers.parse("{first} and {second} at once"))
+def two_changes(bench: Bench, first: str, second: str) -> None:
+    CHANGES[first](bench)
+    CHANGES[second](bench)
+
+
+@pytest_bdd.when(pytest_bdd.parsers.parse("this happens: {change}"))
+def one_change(bench: Bench, change: str) -> None:
+    CHANGES[change](bench)
+
+
+@pytest_bdd.when(pytest_bdd.parsers.parse("{seconds:d} s pass"))
+def pass_time(bench: Bench, seconds: int) -> None:
+    bench.world.run(seconds * 1000)
+
+
+@pytest_bdd.then(pytest_bdd.parsers.parse("all {count:d} flows are whole"))
+def all_whole(bench: Bench, count: int) -> None:
+    assert bench.world.ends() == {"whole": count}
+
+
+@pytest_bdd.then(pytest_bdd.parsers.parse("at most {limit:d} flows are broken"))
+def few_broken(bench: Bench, limit: int) -> None:
+    ends = bench.world.ends()
+    assert ends["broken"] <= limit, ends
+
+
+@pytest_bdd.then("every promise holds")
+def promises_hold(bench: Bench) -> None:
+    assert bench.world.breaches() == []
--- /dev/null
+++ b/tests/test_history.py
@@ -0,0 +1,51 @@
+"""Each checker of histories finds a planted fault and passes a clean run."""
+
+import pytest
+
+from eelgrasswick import history
+
+FLOW = "tcp/10.9.0.1:1024>10.1.0.1:443"
+CLEAN = (
+    history.Call(0, 1, FLOW, "desk"),
+    history.Delivery(1, FLOW, "d1", "desk", 0),
+    history.Delivery(2, FLOW, "d1", "desk", 90),
+    history.Start(2, 1, FLOW, "d1", "desk"),
+    history.End(9, 1, history.Outcome.WHOLE, "d1", ""),
+    history.Call(20, 2, FLOW, "desk"),
+    history.Delivery(21, FLOW, "d1", "desk", 0),
+    history.End(22, 2, history.Outcome.REFUSED, "", "kind=no_target"),
+)
+
+
+def test_clean_run_passes() -> None:
+    assert history.check(history.History(CLEAN)) == []
+
+
+@pytest.mark.parametrize(
+    ("promise", "planted"),
+    [
+        ("AtMostOnce", history.Start(5, 1, FLOW, "d1", "desk")),
+        ("OneTarget", history.Start(5, 1, FLOW, "d2", "desk")),
+        ("OneTarget", history.End(9, 1, history.Outcome.WHOLE, "d2", "")),
+        ("OwnWholeAnswer", history.End(9, 1, history.Outcome.WHOLE, "d1", "")),
+        ("OwnWholeAnswer", history.End(9, 1, history.Outcome.WRONG, "d1", "of 7")),
+        ("OwnWholeAnswer", history.End(9, 7, history.Outcome.BROKEN, "", "reset")),
+        ("RefusedNotRun", history.Start(23, 2, FLOW, "d1", "desk")),
+        ("RefusedNotRun", history.Delivery(30, FLOW, "d1", "desk", 1)),
+        ("NoWrongService", history.Delivery(3, FLOW, "v1", "vault", 0)),
+    ],
+)
+def test_checker_finds_planted_fault(promise: str, planted: history.Record) -> None:
+    found = history.check(history.History((*CLEAN, planted)))
+    assert promise in {item.promise for item in found}
+
+
+def test_answer_without_work_is_found() -> None:
+    # A target that answers from the bytes of an older connection would look
+    # whole to a caller, though its own request never ran.
+    planted = (
+        history.Call(30, 3, FLOW, "desk"),
+        history.End(31, 3, history.Outcome.WHOLE, "d1", ""),
+    )
+    found = history.check(history.History((*CLEAN, *planted)))
+    assert [item.promise for item in found] == ["OwnWholeAnswer"]
--- a/tests/world.py
+++ b/tests/world.py
@@ -20,6 +20,7 @@
     emulated_target,
     engine,
     errors,
+    history,
     member,
     message,
     packet,
@@ -29,6 +30,7 @@
     store,
     watcher,
 )
+from tests import recorder
 
 START_MS = 1_800_000_000_000
 STEP_MS = 1
@@ -76,6 +78,7 @@
         cuts: Pairs of places that can't reach each other. A place is a zone,
             ``PLATFORM`` or ``CALLERS``.
         logs: All log actions, with the VM's name.
+        recorder: Notes what callers asked and got, and what targets got and did.
     """
 
     def __init__(self, seed: int = 1, link: Link | None = None) -> None:
@@ -93,7 +96,7 @@
         self.policy: typing.Callable[[], placement.Placement] = placement.BoundedHash
         self.sprayed: collections.Counter[str] = collections.Counter()
         self.dead_targets: set[str] = set()
-        self.wrong_deliveries = 0
+        self.recorder = recorder.Recorder()
         self._codec = packet.FouCodec()
         self._addresses: dict[packet.Address, tuple[str, str]] = {}
         self._target_zones: dict[str, str] = {}
@@ -271,15 +274,18 @@
         parts: int = 1,
         every_ms: int = 100,
         caller: int | None = None,
+        port: int | None = None,
     ) -> packet.FlowKey:
-        """Open a flow to a service by its name."""
-        current = self.config()
+        """Open a flow to a service by its name, over the service's protocol."""
+        owner = self.config().services[service]
         self._numbers += 1
         request = emulated_target.Request(
             self._numbers, service, work_ms, answer_bytes, parts, every_ms
         )
-        address = current.services[service].address
-        key = self.callers.call(self.now_ms, address, request, caller)
+        tcp = owner.protocol == packet.Protocol.TCP
+        begin = self.callers.call if tcp else self.callers.ask
+        key = begin(self.now_ms, owner.address, request, caller, port)
+        self.recorder.called(self.now_ms, self._numbers, key, service)
         self._flush_callers()
         return key
 
@@ -300,6 +306,16 @@
         """Count ended flows by how they ended."""
         return collections.Counter(item.end.value for item in self.callers.histories)
 
+    def breaches(self) -> list[history.Violation]:
+        """Check the history of the run so far for every promise."""
+        self.recorder.ended(self.callers.histories)
+        return history.check(self.recorder.run)
+
+    @property
+    def wrong_deliveries(self) -> int:
+        """Packets that came to a target of another service than was called."""
+        return len(history.NoWrongService().check(self.recorder.run))
+
     def executed(self) -> collections.Counter[int]:
         """Count how often each request was begun, over all targets."""
         total: collections.Counter[int] = collections.Counter()
@@ -411,12 +427,18 @@
         if name in self.dead_targets:
             return
         target = self.targets[name]
-        target.receive(self.now_ms, self._codec.decode(payload))
+        item = self._codec.decode(payload)
+        self.recorder.delivered(self.now_ms, item, target.model)
+        target.receive(self.now_ms, item)
+        self.recorder.begun(target)
         self._flush_target(name)
 
     def _to_caller(self, payload: bytes) -> None:
-        item = self._codec.decode(payload)
-        self.callers.receive(self.now_ms, item)
+        refused = packet.refused_flow(payload)
+        if refused is not None:
+            self.callers.unreachable(self.now_ms, refused)
+        else:
+            self.callers.receive(self.now_ms, self._codec.decode(payload))
         self._flush_callers()
 
     def _flush_target(self, name: str) -> None:
