--- a/eelgrasswick/history.py
+++ b/eelgrasswick/history.py
@@ -32,6 +32,9 @@
 
     Attributes:
         at_ms: When.
+        number: Request number of the call it belongs to. A packet can be held
+            up for longer than a caller waits to use its port again, so neither
+            the flow nor the time tells the call.
         flow: The flow.
         target: Name of the target.
         service: Service that the target works for.
@@ -39,6 +42,7 @@
     """
 
     at_ms: int
+    number: int
     flow: str
     target: str
     service: str
@@ -218,14 +222,11 @@
             for item in run.starts
             if item.number in refused
         ]
-        calls = _grouped(run.calls, lambda item: item.flow)
-        for item in run.deliveries:
-            if not item.payload_bytes:
-                continue
-            call = _last_before(calls.get(item.flow, []), item.at_ms)
-            if call is not None and call.number in refused:
-                detail = f"{item.payload_bytes} bytes at {item.target}"
-                found.append(self._breach(call.number, detail))
+        found += [
+            self._breach(item.number, f"{item.payload_bytes} bytes at {item.target}")
+            for item in run.deliveries
+            if item.payload_bytes and item.number in refused
+        ]
         return found
 
 
@@ -234,14 +235,16 @@
 
     def check(self, run: History) -> list[Violation]:
         """Compare each delivery with the call it belongs to."""
-        calls = _grouped(run.calls, lambda item: item.flow)
-        found = []
-        for item in run.deliveries:
-            call = _last_before(calls.get(item.flow, []), item.at_ms)
-            if call is not None and call.service != item.service:
-                detail = f"of {call.service} at {item.target} of {item.service}"
-                found.append(self._breach(item.flow, detail))
-        return found
+        meant = {item.number: item.service for item in run.calls}
+        arrived: list[Delivery | Start] = [*run.deliveries, *run.starts]
+        return [
+            self._breach(
+                item.flow,
+                f"of {meant[item.number]} at {item.target} of {item.service}",
+            )
+            for item in arrived
+            if meant.get(item.number, item.service) != item.service
+        ]
 
 
 CHECKERS: typing.Final[tuple[Checker, ...]] = (
@@ -258,20 +261,3 @@
 ) -> list[Violation]:
     """Return the breaches of all promises in one history."""
     return [breach for item in checkers for breach in item.check(run)]
-
-
-Grouped = typing.TypeVar("Grouped")
-
-
-def _grouped(
-    items: typing.Iterable[Grouped], key: typing.Callable[[Grouped], str]
-) -> dict[str, list[Grouped]]:
-    groups: dict[str, list[Grouped]] = {}
-    for item in items:
-        groups.setdefault(key(item), []).append(item)
-    return groups
-
-
-def _last_before(calls: list[Call], at_ms: int) -> Call | None:
-    earlier = [item for item in calls if item.at_ms <= at_ms]
-    return earlier[-1] if earlier else None
--- a/tests/recorder.py
+++ b/tests/recorder.py
@@ -2,8 +2,12 @@
 
 import typing
 
+import msgspec
+
 from eelgrasswick import emulated_caller, emulated_target, history, packet
 
+# A caller sends far fewer bytes on a flow than this.
+_SPAN = 2**16
 _OUTCOMES = {
     emulated_caller.End.WHOLE: history.Outcome.WHOLE,
     emulated_caller.End.REFUSED: history.Outcome.REFUSED,
@@ -22,20 +26,40 @@
         """Start with an empty history."""
         self.run = history.History()
         self._noted_ends = 0
+        self._latest: dict[packet.FlowKey, int] = {}
+        self._opened: dict[tuple[packet.FlowKey, int], int] = {}
 
     def called(
         self, now_ms: int, number: int, key: packet.FlowKey, service: str
     ) -> None:
         """Note that a caller opened a flow."""
         self.run.add(history.Call(now_ms, number, str(key), service))
+        self._latest[key] = number
+
+    def sent(self, item: packet.Packet) -> None:
+        """Note the sequence numbers with which a caller opens a flow."""
+        if item.opens:
+            key = item.request_key()
+            self._opened[key, item.sequence // _SPAN] = self._latest[key]
+            self._opened[key, item.sequence // _SPAN + 1] = self._latest[key]
+
+    def _number(self, item: packet.Packet) -> int:
+        key = item.request_key()
+        if item.protocol == packet.Protocol.UDP:
+            data = item.raw[len(item.raw) - item.payload_bytes :]
+            return msgspec.json.decode(data, type=emulated_target.Request).number
+        return self._opened.get((key, item.sequence // _SPAN), 0)
 
     def delivered(
         self, now_ms: int, item: packet.Packet, to: emulated_target.Model
     ) -> None:
         """Note that a packet came to a target."""
         flow = str(item.request_key())
+        size = item.payload_bytes
         self.run.add(
-            history.Delivery(now_ms, flow, to.name, to.service, item.payload_bytes)
+            history.Delivery(
+                now_ms, self._number(item), flow, to.name, to.service, size
+            )
         )
 
     def begun(self, at: emulated_target.Target) -> None:
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -7,12 +7,12 @@
 FLOW = "tcp/10.9.0.1:1024>10.1.0.1:443"
 CLEAN = (
     history.Call(0, 1, FLOW, "desk"),
-    history.Delivery(1, FLOW, "d1", "desk", 0),
-    history.Delivery(2, FLOW, "d1", "desk", 90),
+    history.Delivery(1, 1, FLOW, "d1", "desk", 0),
+    history.Delivery(2, 1, FLOW, "d1", "desk", 90),
     history.Start(2, 1, FLOW, "d1", "desk"),
     history.End(9, 1, history.Outcome.WHOLE, "d1", ""),
     history.Call(20, 2, FLOW, "desk"),
-    history.Delivery(21, FLOW, "d1", "desk", 0),
+    history.Delivery(21, 2, FLOW, "d1", "desk", 0),
     history.End(22, 2, history.Outcome.REFUSED, "", "kind=no_target"),
 )
 
@@ -31,8 +31,9 @@
         ("OwnWholeAnswer", history.End(9, 1, history.Outcome.WRONG, "d1", "of 7")),
         ("OwnWholeAnswer", history.End(9, 7, history.Outcome.BROKEN, "", "reset")),
         ("RefusedNotRun", history.Start(23, 2, FLOW, "d1", "desk")),
-        ("RefusedNotRun", history.Delivery(30, FLOW, "d1", "desk", 1)),
-        ("NoWrongService", history.Delivery(3, FLOW, "v1", "vault", 0)),
+        ("RefusedNotRun", history.Delivery(30, 2, FLOW, "d1", "desk", 1)),
+        ("NoWrongService", history.Start(5, 1, FLOW, "v1", "vault")),
+        ("NoWrongService", history.Delivery(3, 1, FLOW, "v1", "vault", 0)),
     ],
 )
 def test_checker_finds_planted_fault(promise: str, planted: history.Record) -> None:
--- a/tests/world.py
+++ b/tests/world.py
@@ -450,6 +450,7 @@
     def _flush_callers(self) -> None:
         outgoing, self.callers.outgoing = self.callers.outgoing, []
         for payload in outgoing:
+            self.recorder.sent(self._codec.decode(payload))
             self._from_edge(CALLERS, packet.address("10.255.0.1:6080"), payload)
 
     def _tick_edges(self) -> None:
