Have a VM that wakes drop what waited for it

Ruled out: a second placement by the new home, which asks the former one and gets no answer. Now any event shows the pause; for 100 ms waiting packets, copies and handovers are dropped, and after 3 s or more the VM forgets the flows it knew, which others have taken over.

Touches Membership.check_pause, which the engine calls with every event.

--- a/eelgrasswick/engine.py
+++ b/eelgrasswick/engine.py
@@ -38,6 +38,8 @@
 EPOCH_WINDOW_MS: typing.Final = 5000
 LOAD_REPORT_MS: typing.Final = 1000
 ANNOUNCE_COUNT: typing.Final = 4
+FORGET_PAUSE_MS: typing.Final = 3000
+DISCARD_MS: typing.Final = 100
 
 
 class Engine:
@@ -81,6 +83,7 @@
         self.switch = switch.Switch(me.name, codec, self.books, self.home)
         self.rehomer = rehome.Rehomer(me.name, self.books)
         self._report_ms = 0
+        self._discard_until_ms = 0
         self._told_empty: set[str] = set()
 
     def feed(self, now_ms: int, event: message.Event) -> list[message.Action]:
@@ -93,9 +96,13 @@
         Returns:
             What to do, in order.
         """
+        paused_ms = self.membership.check_pause(now_ms)
+        if paused_ms:
+            self._wake(now_ms, paused_ms)
         match event:
             case message.FabricDatagram():
-                self.switch.datagram(now_ms, event)
+                if not self._outdated(now_ms):
+                    self.switch.datagram(now_ms, event)
             case message.PeerDatagram():
                 self._peer_datagram(now_ms, event)
             case message.LinkReceived():
@@ -113,6 +120,28 @@
         self._follow(now_ms)
         return self.outbox.take()
 
+    def _wake(self, now_ms: int, paused_ms: int) -> None:
+        # After a pause the sockets hold packets as old as the pause. Callers
+        # have repeated them to VMs that took over, perhaps under other rules;
+        # sent on, an old copy could start the same request on a second target.
+        # So what waits is dropped; what still matters is sent again.
+        self._discard_until_ms = now_ms + DISCARD_MS
+        if paused_ms >= FORGET_PAUSE_MS:
+            # The others took this VM for dead and keep its flows. Its own
+            # records may name targets of flows that ended, whose ports now
+            # carry other flows; a packet sent by them would be lost or reset.
+            self.books.flows.clear()
+            self.books.hints.clear()
+            self.books.replicator.clear()
+            self.home.clear()
+        self._follow(now_ms)
+
+    def _outdated(self, now_ms: int) -> bool:
+        if now_ms >= self._discard_until_ms:
+            return False
+        self.outbox.count(message.Counter.PACKETS_OUTDATED)
+        return True
+
     def _peer_datagram(self, now_ms: int, event: message.PeerDatagram) -> None:
         try:
             self._peer_message(now_ms, event.source, wire.decode(event.payload))
@@ -136,9 +165,11 @@
             return
         match item:
             case wire.Forward():
-                self.switch.forward(now_ms, item)
+                if not self._outdated(now_ms):
+                    self.switch.forward(now_ms, item)
             case wire.Relay():
-                self.switch.relay(now_ms, item)
+                if not self._outdated(now_ms):
+                    self.switch.relay(now_ms, item)
             case wire.Ask():
                 self.switch.ask(now_ms, sender, item)
             case wire.Tell():
@@ -157,12 +188,14 @@
     def _link_message(self, now_ms: int, sender: str, item: wire.PeerMessage) -> None:
         match item:
             case wire.Keep():
-                self._keep(now_ms, item)
+                if not self._outdated(now_ms):
+                    self._keep(now_ms, item)
             case wire.Forget():
                 for packed in item.flows:
                     self.books.replicator.kept.forget(wire.flow_key(packed))
             case wire.Handover():
-                self._handover(now_ms, item)
+                if not self._outdated(now_ms):
+                    self._handover(now_ms, item)
             case wire.LoadReport():
                 self.books.loads.take(now_ms, sender, item)
             case wire.ConfigOffer():
--- a/eelgrasswick/flow.py
+++ b/eelgrasswick/flow.py
@@ -139,6 +139,11 @@
             self._count(flow, record.target, -1)
         return record
 
+    def clear(self) -> None:
+        """Drop all records."""
+        for flow in list(self._records):
+            self.remove(flow)
+
     def move(self, flow: packet.FlowKey, record: Record, to: target.Target) -> None:
         """Point a record to another target."""
         if record.counts:
--- a/eelgrasswick/hint.py
+++ b/eelgrasswick/hint.py
@@ -51,6 +51,10 @@
         """Drop the hint of a flow, if any."""
         self._hints.pop(flow, None)
 
+    def clear(self) -> None:
+        """Drop all hints."""
+        self._hints.clear()
+
     def expire(self, now_ms: int) -> None:
         """Drop hints that were not confirmed in time."""
         for flow in self._wheel.due(now_ms):
--- a/eelgrasswick/home.py
+++ b/eelgrasswick/home.py
@@ -72,6 +72,10 @@
         if settled is not None:
             self._settle(now_ms, settled)
 
+    def clear(self) -> None:
+        """Drop the packets that wait for answers of former homes."""
+        self._inquiries.clear()
+
     def tick(self, now_ms: int) -> None:
         """Settle inquiries that got no answer and note silent targets."""
         for settled in self._inquiries.overdue(now_ms):
--- a/eelgrasswick/inquiry.py
+++ b/eelgrasswick/inquiry.py
@@ -81,6 +81,10 @@
         del self._open[key]
         return Settled(key, tuple(found.packets), name, True)
 
+    def clear(self) -> None:
+        """Drop all inquiries and the packets that wait with them."""
+        self._open.clear()
+
     def overdue(self, now_ms: int) -> list[Settled]:
         """End the inquiries whose time is over."""
         late = [key for key, item in self._open.items() if item.due_ms <= now_ms]
--- a/eelgrasswick/membership.py
+++ b/eelgrasswick/membership.py
@@ -119,7 +119,7 @@
             now_ms: Present time in milliseconds.
             ready: True when this VM has a configuration to serve by.
         """
-        self._check_pause(now_ms)
+        self.check_pause(now_ms)
         self._check_probes(now_ms)
         self._check_suspects(now_ms)
         self._check_own_state(now_ms, ready)
@@ -252,13 +252,21 @@
         self.changed = True
         self._log(self.me)
 
-    def _check_pause(self, now_ms: int) -> None:
+    def check_pause(self, now_ms: int) -> int:
+        """Note that this VM runs now, and notice when it did not for a while.
+
+        Args:
+            now_ms: Present time in milliseconds.
+
+        Returns:
+            Length of the pause in milliseconds; 0 when there was none.
+        """
         last = self._last_ms
         self._last_ms = now_ms
         if last is None or now_ms - last < PAUSE_MS:
-            return
+            return 0
         # The process did not run for a while and does not know what the others
-        # agreed meanwhile. It notices by the gap between two ticks, stops to
+        # agreed meanwhile. It notices by the gap between two events, stops to
         # be a home, and joins anew once another VM has answered.
         self._outbox.put(message.log("vm_paused", pause_ms=now_ms - last))
         self._probes.clear()
@@ -267,6 +275,7 @@
             self._contact = False
             self._started_ms = None
             self._become(member.MemberState.JOINING)
+        return now_ms - last
 
     def _check_own_state(self, now_ms: int, ready: bool) -> None:
         if self._started_ms is None:
--- a/eelgrasswick/message.py
+++ b/eelgrasswick/message.py
@@ -195,6 +195,7 @@
     PACKETS_UNKNOWN_SERVICE = "packets_unknown_service"
     PACKETS_UNKNOWN_FLOW = "packets_unknown_flow"
     PACKETS_NO_HOME = "packets_no_home"
+    PACKETS_OUTDATED = "packets_outdated"
     PACKETS_HOP_LIMIT = "packets_hop_limit"
     ANSWERS_STRAY = "answers_stray"
     RESETS_HELD_BACK = "resets_held_back"
--- a/eelgrasswick/replica.py
+++ b/eelgrasswick/replica.py
@@ -32,6 +32,13 @@
         """True when nothing waits to be sent."""
         return not (self._keep or self._handover or self._forget)
 
+    def clear(self) -> None:
+        """Drop what is kept for others and what waits to be sent."""
+        self.kept.clear()
+        self._keep.clear()
+        self._handover.clear()
+        self._forget.clear()
+
     def keep(self, receiver: str, flow: packet.FlowKey, chosen: target.Target) -> None:
         """Have a backup keep an exception."""
         self._keep.setdefault(receiver, {})[flow.packed] = chosen.name
--- a/tests/flow_steps.py
+++ b/tests/flow_steps.py
@@ -5,6 +5,7 @@
 import pytest
 import pytest_bdd
 
+from eelgrasswick import epoch, packet
 from tests import fleet, world
 
 UDP_RULES = """\
@@ -38,6 +39,25 @@
         made.apply(self.text)
         made.run(4000)
 
+    def port(
+        self,
+        service: str,
+        fits: typing.Callable[[epoch.Location], bool],
+        start: int = 2000,
+    ) -> int:
+        """Return a port of caller 0 whose flow belongs where a test needs it."""
+        vm = next(item for item in self.world.vms.values() if item.alive)
+        current = vm.engine.books.epochs.current
+        assert current is not None
+        owner = current.config.services[service]
+        for port in range(start, start + 4000):
+            key = packet.FlowKey(
+                owner.protocol, bytes((10, 9, 0, 1)), port, *owner.address
+            )
+            if fits(current.locate(key, owner)):
+                return port
+        raise AssertionError("no port fits")
+
     def edit(self, text: str) -> None:
         """Submit a changed rules text."""
         self.text = text
