--- a/eelgrasswick/packet_socket.py
+++ b/eelgrasswick/packet_socket.py
@@ -199,7 +199,7 @@
         text = virtual_fleet.rules_text(2, 10, (ZONE,)).replace("10.1.0.", _TARGETS)
         document = config.encode(virtual_fleet.document(1, text))
         platform.write((), (store.Put(store.RULES_KEY, document),))
-        daemon.Daemon(self._reactor, settings, runs, platform, rng).start()
+        daemon.Daemon(self._reactor, settings, runs, platform, None, rng).start()
         return runs
 
     def _await(self, done: typing.Callable[[], bool]) -> None:
--- a/tests/test_daemon_trust.py
+++ b/tests/test_daemon_trust.py
@@ -45,7 +45,7 @@
     runs = compose.entry_engine(settings, rng)
     clock = task.Clock()
     platform = emulated_platform.EmulatedStore(clock)
-    return Made(daemon.Daemon(clock, settings, runs, platform, rng), runs)
+    return Made(daemon.Daemon(clock, settings, runs, platform, None, rng), runs)
 
 
 def test_strange_address_is_refused_each_time(made: Made) -> None:
@@ -74,7 +74,7 @@
 ) -> None:
     # A sender that changes its address with each datagram would otherwise make
     # the VM keep all of them.
-    monkeypatch.setattr(daemon, "_MAX_ADDRESSES", 2)
+    monkeypatch.setattr(daemon, "MAX_CACHED_ADDRESSES", 2)
     for number in range(5):
         made.daemon._on_peer(packet.address(f"10.9.9.{number + 1}:6081"), b"junk")
     assert len(made.daemon._trust) == 2
