Measure slopes and work the design size out from them

`capacity` measures fleets of engines in virtual time, rules of several sizes and the cost of one more flow, hint, target and VM, and prints what each role would cost at 2,800 VMs, the budget it must meet and the size of fleet from which it is over.

--- a/eelgrasswick/capacity_slope.py
+++ b/eelgrasswick/capacity_slope.py
@@ -4,7 +4,7 @@
 """
 
 import gc
-import random
+import json
 import time
 import tracemalloc
 import typing
@@ -27,6 +27,7 @@
 ZONES: typing.Final = ("z1", "z2", "z3", "z4", "z5")
 READY_MS: typing.Final = 60_000.0
 SETTLE_MS: typing.Final = 7000.0
+NEWS_MS_PER_VM: typing.Final = 550.0
 SPAN_MS: typing.Final = 5000.0
 SAMPLE: typing.Final = 20_000
 SERVICE_SHARE: typing.Final = 0.3
@@ -45,6 +46,7 @@
         cpu_share: Processor time of one engine, as a share of a core.
         store_calls_per_s: Calls to the store by the whole fleet.
         watches: Watches that wait at the store.
+        open_us: Processor time to open one flow at its home.
     """
 
     vms: int
@@ -55,6 +57,7 @@
     cpu_share: float
     store_calls_per_s: float
     watches: int
+    open_us: float
 
 
 class RulesPoint(typing.NamedTuple):
@@ -96,7 +99,8 @@
     fleet.put_rules(virtual_fleet.document(1, text))
     fleet.run_until(fleet.ready, READY_MS)
     ready_ms = fleet.now_ms - virtual_fleet.START_MS
-    fleet.run(SETTLE_MS)
+    # After a cold start every VM passes on the news of every other one.
+    fleet.run(SETTLE_MS + vms * NEWS_MS_PER_VM)
     _load_targets(fleet)
     before, sizes_before = fleet.traffic(), _heartbeat_bytes(fleet)
     cpu_before_ns = sum(vm.cpu_ns for vm in fleet.vms)
@@ -117,6 +121,7 @@
         round(cpu_ns / 1e9 / each_s, 4),
         round(calls / SPAN_MS * 1000, 2),
         fleet.platform.watching,
+        round(_open_us(fleet), 1),
     )
 
 
@@ -187,7 +192,7 @@
             6081,
             6082,
             1,
-            1,
+            virtual_fleet.START_MS,
             member.MemberState.ALIVE,
         )
         for n in range(count)
@@ -203,9 +208,10 @@
         Unit("record_bytes", _record_bytes(chosen)),
         Unit("hint_bytes", _hint_bytes(chosen)),
         Unit("member_bytes", _member_bytes()),
+        Unit("news_bytes", _news_bytes()),
+        Unit("in_force_bytes", _in_force_bytes()),
         Unit("rehome_us_per_flow", _rehome_us(chosen)),
         *_report_units(),
-        *_open_units(),
     ]
 
 
@@ -235,6 +241,18 @@
     return _memory(lambda: {item.name: item for item in _members(count)}) / count
 
 
+def _news_bytes() -> float:
+    one, two = _members(2)
+    bare = len(wire.encode(wire.Ping(1, one, 1, ())))
+    return len(wire.encode(wire.Ping(1, one, 1, (two,)))) - bare
+
+
+def _in_force_bytes() -> float:
+    count = 560
+    entries = {item.name: 4_745_000 for item in _members(count)}
+    return len(json.dumps(entries)) / count
+
+
 def _memory(build: typing.Callable[[], object]) -> int:
     gc.collect()
     tracemalloc.start()
@@ -284,43 +302,17 @@
     ]
 
 
-def _open_units() -> list[Unit]:
-    costs = [_open_us(vms) for vms in (100, 2000)]
-    return [
-        Unit("open_us_at_100_vms", costs[0]),
-        Unit("open_us_per_further_vm", (costs[1] - costs[0]) / 1900),
-    ]
-
-
-def _open_us(vms: int) -> float:
-    # The engine is told of the other VMs by one heartbeat each.
-    fleet = virtual_fleet.VirtualFleet(1, ZONES[:1], 1)
-    text = virtual_fleet.rules_text(2, 10, ZONES[:1])
-    fleet.put_rules(virtual_fleet.document(1, text))
-    fleet.run_until(fleet.ready, READY_MS)
+def _open_us(fleet: virtual_fleet.VirtualFleet) -> float:
+    # At a fleet at rest no former epoch is asked, and the owners of the slots
+    # are worked out as the flows come.
     vm = fleet.vms[0]
-    other_zones = [
-        item._replace(zone="z9", name=f"far{n}", ip=f"10.1.{n // 250}.{n % 250 + 1}")
-        for n, item in enumerate(_members(vms))
-    ]
-    vm.engine.membership.others.update({item.name: item for item in other_zones})
-    vm.engine.membership.changed = True
-    fleet.feed(vm, message.Tick())
-    rng = random.Random(1)
-    fabric = packet.address("10.255.0.1:6080")
     current = vm.engine.books.epochs.current
     assert current is not None
-    address = current.config.services["s0"].address
-    numbers = rng.sample(range(60_000), 500)
-    events = [
-        message.FabricDatagram(
-            fabric,
-            packet_path.request(packet_path.flow(n, address), packet.Flags.SYN, 0),
-        )
-        for n in numbers
-    ]
-    # Late enough that no former epoch is asked.
-    now_ms = round(fleet.now_ms) + 10_000
+    paths = packet_path.build(current, current.config.services["s0"], vm.me.name, "")
+    opening = next(item for item in paths if item.name == "open_at_home")
+    fabric = packet.address("10.255.0.1:6080")
+    events = [message.FabricDatagram(fabric, raw) for raw in opening.packets]
+    now_ms = round(fleet.now_ms)
     before_ns = time.thread_time_ns()
     for event in events:
         vm.engine.feed(now_ms, event)
--- /dev/null
+++ b/eelgrasswick/capacity_table.py
@@ -0,0 +1,358 @@
+"""What each role costs at the size to design for, worked out from slopes."""
+
+import typing
+
+from eelgrasswick import epoch, gossip, keeper
+
+DAY_S: typing.Final = 86_400.0
+NEWS_PER_RESTART: typing.Final = 5
+NEWS_PER_FAILURE: typing.Final = 3
+EPOCHS_PER_RESTART: typing.Final = 2
+EPOCHS_PER_FAILURE: typing.Final = 1
+CALLS_PER_REPORT: typing.Final = 2
+ANSWERS_PER_FLOW_S: typing.Final = 1.0
+HINT_TTL_S: typing.Final = 10.0
+_STEPS: typing.Final = 60
+
+
+class Size(typing.NamedTuple):
+    """A size to design for.
+
+    Attributes:
+        vms: Entry VMs.
+        targets: Targets.
+        services: Addresses that callers use.
+        flows: Open flows.
+        new_per_s: New flows a second.
+        changes_per_day: Accepted changes of the rules.
+        zones: Availability zones.
+        failures_per_day: VMs that die.
+        restarts_per_day: VMs that are restarted or replaced.
+    """
+
+    vms: float
+    targets: float
+    services: float
+    flows: float
+    new_per_s: float
+    changes_per_day: float
+    zones: int
+    failures_per_day: float
+    restarts_per_day: float
+
+    def scaled(self, factor: float) -> "Size":
+        """Return a smaller or larger fleet that does the same per VM."""
+        return Size(
+            self.vms * factor,
+            self.targets * factor,
+            self.services * factor,
+            self.flows * factor,
+            self.new_per_s * factor,
+            self.changes_per_day * factor,
+            self.zones,
+            self.failures_per_day * factor,
+            self.restarts_per_day * factor,
+        )
+
+
+GOAL: typing.Final = Size(2800, 19_000, 8100, 63_000_000, 130_000, 13_000, 5, 120, 1700)
+
+
+class Slopes(typing.NamedTuple):
+    """What was measured; units as the names say.
+
+    Attributes:
+        heartbeat_bytes_per_s: Sent per VM, whatever the size of the fleet.
+        news_bytes: One VM's entry in a heartbeat.
+        cpu_base: Share of a core of an engine at rest.
+        cpu_per_vm: Further share of a core per VM in the fleet.
+        report_bytes_per_target: In a LoadReport.
+        report_encode_us_per_target: For each receiver.
+        report_take_us_per_target: For each sender.
+        record_bytes: One flow at its home.
+        hint_bytes: One hint.
+        rehome_us_per_flow: One scan after a change of epoch.
+        open_us: Opening one flow, without the share that grows.
+        open_us_per_vm: Further time per VM in the fleet.
+        compile_us_per_line: Reading and compiling the rules.
+        epoch_us_per_line: Making an epoch of them.
+        document_bytes_per_line: As the store and the links carry it.
+        config_bytes_per_line: Compiled, in memory.
+        member_bytes: One VM in another one's view.
+        store_calls_per_zone_s: Calls of the watchers and reports.
+        in_force_bytes: One VM's entry in its zone's report.
+    """
+
+    heartbeat_bytes_per_s: float
+    news_bytes: float
+    cpu_base: float
+    cpu_per_vm: float
+    report_bytes_per_target: float
+    report_encode_us_per_target: float
+    report_take_us_per_target: float
+    record_bytes: float
+    hint_bytes: float
+    rehome_us_per_flow: float
+    open_us: float
+    open_us_per_vm: float
+    compile_us_per_line: float
+    epoch_us_per_line: float
+    document_bytes_per_line: float
+    config_bytes_per_line: float
+    member_bytes: float
+    store_calls_per_zone_s: float
+    in_force_bytes: float
+
+
+class Budget(typing.NamedTuple):
+    """A limit, with its unit.
+
+    Attributes:
+        unit: Unit of the value.
+        limit: Most that a node or the platform may spend.
+    """
+
+    unit: str
+    limit: float
+
+
+CONTROL: typing.Final = Budget("B/s", 17_000)
+CORE: typing.Final = Budget("core", 0.048)
+DATA_CORE: typing.Final = Budget("core", 1.0)
+MEMORY: typing.Final = Budget("MB", 128)
+CALLS: typing.Final = Budget("calls/s", 300)
+VALUE: typing.Final = Budget("B", 1_000_000)
+
+
+class Cost(typing.NamedTuple):
+    """One resource that one role spends by one mechanism.
+
+    Attributes:
+        role: What the process does.
+        mechanism: What carries it today.
+        budget: The limit that it must meet.
+        at: Gives the value at a size.
+    """
+
+    role: str
+    mechanism: str
+    budget: Budget
+    at: typing.Callable[[Size], float]
+
+
+class Row(typing.NamedTuple):
+    """One line of the table.
+
+    Attributes:
+        role: What the process does.
+        mechanism: What carries it today.
+        value: Cost at the size to design for.
+        unit: Unit of value and limit.
+        limit: The whole budget of a node, or of the platform.
+        verdict: Whether this cost alone is within it.
+        over_from_vms: Size of a fleet, all else in proportion, from which
+            this cost alone is over; 0 when it is within at the full size.
+    """
+
+    role: str
+    mechanism: str
+    value: float
+    unit: str
+    limit: float
+    verdict: str
+    over_from_vms: int
+
+
+def table(slopes: Slopes, size: Size = GOAL) -> list[Row]:
+    """Return one row for each cost."""
+    found = costs(slopes)
+    wholes = [_whole(found, budget) for budget in (CONTROL, CORE, MEMORY)]
+    return [_row(item, size) for item in (*found, *wholes)]
+
+
+def _whole(parts: typing.Sequence[Cost], budget: Budget) -> Cost:
+    chosen = [item.at for item in parts if item.budget is budget]
+    return Cost(
+        "node", "all of these", budget, lambda size: sum(at(size) for at in chosen)
+    )
+
+
+def costs(slopes: Slopes) -> list[Cost]:
+    """Return every cost as a function of the size."""
+    return [
+        *_member_costs(slopes),
+        *_home_costs(slopes),
+        *_config_costs(slopes),
+        *_platform_costs(slopes),
+    ]
+
+
+def _member_costs(slopes: Slopes) -> list[Cost]:
+    def news(size: Size) -> float:
+        events = size.restarts_per_day * NEWS_PER_RESTART
+        events += size.failures_per_day * NEWS_PER_FAILURE
+        sends = gossip.SPREAD_FACTOR * int(size.vms + 2).bit_length()
+        return events / DAY_S * sends * slopes.news_bytes
+
+    def cpu(size: Size) -> float:
+        return slopes.cpu_base + slopes.cpu_per_vm * size.vms
+
+    return [
+        Cost(
+            "member",
+            "heartbeats, one VM each 200 ms",
+            CONTROL,
+            lambda size: slopes.heartbeat_bytes_per_s,
+        ),
+        Cost("member", "news of a day's churn on heartbeats", CONTROL, news),
+        Cost("member", "ticks, heartbeats and reports of 10 targets", CORE, cpu),
+        Cost(
+            "member",
+            "view of the fleet",
+            MEMORY,
+            lambda size: size.vms * slopes.member_bytes / 1e6,
+        ),
+    ]
+
+
+def _home_costs(slopes: Slopes) -> list[Cost]:
+    def targets(size: Size) -> float:
+        return min(size.targets / size.zones, size.flows / size.vms)
+
+    def report_bytes(size: Size) -> float:
+        return slopes.report_bytes_per_target * targets(size) * size.vms
+
+    def report_cpu(size: Size) -> float:
+        each_us = slopes.report_encode_us_per_target + slopes.report_take_us_per_target
+        return each_us * targets(size) * size.vms / 1e6
+
+    def rehome_cpu(size: Size) -> float:
+        flows = size.flows / size.vms
+        return flows * slopes.rehome_us_per_flow * epochs_per_s(size) / 1e6
+
+    def open_cpu(size: Size) -> float:
+        each_us = slopes.open_us + slopes.open_us_per_vm * size.vms
+        return size.new_per_s / size.vms * each_us / 1e6
+
+    return [
+        Cost("home", "LoadReport to every VM, each second", CONTROL, report_bytes),
+        Cost("home", "LoadReport, made and read", CORE, report_cpu),
+        Cost(
+            "home",
+            "flow records",
+            MEMORY,
+            lambda size: size.flows / size.vms * slopes.record_bytes / 1e6,
+        ),
+        Cost("home", "scan of all flows after each change", CORE, rehome_cpu),
+        Cost("home", "opening flows (data, not control)", DATA_CORE, open_cpu),
+        Cost(
+            "entry",
+            "hints, one answer per flow and second",
+            MEMORY,
+            lambda size: _hints(size) * slopes.hint_bytes / 1e6,
+        ),
+    ]
+
+
+def _hints(size: Size) -> float:
+    answers = ANSWERS_PER_FLOW_S * HINT_TTL_S
+    each = size.vms * (1 - (1 - 1 / max(2.0, size.vms)) ** answers)
+    return size.flows * each / size.vms
+
+
+def epochs_per_s(size: Size) -> float:
+    """Return how often homes or rules change, per second."""
+    events = size.changes_per_day
+    events += size.restarts_per_day * EPOCHS_PER_RESTART
+    events += size.failures_per_day * EPOCHS_PER_FAILURE
+    return events / DAY_S
+
+
+def _config_costs(slopes: Slopes) -> list[Cost]:
+    def lines(size: Size) -> float:
+        return size.targets + size.services
+
+    def per_s(size: Size) -> float:
+        return size.changes_per_day / DAY_S
+
+    def epoch_cpu(size: Size) -> float:
+        return lines(size) * slopes.epoch_us_per_line * epochs_per_s(size) / 1e6
+
+    return [
+        Cost(
+            "keeper",
+            "whole document to every VM per change",
+            CONTROL,
+            lambda size: lines(size) * slopes.document_bytes_per_line * per_s(size),
+        ),
+        Cost(
+            "keeper",
+            "whole rules compiled per change",
+            CORE,
+            lambda size: lines(size) * slopes.compile_us_per_line * per_s(size) / 1e6,
+        ),
+        Cost("keeper", "candidates of all services per epoch", CORE, epoch_cpu),
+        Cost(
+            "keeper",
+            f"compiled rules, {epoch.MAX_EARLIER + 1} configurations kept",
+            MEMORY,
+            lambda size: (
+                (lines(size) * slopes.config_bytes_per_line * (epoch.MAX_EARLIER + 1))
+                / 1e6
+            ),
+        ),
+        Cost(
+            "watcher",
+            "all rules under one key",
+            VALUE,
+            lambda size: lines(size) * slopes.document_bytes_per_line,
+        ),
+    ]
+
+
+def _platform_costs(slopes: Slopes) -> list[Cost]:
+    def reports(size: Size) -> float:
+        regular = size.zones * 1000 / keeper.REPORT_MS
+        changed = size.zones * size.changes_per_day / DAY_S
+        return (regular + changed) * CALLS_PER_REPORT
+
+    return [
+        Cost(
+            "platform",
+            "watches and reads of two VMs per zone",
+            CALLS,
+            lambda size: slopes.store_calls_per_zone_s * size.zones,
+        ),
+        Cost("platform", "in-force reports, one per zone", CALLS, reports),
+        Cost(
+            "platform",
+            "in-force report of a zone, one value",
+            VALUE,
+            lambda size: size.vms / size.zones * slopes.in_force_bytes,
+        ),
+    ]
+
+
+def _row(item: Cost, size: Size) -> Row:
+    value = item.at(size)
+    over = value > item.budget.limit
+    return Row(
+        item.role,
+        item.mechanism,
+        float(f"{value:.3g}"),
+        item.budget.unit,
+        item.budget.limit,
+        "over" if over else "within",
+        _over_from(item, size) if over else 0,
+    )
+
+
+def _over_from(item: Cost, size: Size) -> int:
+    low, high = 0.0, 1.0
+    for _ in range(_STEPS):
+        middle = (low + high) / 2
+        if item.at(size.scaled(max(middle, 1e-6))) > item.budget.limit:
+            high = middle
+        else:
+            low = middle
+    return round(size.vms * high)
--- a/eelgrasswick/command.py
+++ b/eelgrasswick/command.py
@@ -9,6 +9,7 @@
 from twisted.internet import reactor as default_reactor
 
 from eelgrasswick import (
+    capacity,
     command_operator,
     command_standin,
     compose,
@@ -54,6 +55,7 @@
         | command_standin.Standin
         | trial.Trial
         | packet_cost.PacketCost
+        | capacity.Capacity
     ]
 
 
--- a/eelgrasswick/trial.py
+++ b/eelgrasswick/trial.py
@@ -1,6 +1,7 @@
 """The command that runs the trials on which the design rests."""
 
 import dataclasses
+import json
 import typing
 
 import cappa
@@ -81,4 +82,9 @@
 def print_row(row: typing.Any) -> None:
     """Print a named tuple as one line of key=value pairs."""
     pairs = row._asdict().items()
-    print(" ".join(f"{key}={value}" for key, value in pairs), flush=True)
+    print(" ".join(f"{key}={_shown(value)}" for key, value in pairs), flush=True)
+
+
+def _shown(value: object) -> str:
+    text = str(value)
+    return json.dumps(text) if " " in text else text
