--- a/eelgrasswick/command.py
+++ b/eelgrasswick/command.py
@@ -15,7 +15,9 @@
     console,
     errors,
     log,
+    packet_cost,
     setting,
+    trial,
 )
 
 
@@ -50,6 +52,8 @@
         | command_operator.Audit
         | Entry
         | command_standin.Standin
+        | trial.Trial
+        | packet_cost.PacketCost
     ]
 
 
