Place by recent work, let SYNs wait, learn strength and limits

Cause: the bound was on open flows. Short flows leave few open, so the bound never applied and hashing alone decided; a weight-1 target gets about 21 of 340 flows, with a spread of a fifth. Each home now counts the flows it lately placed, fading over ten seconds, and reports the count with its open flows.

--- a/eelgrasswick/admission.py
+++ b/eelgrasswick/admission.py
@@ -12,6 +12,7 @@
 from eelgrasswick import errors, service
 
 BASE_RETRY_MS: typing.Final = 1000
+SPREAD: typing.Final = 1.0
 
 
 class Demand(typing.NamedTuple):
@@ -37,12 +38,29 @@
     retry_after_ms: int
 
 
-def admit(demand: Demand) -> Refusal | None:
-    """Return None when the flow may come in, or the reason why not."""
+def retry_ms(fraction: float) -> int:
+    """Return when to come back after a refusal that no queue gave a turn.
+
+    Told the same time, all callers that were refused in one second would
+    return in one second and be refused again.
+
+    Args:
+        fraction: Differs evenly from flow to flow, 0 to 1.
+    """
+    return int(BASE_RETRY_MS * (1 + SPREAD * fraction))
+
+
+def admit(demand: Demand, fraction: float) -> Refusal | None:
+    """Return None when the flow may come in, or the reason why not.
+
+    Args:
+        demand: What the home knows.
+        fraction: Differs evenly from flow to flow, 0 to 1.
+    """
     if over(demand.limit.flows, demand.share, demand.service_flows):
-        return Refusal(errors.ErrorKind.SERVICE_LIMIT, BASE_RETRY_MS)
+        return Refusal(errors.ErrorKind.SERVICE_LIMIT, retry_ms(fraction))
     if over(demand.limit.per_caller, demand.share, demand.caller_flows):
-        return Refusal(errors.ErrorKind.CALLER_LIMIT, BASE_RETRY_MS)
+        return Refusal(errors.ErrorKind.CALLER_LIMIT, retry_ms(fraction))
     return None
 
 
--- a/eelgrasswick/engine.py
+++ b/eelgrasswick/engine.py
@@ -75,9 +75,8 @@
             self.peers,
             self.outbox,
         )
-        self.home = home.Home(
-            me.name, self.books, opener.Opener(me.name, self.books, policy)
-        )
+        self.opener = opener.Opener(me.name, self.books, policy)
+        self.home = home.Home(me.name, self.books, self.opener)
         self.switch = switch.Switch(me.name, codec, self.books, self.home)
         self.rehomer = rehome.Rehomer(me.name, self.books)
         self._report_ms = 0
@@ -242,8 +241,12 @@
         self._report_ms = now_ms + LOAD_REPORT_MS
         self._note_empty()
         counts = self.books.flows.open_by_target
+        recent = self.opener.chooser.work.recent_tenths(now_ms)
         report = wire.LoadReport(
-            tuple(wire.OpenFlows(name, flows) for name, flows in sorted(counts.items()))
+            tuple(
+                wire.OpenFlows(name, counts[name], recent.get(name, 0))
+                for name in sorted(counts.keys() | recent.keys())
+            )
         )
         for other in self.membership.others.values():
             if other.serves:
--- a/eelgrasswick/home.py
+++ b/eelgrasswick/home.py
@@ -66,6 +66,10 @@
         else:
             self._answer_known(now_ms, item, key, record)
 
+    def cancel(self, key: packet.FlowKey) -> None:
+        """Stop deciding about a flow, as another VM does now."""
+        self._opener.cancel(key)
+
     def tell(self, now_ms: int, sender: str, key: packet.FlowKey, name: str) -> None:
         """Take a former home's answer about a flow."""
         settled = self._inquiries.tell(sender, key, name)
@@ -129,6 +133,8 @@
         owner: service.Service,
     ) -> None:
         shared = self._books
+        if self._opener.holds(item, key):
+            return
         known = shared.hints.get(now_ms, key)
         known = known or shared.replicator.kept.get(now_ms, key)
         if known is not None:
@@ -324,7 +330,7 @@
                 self._send(record.target, record.first)
                 return
         self._pass(item)
-        self._close(now_ms, key, record)
+        self._close(now_ms, key, record, reset=True)
 
     def _answer_known(
         self,
@@ -355,12 +361,19 @@
         if record.caller_done and record.target_done:
             self._close(now_ms, key, record)
 
-    def _close(self, now_ms: int, key: packet.FlowKey, record: flow.Record) -> None:
+    def _close(
+        self,
+        now_ms: int,
+        key: packet.FlowKey,
+        record: flow.Record,
+        reset: bool = False,
+    ) -> None:
         if not record.counts:
             return
         self._books.flows.close(now_ms, key, record)
         self._books.outbox.count(_COUNT.FLOWS_CLOSED)
         self._forget(key, record)
+        self._opener.ended(now_ms, key, record, reset)
 
     def _forget(self, key: packet.FlowKey, record: flow.Record) -> None:
         current = self._books.epochs.current
--- a/eelgrasswick/load.py
+++ b/eelgrasswick/load.py
@@ -1,5 +1,12 @@
-"""Estimates of each target's open flows over the whole fleet."""
+"""Estimates of what each target has over the whole fleet.
 
+Load pattern: every home places flows on the same targets, and knows only its
+own. Without the others' counts each would fill its share evenly while chance
+lets several fill the same target. One report a second from each home, replaced
+as a whole, is enough because the counts of recent starts fade over ten.
+"""
+
+import collections
 import typing
 
 from eelgrasswick import wire
@@ -9,7 +16,7 @@
 
 class _Report(typing.NamedTuple):
     at_ms: int
-    flows: dict[str, int]
+    entries: tuple[wire.OpenFlows, ...]
 
 
 class LoadBook:
@@ -18,13 +25,16 @@
     def __init__(self) -> None:
         """Start without reports."""
         self._reports: dict[str, _Report] = {}
-        self._totals: dict[str, int] = {}
+        self._flows: collections.Counter[str] = collections.Counter()
+        self._recent_tenths: collections.Counter[str] = collections.Counter()
 
     def take(self, now_ms: int, sender: str, report: wire.LoadReport) -> None:
         """Take a home's report in place of its last one."""
-        flows = {item.target: item.flows for item in report.entries if item.flows > 0}
-        self._reports[sender] = _Report(now_ms, flows)
-        self._sum()
+        before = self._reports.get(sender)
+        if before is not None:
+            self._add(before, -1)
+        self._reports[sender] = _Report(now_ms, report.entries)
+        self._add(self._reports[sender], 1)
 
     def expire(self, now_ms: int) -> None:
         """Drop reports that are too old to say anything.
@@ -38,19 +48,18 @@
             for name, report in self._reports.items()
             if now_ms - report.at_ms > STALE_MS
         ]
-        if not old:
-            return
         for name in old:
-            del self._reports[name]
-        self._sum()
+            self._add(self._reports.pop(name), -1)
 
     def elsewhere(self, name: str) -> int:
         """Return the open flows of a target at all other homes."""
-        return self._totals.get(name, 0)
-
-    def _sum(self) -> None:
-        totals: dict[str, int] = {}
-        for report in self._reports.values():
-            for name, flows in report.flows.items():
-                totals[name] = totals.get(name, 0) + flows
-        self._totals = totals
+        return self._flows[name]
+
+    def recent_elsewhere(self, name: str) -> float:
+        """Return the recent starts on a target at all other homes."""
+        return self._recent_tenths[name] / 10
+
+    def _add(self, report: _Report, sign: int) -> None:
+        for item in report.entries:
+            self._flows[item.target] += sign * max(0, item.flows)
+            self._recent_tenths[item.target] += sign * max(0, item.recent_tenths)
--- a/eelgrasswick/opener.py
+++ b/eelgrasswick/opener.py
@@ -7,19 +7,24 @@
 from eelgrasswick import (
     admission,
     books,
+    choice,
     epoch,
     errors,
     flow,
     health,
     message,
     packet,
+    pending,
     placement,
+    rendezvous,
     service,
     target,
+    waiting,
 )
 
 _COUNT: typing.Final = message.Counter
 _DAY_MS: typing.Final = 86_400_000
+LEARN_MS: typing.Final = 500
 
 
 class Waiting(typing.NamedTuple):
@@ -39,13 +44,86 @@
         """Decide as the VM ``name`` with a placement policy."""
         self._name = name
         self._books = shared
-        self._policy = policy
+        self.chooser = choice.Chooser(policy)
+        self._pending = pending.Pending(name, shared)
         self._opening: collections.deque[Waiting] = collections.deque()
+        self._learn_ms = 0
 
     def tick(self, now_ms: int) -> None:
-        """Note the targets that left an opening packet unanswered."""
+        """Note silent targets, and serve or refuse what waits."""
         while self._opening and self._opening[0].due_ms <= now_ms:
             self._note_silence(now_ms, self._opening.popleft())
+        self.chooser.work.tick(now_ms)
+        if now_ms - self._learn_ms >= LEARN_MS:
+            self._learn_ms = now_ms
+            self._learn(now_ms)
+        for name in self._pending.names():
+            self._serve(now_ms, name)
+
+    def holds(self, item: packet.Packet, key: packet.FlowKey) -> bool:
+        """Take a packet of a flow that waits; False when it does not wait."""
+        return self._pending.holds(item, key)
+
+    def cancel(self, key: packet.FlowKey) -> None:
+        """Stop deciding about a waiting flow, as another VM does now."""
+        self._pending.cancel(key)
+
+    def ended(
+        self, now_ms: int, key: packet.FlowKey, record: flow.Record, reset: bool
+    ) -> None:
+        """Learn from a flow that has ended, and use the room it leaves."""
+        name = record.target.name
+        if record.origin is flow.Origin.PLACED:
+            life_ms = now_ms - record.opened_ms
+            self.chooser.end(now_ms, key.packed, name, life_ms, reset)
+        else:
+            self.chooser.work.end(key.packed)
+        self._serve(now_ms, record.target.service)
+
+    def _learn(self, now_ms: int) -> None:
+        current = self._books.epochs.current
+        if current is None:
+            return
+        for owner in current.config.services.values():
+            self.chooser.strength.tick(now_ms, owner.targets)
+        targets = current.config.targets
+        names = [name for name, item in targets.items() if item.accepts]
+        self.chooser.ramp.present(now_ms, names)
+
+    def _serve(self, now_ms: int, name: str) -> None:
+        """Place what waits for a service, in turn, and refuse what is late."""
+        current = self._books.epochs.current
+        owner = current.config.services.get(name) if current is not None else None
+        if owner is None:
+            return
+        queue = self._pending.queue(owner)
+        for late in queue.expire(now_ms):
+            self._refuse_late(now_ms, late, owner, queue)
+        while waiter := queue.first():
+            item, key = waiter.item
+            if not self._pending.mine(key, owner):
+                queue.cancel(waiter.flow)
+                continue
+            chosen = self.choose(now_ms, key, owner, frozenset())
+            if chosen.target is None:
+                return
+            queue.place(now_ms)
+            self._books.outbox.count(_COUNT.FLOWS_WAITED)
+            self.place(now_ms, item, key, owner, chosen.target)
+
+    def _refuse_late(
+        self,
+        now_ms: int,
+        late: waiting.Waiter[pending.Held],
+        owner: service.Service,
+        queue: pending.Queue,
+    ) -> None:
+        item, key = late.item
+        if not self._pending.mine(key, owner):
+            return
+        retry_ms = queue.promise(now_ms, key.caller_ip)
+        refusal = admission.Refusal(errors.ErrorKind.WAIT_EXPIRED, retry_ms)
+        self.refuse(item, key, refusal)
 
     def reopen(
         self,
@@ -89,12 +167,13 @@
         """
         refusal = self._refusal(now_ms, key, owner)
         chosen = None
-        if refusal is None:
-            chosen = self.choose(now_ms, key, owner, frozenset())
-            if chosen is None:
-                refusal = admission.Refusal(
-                    errors.ErrorKind.NO_TARGET, admission.BASE_RETRY_MS
-                )
+        if refusal is None and item.opens:
+            refusal = self._enter(now_ms, item, key, owner)
+            if refusal is None:
+                return
+        elif refusal is None:
+            chosen = self.choose(now_ms, key, owner, frozenset()).target
+            refusal = _no_target(key)
         if chosen is not None:
             self.place(now_ms, item, key, owner, chosen)
         elif item.protocol == packet.Protocol.UDP and not certain:
@@ -104,6 +183,26 @@
         else:
             self.refuse(item, key, refusal)
 
+    def _enter(
+        self,
+        now_ms: int,
+        item: packet.Packet,
+        key: packet.FlowKey,
+        owner: service.Service,
+    ) -> admission.Refusal | None:
+        """Place a TCP flow or let it wait; return why when it may do neither."""
+        queue = self._pending.queue(owner)
+        if len(queue):
+            return self._pending.offer(now_ms, item, key, queue)
+        chosen = self.choose(now_ms, key, owner, frozenset())
+        if chosen.target is not None:
+            queue.note_placed(now_ms)
+            self.place(now_ms, item, key, owner, chosen.target)
+            return None
+        if chosen.waits:
+            return self._pending.offer(now_ms, item, key, queue)
+        return _no_target(key)
+
     def _refusal(
         self, now_ms: int, key: packet.FlowKey, owner: service.Service
     ) -> admission.Refusal | None:
@@ -118,7 +217,7 @@
             flows.open_by_service[owner.name],
             flows.open_by_caller[caller],
         )
-        return admission.admit(demand)
+        return admission.admit(demand, _spread(key))
 
     def _share(self) -> float:
         current = self._books.epochs.current
@@ -133,8 +232,8 @@
         key: packet.FlowKey,
         owner: service.Service,
         excluded: frozenset[str],
-    ) -> target.Target | None:
-        """Choose a target for a new flow, or None when none is usable."""
+    ) -> choice.Choice:
+        """Choose a target for a new flow."""
         current = self._books.epochs.current
         assert current is not None
         ranked = [
@@ -142,15 +241,15 @@
         ]
         suspected = [self._suspected(now_ms, item, current) for item in ranked]
         usable = health.usable(suspected)
-        loads = [
-            self._target_load(item, good)
-            for item, good in zip(ranked, usable, strict=True)
+        sights = [
+            self._sight(item, good) for item, good in zip(ranked, usable, strict=True)
         ]
         if key.protocol == packet.Protocol.UDP:
             # A datagram can be repeated and reach two homes whose views differ.
             # Both must choose alike, or it would run twice; so load is left out.
-            return next((item.target for item in loads if item.usable), None)
-        return self._policy.choose(loads)
+            first = next((item.target for item in sights if item.usable), None)
+            return choice.Choice(first, False)
+        return self.chooser.choose(now_ms, sights)
 
     def _suspected(
         self, now_ms: int, item: target.Target, current: epoch.Epoch
@@ -165,11 +264,12 @@
     def _zone_lost(self, item: target.Target) -> bool:
         return self._books.peers.zone_known(item.zone)
 
-    def _target_load(self, item: target.Target, good: bool) -> placement.TargetLoad:
+    def _sight(self, item: target.Target, good: bool) -> choice.Sight:
         here = self._books.flows.open_by_target[item.name]
         everywhere = here + self._books.loads.elsewhere(item.name)
         free = everywhere < item.connections
-        return placement.TargetLoad(item, everywhere, item.weight, good and free)
+        recent = self._books.loads.recent_elsewhere(item.name)
+        return choice.Sight(item, everywhere, recent, good and free)
 
     def place(
         self,
@@ -191,7 +291,8 @@
         self._books.flows.add(key, record)
         self._books.hints.forget(key)
         self._books.outbox.count(_COUNT.FLOWS_PLACED)
-        self.replicate(key, owner, chosen)
+        exception = self.replicate(key, owner, chosen)
+        self.chooser.begin(now_ms, key.packed, chosen.name, exception)
         self._send(chosen, item)
 
     def move(
@@ -201,13 +302,16 @@
         owner: service.Service,
         record: flow.Record,
     ) -> bool:
-        """Point an opening flow to another target; False when there is none."""
+        """Point an opening flow to another target; False when it must stay."""
+        if not self.chooser.retry.spend():
+            return False
         refuted = record.refuted | {record.target.name}
-        chosen = self.choose(now_ms, key, owner, refuted)
+        chosen = self.choose(now_ms, key, owner, refuted).target
         if chosen is None:
             return False
         record.refuted = refuted
         self._books.flows.move(key, record, chosen)
+        self.chooser.move(now_ms, key.packed, chosen.name)
         self._books.outbox.count(_COUNT.FLOWS_MOVED)
         self._opening.append(Waiting(now_ms + health.ANSWER_MS, key, record))
         self.replicate(key, owner, chosen)
@@ -215,16 +319,21 @@
 
     def replicate(
         self, key: packet.FlowKey, owner: service.Service, chosen: target.Target
-    ) -> None:
-        """Have the backup keep a flow that is not on its default target."""
+    ) -> bool:
+        """Have the backup keep a flow that is not on its default target.
+
+        Returns:
+            Whether the flow is such an exception.
+        """
         current = self._books.epochs.current
         assert current is not None
         place = current.locate(key, owner)
         if place.default is not None and place.default.name == chosen.name:
-            return
+            return False
         self._books.outbox.count(_COUNT.FLOWS_EXCEPTION)
         if place.backup is not None and place.backup != self._name:
             self._books.replicator.keep(place.backup, key, chosen)
+        return True
 
     def refuse(
         self,
@@ -257,3 +366,12 @@
 
     def _send(self, chosen: target.Target, item: packet.Packet) -> None:
         self._books.outbox.put(message.SendDatagram(chosen.endpoint, item.raw))
+
+
+def _spread(key: packet.FlowKey) -> float:
+    return rendezvous.digest(key.packed) / 2**64
+
+
+def _no_target(key: packet.FlowKey) -> admission.Refusal:
+    retry_ms = admission.retry_ms(_spread(key))
+    return admission.Refusal(errors.ErrorKind.NO_TARGET, retry_ms)
--- a/eelgrasswick/placement.py
+++ b/eelgrasswick/placement.py
@@ -13,7 +13,7 @@
 
 from eelgrasswick import target
 
-BOUND_FACTOR: typing.Final = 1.25
+OPEN_FACTOR: typing.Final = 1.25
 
 
 class TargetLoad(typing.NamedTuple):
@@ -22,12 +22,14 @@
     Attributes:
         target: The target.
         open_flows: Estimate of its open flows over the whole fleet.
+        recent: Estimate of the flows it lately got, fading with time.
         strength: Share of the work it should get, relative to the others.
         usable: False when it is taken for dead, full or out of reach.
     """
 
     target: target.Target
     open_flows: float
+    recent: float
     strength: float
     usable: bool
 
@@ -36,11 +38,15 @@
     """A policy for new flows; it keeps no clock, network or randomness."""
 
     @abc.abstractmethod
-    def choose(self, ranked: typing.Sequence[TargetLoad]) -> target.Target | None:
+    def choose(
+        self, ranked: typing.Sequence[TargetLoad], factor: float
+    ) -> target.Target | None:
         """Choose a target.
 
         Args:
             ranked: Targets that accept flows, the default of the flow in front.
+            factor: How far above its share of recent flows a target may be; see
+                ``shift.ShiftBudget``.
 
         Returns:
             The target, or None when no target is usable.
@@ -48,25 +54,31 @@
 
 
 class BoundedHash(Placement):
-    """The first target in hash order whose load is within the bound."""
+    """The first target in hash order that is within both bounds.
 
-    def __init__(self, factor: float = BOUND_FACTOR) -> None:
-        """Bound each target at ``factor`` times its share of the open flows."""
-        self._factor = factor
+    One bound is on the flows lately placed, which keeps short work even; the
+    other is on open flows, which keeps boards and downloads even.
+    """
 
-    def choose(self, ranked: typing.Sequence[TargetLoad]) -> target.Target | None:
-        """Choose by hash order within the bound; see the base class."""
+    def choose(
+        self, ranked: typing.Sequence[TargetLoad], factor: float
+    ) -> target.Target | None:
+        """Choose by hash order within the bounds; see the base class."""
         usable = [item for item in ranked if item.usable]
         if not usable:
             return None
-        total = sum(item.open_flows for item in usable) + 1
         strength = sum(item.strength for item in usable)
+        recent = (sum(item.recent for item in usable) + 1) / strength
+        opened = (sum(item.open_flows for item in usable) + 1) / strength
         for item in usable:
-            share = total * item.strength / strength
-            if item.open_flows + 1 <= self._factor * share + 1:
+            # Half a flow of slack: a target whose share is below one flow must
+            # still be able to get one.
+            even = item.recent + 0.5 <= factor * recent * item.strength
+            light = item.open_flows <= OPEN_FACTOR * opened * item.strength
+            if even and light:
                 return item.target
         return min(usable, key=_fill).target
 
 
 def _fill(item: TargetLoad) -> float:
-    return (item.open_flows + 1) / item.strength
+    return (item.recent + item.open_flows + 1) / item.strength
--- /dev/null
+++ b/eelgrasswick/ramp.py
@@ -0,0 +1,53 @@
+"""Cold start: a target that joins or recovers gets its work step by step.
+
+Load pattern: a server starts with cold caches, or comes back after a fault,
+and hashing gives it its full share in the same second. Its queue then grows
+while it is slow, and its callers wait for seconds. When several come at once
+the healthy ones must carry the rest, so the ramp starts above zero.
+
+``START`` is the speed of a cold target of the bench relative to a warm one,
+and ``RAMP_MS`` its time to warm up; a shorter ramp hands out work while the
+target is still slow.
+"""
+
+import typing
+
+START: typing.Final = 0.3
+RAMP_MS: typing.Final = 10_000
+
+
+class RampBook:
+    """When each target was last begun to be used."""
+
+    def __init__(self) -> None:
+        """Start without targets."""
+        self._since_ms: dict[str, int] = {}
+        self._known: set[str] = set()
+
+    def present(self, now_ms: int, names: typing.Collection[str]) -> None:
+        """Take the targets that accept flows; the new ones begin a ramp.
+
+        When no target was known before, this VM is the one that is new, and
+        nothing is known about the targets' age: no ramp. Otherwise every start
+        of a VM would treat the whole fleet as cold.
+        """
+        if self._known:
+            for name in names:
+                if name not in self._known:
+                    self._since_ms[name] = now_ms
+        self._known = set(names)
+
+    def restart(self, now_ms: int, name: str) -> None:
+        """Note that a target came back after a fault."""
+        self._since_ms[name] = now_ms
+
+    def factor(self, now_ms: int, name: str) -> float:
+        """Return the part of its strength that a target should get now."""
+        since_ms = self._since_ms.get(name)
+        if since_ms is None:
+            return 1.0
+        age = (now_ms - since_ms) / RAMP_MS
+        if age >= 1.0:
+            del self._since_ms[name]
+            return 1.0
+        return START + (1 - START) * max(0.0, age)
--- /dev/null
+++ b/eelgrasswick/strength.py
@@ -0,0 +1,107 @@
+"""How strong a target is by what the entry VMs see, not by what it claims.
+
+Load pattern: servers bought over years whose weights in the rules are wrong,
+a target that turned slow, one that answers fast because it fails. Trusting the
+claim keeps a slow target overloaded; trusting a load endpoint lets one wrong
+answer move everything.
+
+A home sees how long flows last, from the first packet to the last. The lower
+quartile of the last ``SAMPLES`` lifetimes leaves boards and downloads out. It
+is compared with the median over the targets of the service, after what the
+claimed weights make of it. Evidence of weakness counts down to ``LOWEST``;
+evidence of strength only up to ``HIGHEST``, because a failing target looks
+fast. Resets after the opening count against it.
+"""
+
+import collections
+import statistics
+import typing
+
+from eelgrasswick import shift, target
+
+SAMPLES: typing.Final = 16
+ENOUGH: typing.Final = 8
+LOWEST: typing.Final = 0.2
+HIGHEST: typing.Final = 1.25
+TOLERANCE: typing.Final = 1.3
+_FADE: typing.Final = 0.9
+
+
+class _Sight:
+    __slots__ = ("at_ms", "failing", "lives_ms", "used")
+
+    def __init__(self) -> None:
+        self.lives_ms: collections.deque[int] = collections.deque(maxlen=SAMPLES)
+        self.failing = 0.0
+        self.used = 1.0
+        self.at_ms = 0
+
+
+class StrengthBook:
+    """Lifetimes and resets of the flows that one home placed."""
+
+    def __init__(self) -> None:
+        """Trust the claims at first."""
+        self._sights: dict[str, _Sight] = {}
+
+    def ended(self, name: str, life_ms: int, reset: bool) -> None:
+        """Note that a flow ended.
+
+        Args:
+            name: Its target.
+            life_ms: Time from its first packet to its last.
+            reset: True when the target reset it.
+        """
+        sight = self._sights.setdefault(name, _Sight())
+        sight.failing = sight.failing * _FADE + (1 - _FADE if reset else 0.0)
+        if not reset:
+            sight.lives_ms.append(life_ms)
+
+    def life_ms(self, name: str) -> float | None:
+        """Return the lower quartile of a target's lifetimes, once known."""
+        sight = self._sights.get(name)
+        if sight is None or len(sight.lives_ms) < ENOUGH:
+            return None
+        return float(sorted(sight.lives_ms)[len(sight.lives_ms) // 4])
+
+    def tick(self, now_ms: int, targets: typing.Sequence[target.Target]) -> None:
+        """Follow what was seen of the targets of one service."""
+        slowness = {item.name: self._slowness(item) for item in targets}
+        known = [value for value in slowness.values() if value is not None]
+        usual = statistics.median(known) if len(known) > 1 else None
+        for item in targets:
+            sight = self._sights.get(item.name)
+            if sight is None:
+                continue
+            wanted = _correction(slowness[item.name], usual) * _trust(sight.failing)
+            elapsed_ms = min(1000, now_ms - sight.at_ms)
+            sight.used = shift.approach(sight.used, wanted, elapsed_ms)
+            sight.at_ms = now_ms
+
+    def factor(self, name: str) -> float:
+        """Return what a target's claimed weight is to be multiplied with."""
+        sight = self._sights.get(name)
+        return sight.used if sight is not None else 1.0
+
+    def _slowness(self, item: target.Target) -> float | None:
+        # Weight over slots is the claimed speed of one slot, so an honest
+        # target has the same product whatever its weight.
+        life_ms = self.life_ms(item.name)
+        if life_ms is None:
+            return None
+        return max(1.0, life_ms) * item.weight / item.slots
+
+
+def _correction(slowness: float | None, usual: float | None) -> float:
+    if slowness is None or usual is None:
+        return 1.0
+    ratio = usual / slowness
+    # Quartiles of few samples differ by chance; acting on that would make
+    # exceptions for nothing.
+    if 1 / TOLERANCE <= ratio <= TOLERANCE:
+        return 1.0
+    return max(LOWEST, min(HIGHEST, ratio))
+
+
+def _trust(failing: float) -> float:
+    return max(LOWEST, (1 - failing) ** 2)
--- a/eelgrasswick/switch.py
+++ b/eelgrasswick/switch.py
@@ -74,6 +74,7 @@
     def ask(self, now_ms: int, sender: str, event: wire.Ask) -> None:
         """Answer the present home of a flow that this VM may know."""
         key = wire.flow_key(event.flow)
+        self._home.cancel(key)
         known = self._known(now_ms, key)
         name = known.name if known is not None else ""
         self._books.peers.send(sender, wire.Tell(event.flow, name))
--- a/eelgrasswick/wire.py
+++ b/eelgrasswick/wire.py
@@ -117,14 +117,23 @@
 
 
 class OpenFlows(typing.NamedTuple):
-    """Open flows one home has on one target."""
+    """What one home has on one target.
+
+    Attributes:
+        target: Name of the target.
+        flows: Open flows.
+        recent_tenths: Ten times the flows lately placed, which fade; see
+            ``work.WorkBook``. Whole numbers would round the few that each home
+            has on a weak target down to nothing.
+    """
 
     target: str
     flows: int
+    recent_tenths: int
 
 
 class LoadReport(typing.NamedTuple):
-    """Open flows of one home, for the others' estimates."""
+    """Open and recent flows of one home, for the others' estimates."""
 
     entries: tuple[OpenFlows, ...]
 
