--- a/eelgrasswick/baseline.py
+++ b/eelgrasswick/baseline.py
@@ -12,6 +12,8 @@
 class WeightedHash(placement.Placement):
     """The default target of the flow, whatever the load."""
 
+    learns = False
+
     def choose(
         self, ranked: typing.Sequence[placement.TargetLoad], factor: float
     ) -> target.Target | None:
@@ -22,6 +24,8 @@
 class RoundRobin(placement.Placement):
     """One target after the other, each as often as its weight says."""
 
+    learns = False
+
     def __init__(self) -> None:
         """Start with no turns given."""
         self._turns: dict[str, float] = {}
@@ -48,6 +52,8 @@
     With figures a second old all homes send their flows to the same target.
     """
 
+    learns = False
+
     def choose(
         self, ranked: typing.Sequence[placement.TargetLoad], factor: float
     ) -> target.Target | None:
--- a/eelgrasswick/choice.py
+++ b/eelgrasswick/choice.py
@@ -95,17 +95,32 @@
     ) -> None:
         """Note that a flow ended; see ``strength.StrengthBook.ended``."""
         self.work.end(flow)
-        self.strength.ended(name, life_ms, reset)
+        if reset or life_ms < work.YOUNG_MS:
+            self.strength.ended(name, life_ms, reset)
         if not reset:
             self._concurrency.ended(now_ms, name, life_ms, self.work.busy(name))
 
+    def tick(self, now_ms: int) -> None:
+        """Let flows grow old, and learn from it.
+
+        A target that hangs ends no flow at all. Its flows count as long ones
+        as soon as they are old, or nothing would ever tell against it.
+        """
+        for name in self.work.tick(now_ms):
+            self._concurrency.aged(now_ms, name)
+            self.strength.ended(name, work.YOUNG_MS, False)
+
     def _load(self, now_ms: int, item: Sight) -> placement.TargetLoad:
         name = item.target.name
-        factor = self.strength.factor(name) * self.ramp.factor(now_ms, name)
+        factor = 1.0
+        room = True
+        if self._policy.learns:
+            factor = self.strength.factor(name) * self.ramp.factor(now_ms, name)
+            room = self._concurrency.room(name, self.work.busy(name))
         return placement.TargetLoad(
             item.target,
             item.open_flows,
             item.recent_elsewhere + self.work.recent(now_ms, name),
             item.target.weight * factor,
-            item.usable and self._concurrency.room(name, self.work.busy(name)),
+            item.usable and room,
         )
--- a/eelgrasswick/command.py
+++ b/eelgrasswick/command.py
@@ -15,6 +15,7 @@
 
 from eelgrasswick import (
     change,
+    command_load,
     compose,
     emulator,
     errors,
@@ -290,7 +291,9 @@
 class Eelgrasswick:
     """All commands."""
 
-    command: cappa.Subcommands[Check | Apply | Watch | Show | Audit | Entry | Standin]
+    command: cappa.Subcommands[
+        Check | Apply | Watch | Show | Audit | Entry | Standin | command_load.Load
+    ]
 
 
 def main() -> None:
--- a/eelgrasswick/concurrency.py
+++ b/eelgrasswick/concurrency.py
@@ -5,12 +5,14 @@
 is late, and goodput falls to nothing although all slots work.
 
 The limit is learned from lifetimes, as congestion control learns from round
-trips: none is in force until the lower quartile of the last ``WINDOW``
-lifetimes passes the best one known by ``QUEUE_MS``; then it falls by a factor
-and rises by one flow a window. Each home learns its own, so limits hold
-without a message however stale the views of others are: when a VM joins or
-dies, or is cut off, lifetimes change and the others follow. Boards and long
-downloads are left out by the quartile.
+trips. It begins at ``FIRST`` and grows by one with each flow that ends in time
+or outlives its youth, as a board does.
+When the lower quartile of the last ``WINDOW`` lifetimes passes the best one
+known by ``QUEUE_MS``, it falls to what the target ends in that time (Little's
+law), and grows by one a lifetime until ``CALM_MS`` have passed. Each home
+learns its own, so limits hold without a message however stale the views of
+others are: when a VM joins, dies or is cut off, lifetimes change and the others
+follow. Boards and long downloads are left out by the quartile.
 """
 
 import collections
@@ -18,28 +20,32 @@
 
 WINDOW: typing.Final = 8
 QUEUE_MS: typing.Final = 150
-CUT: typing.Final = 0.8
-RISE: typing.Final = 1.0
-CALM_MS: typing.Final = 5000
-_FORGET: typing.Final = 1.01
+FIRST: typing.Final = 3.0
+CALM_MS: typing.Final = 3000
+FORGET_PER_S: typing.Final = 0.005
+
+
+class _Life(typing.NamedTuple):
+    at_ms: int
+    life_ms: int
 
 
 class _Limit:
-    __slots__ = ("base_ms", "calm_ms", "cut_ms", "lives_ms", "most")
+    __slots__ = ("base_ms", "cut_ms", "learned_ms", "lives", "most")
 
     def __init__(self) -> None:
-        self.lives_ms: collections.deque[int] = collections.deque(maxlen=WINDOW)
+        self.lives: collections.deque[_Life] = collections.deque(maxlen=WINDOW)
         self.base_ms = 0.0
-        self.most: float | None = None
-        self.cut_ms = 0
-        self.calm_ms = 0
+        self.most = FIRST
+        self.cut_ms = -CALM_MS
+        self.learned_ms = 0
 
 
 class ConcurrencyBook:
     """The limit of each target at one home."""
 
     def __init__(self) -> None:
-        """Start without limits."""
+        """Start with the first limit for every target."""
         self._limits: dict[str, _Limit] = {}
 
     def room(self, name: str, busy: int) -> bool:
@@ -49,8 +55,12 @@
             name: The target.
             busy: Young flows that this home has on it.
         """
+        return busy + 1 <= self.most(name)
+
+    def most(self, name: str) -> float:
+        """Return the limit of a target."""
         known = self._limits.get(name)
-        return known is None or known.most is None or busy + 1 <= max(1.0, known.most)
+        return known.most if known is not None else FIRST
 
     def ended(self, now_ms: int, name: str, life_ms: int, busy: int) -> None:
         """Learn from a flow that ended.
@@ -62,33 +72,44 @@
             busy: Young flows left on the target.
         """
         known = self._limits.setdefault(name, _Limit())
-        known.lives_ms.append(life_ms)
-        if len(known.lives_ms) < WINDOW:
+        known.lives.append(_Life(now_ms, life_ms))
+        if len(known.lives) < WINDOW:
             return
-        quartile = sorted(known.lives_ms)[WINDOW // 4]
-        best = known.base_ms * _FORGET if known.base_ms else quartile
-        known.base_ms = min(best, quartile)
+        quartile = sorted(item.life_ms for item in known.lives)[WINDOW // 4]
+        _learn_base(known, now_ms, quartile)
         if quartile > known.base_ms + QUEUE_MS:
-            _cut(known, now_ms, quartile, busy)
-        else:
-            _rise(known, now_ms, busy)
+            _cut(known, now_ms)
+        elif busy + 2 > known.most:
+            known.most += 1.0 if _calm(known, now_ms) else 1.0 / known.most
+
+    def aged(self, now_ms: int, name: str) -> None:
+        """Learn from a flow that is no longer young.
+
+        Many boards can come at once, and none ends for hours. Without this
+        the limit would stay at its first value and most would be refused.
+        """
+        known = self._limits.setdefault(name, _Limit())
+        if _calm(known, now_ms):
+            known.most += 1.0
+
+
+def _calm(known: _Limit, now_ms: int) -> bool:
+    return now_ms - known.cut_ms > CALM_MS
+
+
+def _learn_base(known: _Limit, now_ms: int, quartile: int) -> None:
+    # The best lifetime is forgotten slowly. Forgotten fast, an overload of
+    # seconds would become the measure of what is normal and the limit would
+    # follow the queue upwards.
+    elapsed_s = (now_ms - known.learned_ms) / 1000
+    best = known.base_ms * (1 + FORGET_PER_S * elapsed_s)
+    known.base_ms = min(best, quartile) if known.base_ms else quartile
+    known.learned_ms = now_ms
 
 
-def _cut(known: _Limit, now_ms: int, quartile: float, busy: int) -> None:
-    known.calm_ms = now_ms
-    # The effect of a cut shows only in flows that begin after it.
-    if now_ms - known.cut_ms < quartile:
-        return
+def _cut(known: _Limit, now_ms: int) -> None:
+    span_ms = max(1, now_ms - known.lives[0].at_ms)
+    per_ms = (WINDOW - 1) / span_ms
+    wanted = per_ms * (known.base_ms + QUEUE_MS)
+    known.most = max(1.0, min(known.most, wanted))
     known.cut_ms = now_ms
-    present = busy + 1 if known.most is None else min(known.most, busy + 1)
-    known.most = max(1.0, present * CUT)
-
-
-def _rise(known: _Limit, now_ms: int, busy: int) -> None:
-    if known.most is None:
-        return
-    if busy + 2 > known.most:
-        known.calm_ms = now_ms
-        known.most += RISE / max(1.0, known.most)
-    elif now_ms - known.calm_ms > CALM_MS:
-        known.most = None
--- a/eelgrasswick/engine.py
+++ b/eelgrasswick/engine.py
@@ -242,12 +242,7 @@
         self._note_empty()
         counts = self.books.flows.open_by_target
         recent = self.opener.chooser.work.recent_tenths(now_ms)
-        report = wire.LoadReport(
-            tuple(
-                wire.OpenFlows(name, counts[name], recent.get(name, 0))
-                for name in sorted(counts.keys() | recent.keys())
-            )
-        )
+        report = load.report(counts, recent)
         for other in self.membership.others.values():
             if other.serves:
                 self.peers.send_link(other.name, report)
--- a/eelgrasswick/health.py
+++ b/eelgrasswick/health.py
@@ -30,9 +30,10 @@
         """Start with every target healthy."""
         self._sights: dict[str, _Sight] = {}
 
-    def answered(self, name: str) -> None:
-        """Note that a target answered an opening packet."""
-        self._sights.pop(name, None)
+    def answered(self, name: str) -> bool:
+        """Note that a target answered; True when it had been suspected."""
+        sight = self._sights.pop(name, None)
+        return sight is not None and sight.failures >= FAILURES
 
     def unanswered(self, now_ms: int, name: str) -> None:
         """Note that a target left an opening packet unanswered."""
--- a/eelgrasswick/home.py
+++ b/eelgrasswick/home.py
@@ -344,7 +344,7 @@
             record.first = None
             if record.state is flow.State.OPENING:
                 record.state = flow.State.OPEN
-                self._books.health.answered(record.target.name)
+                self._opener.answered(now_ms, record)
         elif record.origin is flow.Origin.GUESSED:
             record.origin = flow.Origin.LEARNED
             record.first = None
--- a/eelgrasswick/load.py
+++ b/eelgrasswick/load.py
@@ -14,6 +14,22 @@
 STALE_MS: typing.Final = 5000
 
 
+def report(
+    flows: typing.Mapping[str, int], tenths: typing.Mapping[str, int]
+) -> wire.LoadReport:
+    """Return a home's report.
+
+    Args:
+        flows: Open flows by target.
+        tenths: Ten times the recent starts by target.
+    """
+    names = sorted(flows.keys() | tenths.keys())
+    entries = [
+        wire.OpenFlows(name, flows.get(name, 0), tenths.get(name, 0)) for name in names
+    ]
+    return wire.LoadReport(tuple(entries))
+
+
 class _Report(typing.NamedTuple):
     at_ms: int
     entries: tuple[wire.OpenFlows, ...]
--- a/eelgrasswick/opener.py
+++ b/eelgrasswick/opener.py
@@ -53,7 +53,7 @@
         """Note silent targets, and serve or refuse what waits."""
         while self._opening and self._opening[0].due_ms <= now_ms:
             self._note_silence(now_ms, self._opening.popleft())
-        self.chooser.work.tick(now_ms)
+        self.chooser.tick(now_ms)
         if now_ms - self._learn_ms >= LEARN_MS:
             self._learn_ms = now_ms
             self._learn(now_ms)
@@ -68,6 +68,13 @@
         """Stop deciding about a waiting flow, as another VM does now."""
         self._pending.cancel(key)
 
+    def answered(self, now_ms: int, record: flow.Record) -> None:
+        """Note that a target has accepted a flow."""
+        name = record.target.name
+        self.chooser.strength.accepted(name, now_ms - record.opened_ms)
+        if self._books.health.answered(name):
+            self.chooser.ramp.restart(now_ms, name)
+
     def ended(
         self, now_ms: int, key: packet.FlowKey, record: flow.Record, reset: bool
     ) -> None:
--- a/eelgrasswick/placement.py
+++ b/eelgrasswick/placement.py
@@ -35,7 +35,14 @@
 
 
 class Placement(abc.ABC):
-    """A policy for new flows; it keeps no clock, network or randomness."""
+    """A policy for new flows; it keeps no clock, network or randomness.
+
+    Attributes:
+        learns: False for a policy that takes targets as they claim to be: no
+            learned strength, no ramp and no concurrency limit.
+    """
+
+    learns: bool = True
 
     @abc.abstractmethod
     def choose(
--- a/eelgrasswick/strength.py
+++ b/eelgrasswick/strength.py
@@ -6,7 +6,8 @@
 answer move everything.
 
 A home sees how long flows last, from the first packet to the last. The lower
-quartile of the last ``SAMPLES`` lifetimes leaves boards and downloads out. It
+quartile of the last ``SAMPLES`` lifetimes leaves boards and downloads out, and
+the time of ``WAYS`` openings, which is spent on the way, is taken off. The rest
 is compared with the median over the targets of the service, after what the
 claimed weights make of it. Evidence of weakness counts down to ``LOWEST``;
 evidence of strength only up to ``HIGHEST``, because a failing target looks
@@ -23,15 +24,17 @@
 ENOUGH: typing.Final = 8
 LOWEST: typing.Final = 0.2
 HIGHEST: typing.Final = 1.25
-TOLERANCE: typing.Final = 1.3
+WAYS: typing.Final = 3
+TOLERANCE: typing.Final = 1.5
 _FADE: typing.Final = 0.9
 
 
 class _Sight:
-    __slots__ = ("at_ms", "failing", "lives_ms", "used")
+    __slots__ = ("at_ms", "failing", "lives_ms", "openings_ms", "used")
 
     def __init__(self) -> None:
         self.lives_ms: collections.deque[int] = collections.deque(maxlen=SAMPLES)
+        self.openings_ms: collections.deque[int] = collections.deque(maxlen=SAMPLES)
         self.failing = 0.0
         self.used = 1.0
         self.at_ms = 0
@@ -44,6 +47,10 @@
         """Trust the claims at first."""
         self._sights: dict[str, _Sight] = {}
 
+    def accepted(self, name: str, opening_ms: int) -> None:
+        """Note how long a target took to accept a flow."""
+        self._sights.setdefault(name, _Sight()).openings_ms.append(opening_ms)
+
     def ended(self, name: str, life_ms: int, reset: bool) -> None:
         """Note that a flow ended.
 
@@ -58,11 +65,17 @@
             sight.lives_ms.append(life_ms)
 
     def life_ms(self, name: str) -> float | None:
-        """Return the lower quartile of a target's lifetimes, once known."""
+        """Return the lower quartile of a target's lifetimes, once known.
+
+        The way there and back is in every lifetime but is no work. Left in, it
+        makes a target that is twice as fast look less than twice as fast.
+        """
         sight = self._sights.get(name)
         if sight is None or len(sight.lives_ms) < ENOUGH:
             return None
-        return float(sorted(sight.lives_ms)[len(sight.lives_ms) // 4])
+        quartile = sorted(sight.lives_ms)[len(sight.lives_ms) // 4]
+        way_ms = WAYS * min(sight.openings_ms, default=0)
+        return float(max(1, quartile - way_ms))
 
     def tick(self, now_ms: int, targets: typing.Sequence[target.Target]) -> None:
         """Follow what was seen of the targets of one service."""
--- a/eelgrasswick/work.py
+++ b/eelgrasswick/work.py
@@ -68,13 +68,16 @@
         if start is not None:
             self._busy[start.name] -= 1
 
-    def tick(self, now_ms: int) -> None:
-        """Let flows grow old."""
+    def tick(self, now_ms: int) -> list[str]:
+        """Let flows grow old; return the target of each that did."""
+        aged: list[str] = []
         while self._young:
             flow, start = next(iter(self._young.items()))
             if now_ms - start.at_ms < YOUNG_MS:
-                return
+                break
             self.end(flow)
+            aged.append(start.name)
+        return aged
 
     def busy(self, name: str) -> int:
         """Return the young flows of a target that have not ended."""
