--- a/eelgrasswick/experiment.py
+++ b/eelgrasswick/experiment.py
@@ -11,6 +11,7 @@
 from eelgrasswick import (
     caller_model,
     config,
+    errors,
     message,
     model,
     node,
@@ -48,7 +49,13 @@
             read: The scenario.
             policy: One of ``oracle.POLICIES``.
             seed: Seed of all random choices.
+
+        Raises:
+            errors.ScenarioInvalidError: The policy is not known.
         """
+        if policy not in oracle.POLICIES:
+            known = ", ".join(oracle.POLICIES)
+            raise errors.ScenarioInvalidError(f"policy {policy!r} is none of {known}")
         self.now_ms = 0.0
         self.rng = random.Random(seed)
         self.scenario = read
