--- a/eelgrasswick/command.py
+++ b/eelgrasswick/command.py
@@ -9,6 +9,7 @@
 from twisted.internet import reactor as default_reactor
 
 from eelgrasswick import (
+    command_load,
     command_operator,
     command_standin,
     compose,
@@ -50,6 +51,7 @@
         | command_operator.Watch
         | command_operator.Show
         | command_operator.Audit
+        | command_load.Load
         | Entry
         | command_standin.Standin
         | trial.Trial
--- /dev/null
+++ b/eelgrasswick/command_load.py
@@ -0,0 +1,33 @@
+"""The command ``load``: measures a policy on a scenario in virtual time."""
+
+import dataclasses
+import json
+import pathlib
+import typing
+
+import cappa
+
+from eelgrasswick import console, errors, experiment, oracle, scenario_file
+
+
+@cappa.command(name="load", help="measure a policy on a scenario, in virtual time")
+@dataclasses.dataclass
+class Load:
+    """Arguments of ``load``."""
+
+    scenario: pathlib.Path
+    policy: typing.Annotated[
+        str, cappa.Arg(long="--policy", help=", ".join(oracle.POLICIES))
+    ] = "bounded"
+    seed: console.Seed = 1
+    as_json: console.Json = False
+
+    def __call__(self) -> None:
+        """Run the scenario and print its figures."""
+        try:
+            read = scenario_file.parse(console.text(self.scenario))
+            run = experiment.Experiment(read, self.policy, self.seed)
+        except errors.ScenarioInvalidError as error:
+            console.fail(error)
+        result = run.run()
+        print(json.dumps(result._asdict()) if self.as_json else result.line)
--- a/eelgrasswick/engine.py
+++ b/eelgrasswick/engine.py
@@ -77,9 +77,8 @@
             self.peers,
             self.outbox,
         )
-        self.home = home.Home(
-            me.name, self.books, opener.Opener(me.name, self.books, policy)
-        )
+        self.opener = opener.Opener(me.name, self.books, policy)
+        self.home = home.Home(me.name, self.books, self.opener)
         self.switch = switch.Switch(me.name, codec, self.books, self.home)
         self.rehomer = rehome.Rehomer(me.name, self.books)
         self._report_ms = 0
@@ -275,9 +274,8 @@
         self._report_ms = now_ms + LOAD_REPORT_MS
         self._note_empty()
         counts = self.books.flows.open_by_target
-        report = wire.LoadReport(
-            tuple(wire.OpenFlows(name, flows) for name, flows in sorted(counts.items()))
-        )
+        recent = self.opener.chooser.work.recent_tenths(now_ms)
+        report = load.report(counts, recent)
         for other in self.membership.others.values():
             if other.serves:
                 self.peers.send_link(other.name, report)
