Feed the placement trial the new placement's inputs

The trial called the bounded hash with the inputs it had before it learned to look at recent flows. Its model keeps open flows only, so it gives them as both.

--- a/eelgrasswick/capacity_slope.py
+++ b/eelgrasswick/capacity_slope.py
@@ -270,7 +270,9 @@
 
 def _report_units() -> list[Unit]:
     count = 1000
-    entries = tuple(wire.OpenFlows(f"t{n}", 20_000 + n) for n in range(count))
+    entries = tuple(
+        wire.OpenFlows(f"t{n}", 20_000 + n, 20_000 + n) for n in range(count)
+    )
     report = wire.LoadReport(entries)
     payload = wire.encode(report)
     book = load.LoadBook()
--- a/eelgrasswick/trial.py
+++ b/eelgrasswick/trial.py
@@ -55,7 +55,7 @@
     ] = False
     factor: typing.Annotated[
         float, cappa.Arg(long="--factor", help="bound on a target's load")
-    ] = placement.BOUND_FACTOR
+    ] = placement.OPEN_FACTOR
     seed: Seed = 1
 
     def __call__(self) -> None:
--- a/eelgrasswick/trial_load.py
+++ b/eelgrasswick/trial_load.py
@@ -40,7 +40,7 @@
     rate_per_s: int
     duration_s: int
     seed: int
-    factor: float = placement.BOUND_FACTOR
+    factor: float = placement.OPEN_FACTOR
 
 
 class Flow(typing.NamedTuple):
--- a/eelgrasswick/trial_placement.py
+++ b/eelgrasswick/trial_placement.py
@@ -160,7 +160,7 @@
 
     def place(self, bounded: bool) -> Outcome:
         """Place all flows; each home knows the others' counts of a second ago."""
-        policy = placement.BoundedHash(self.load.factor)
+        policy = placement.BoundedHash()
         books = _Counts()
         closing: list[tuple[float, str, str]] = []
         placed = []
@@ -180,12 +180,10 @@
             chosen = place.default
             if bounded:
                 loads = [
-                    placement.TargetLoad(
-                        one, books.seen(place.home, one.name), one.weight, True
-                    )
+                    _target_load(one, books.seen(place.home, one.name))
                     for one in self.epoch.ranked(item.key, owner)
                 ]
-                chosen = policy.choose(loads) or chosen
+                chosen = policy.choose(loads, self.load.factor) or chosen
             books.add(place.home, chosen.name, 1)
             heapq.heappush(closing, (item.until_ms, place.home, chosen.name))
             placed.append(Placed(item, chosen.name, place.default.name, place.home))
@@ -406,3 +404,8 @@
 
 KEEP_BYTES: typing.Final = _per_entry(wire.Keep, wire.Placed(bytes(13), "target-17"))
 FORGET_BYTES: typing.Final = _per_entry(wire.Forget, bytes(13))
+
+
+def _target_load(item: target.Target, flows: float) -> placement.TargetLoad:
+    """Return a target's load for a model in which no flow fades from memory."""
+    return placement.TargetLoad(item, flows, flows, item.weight, True)
