--- a/eelgrasswick/command.py
+++ b/eelgrasswick/command.py
@@ -10,6 +10,7 @@
 
 from eelgrasswick import (
     capacity,
+    command_load,
     command_operator,
     command_standin,
     compose,
@@ -51,6 +52,7 @@
         | command_operator.Watch
         | command_operator.Show
         | command_operator.Audit
+        | command_load.Load
         | Entry
         | command_standin.Standin
         | trial.Trial
