--- a/eelgrasswick/packet_socket.py
+++ b/eelgrasswick/packet_socket.py
@@ -155,7 +155,7 @@
         for index in range(start, end):
             self._send(path, index)
         taken_us = self._drain(end - start, handled)
-        for item in (self._fabric, self._other, *self._targets.values()):
+        for item in (self._fabric, *self._targets.values()):
             _empty(item)
         return taken_us
 
@@ -178,14 +178,19 @@
         return (time.thread_time_ns() - before_ns) / 1000 / count
 
     def _greet(self) -> None:
-        # The other VM is a mere socket that answers no heartbeat. Without this
-        # ping before each batch it would be taken for dead, and its flows
-        # would no longer be another VM's.
+        # The other VM is a mere socket. Did it not speak and answer heartbeats,
+        # it would be taken for dead, and its flows would no longer be another
+        # VM's.
         state = member.MemberState.ALIVE
         other = member.Member(OTHER, ZONE, _OTHER_IP, 6081, 6082, 1, 1, state)
         sequence = self._engine.keeper.sequence
         ping = wire.Ping(0, other, sequence, ())
         self._other.sendto(wire.encode(ping), (_IP, 6081))
+        for payload in _received(self._other):
+            item = wire.decode(payload)
+            if isinstance(item, wire.Ping):
+                ack = wire.Ack(item.number, other, sequence, ())
+                self._other.sendto(wire.encode(ack), (_IP, 6081))
 
     def _start_daemon(self) -> engine.Engine:
         rng = random.Random(1)
@@ -223,9 +228,14 @@
     return made
 
 
-def _empty(taken: socket.socket) -> None:
+def _received(taken: socket.socket) -> typing.Iterator[bytes]:
     while True:
         try:
-            taken.recv(65536)
+            yield taken.recv(65536)
         except BlockingIOError:
             return
+
+
+def _empty(taken: socket.socket) -> None:
+    for _ in _received(taken):
+        pass
--- a/eelgrasswick/trial_load.py
+++ b/eelgrasswick/trial_load.py
@@ -34,6 +34,7 @@
         duration_s: Virtual seconds.
         seed: Seed of every random choice.
         factor: Bound on a target's load over its share.
+        learns: Homes learn strengths and limits of targets (engines only).
     """
 
     vms: int
@@ -41,6 +42,7 @@
     duration_s: int
     seed: int
     factor: float = placement.OPEN_FACTOR
+    learns: bool = True
 
 
 class Flow(typing.NamedTuple):
--- a/eelgrasswick/virtual_fleet.py
+++ b/eelgrasswick/virtual_fleet.py
@@ -70,15 +70,20 @@
         seeds: typing.Sequence[packet.Address],
         rng: random.Random,
         fan_out: int,
+        policy: placement.Placement,
     ) -> None:
-        super().__init__(
-            me, seeds, packet.FouCodec(), placement.BoundedHash(), random.Random(0)
-        )
+        super().__init__(me, seeds, packet.FouCodec(), policy, random.Random(0))
         self.announcer = _Announcer(me, seeds, self.peers, self.outbox, rng)
         self.announcer.fan_out = fan_out
         self.membership = self.announcer
 
 
+class ClaimedHash(placement.BoundedHash):
+    """The bounded hash that takes targets as strong as the rules claim."""
+
+    learns = False
+
+
 class Vm:
     """One engine of the fleet.
 
@@ -133,6 +138,7 @@
         seed: int,
         loss: float = 0.0,
         fan_out: int = engine.ANNOUNCE_COUNT,
+        policy: type[placement.Placement] = placement.BoundedHash,
     ) -> None:
         """Start VMs spread over zones.
 
@@ -142,6 +148,7 @@
             seed: Seed of every random choice.
             loss: Share of datagrams lost; a link repeats instead.
             fan_out: VMs to which a newer configuration is announced.
+            policy: Places new flows.
         """
         self.now_ms = float(START_MS)
         self.vms: list[Vm] = []
@@ -150,6 +157,7 @@
         self._rng = random.Random(seed)
         self._loss = loss
         self._fan_out = fan_out
+        self._policy = policy
         self._queue: list[tuple[float, int, typing.Callable[[], None]]] = []
         self._numbers = itertools.count()
         self._clock = task.Clock()
@@ -176,7 +184,7 @@
         )
         seeds = [peer.address_of(item.me) for item in self.vms[:3]]
         rng = random.Random(self._rng.random())
-        vm = Vm(me, _Engine(me, seeds, rng, self._fan_out))
+        vm = Vm(me, _Engine(me, seeds, rng, self._fan_out, self._policy()))
         vm.watcher = watcher.Watcher(
             self._clock, self.platform, zone, lambda event: self.feed(vm, event), rng
         )
