Drains under uneven updates, as a feature

Ten scenarios: a target that drains or is removed gets no new flow after 3 s while zones are cut off from the platform, it is slow, down or mute, datagrams are lost, or the watching VMs of a zone die; open boards end whole, and each VM says when the target is empty.

--- a/eelgrasswick/membership.py
+++ b/eelgrasswick/membership.py
@@ -255,19 +255,20 @@
         self.changed = True
         self._log(self.me)
 
-    def check_pause(self, now_ms: int) -> bool:
+    def check_pause(self, now_ms: int) -> int:
         """Find out whether this process was paused before the present event.
 
         Args:
             now_ms: Present time in milliseconds.
 
         Returns:
-            True when it was; this VM is no home any more until it has joined.
+            Length of the pause in milliseconds; 0 when there was none. After a
+            pause this VM is no home any more until it has joined.
         """
         last = self._last_ms
         self._last_ms = now_ms
         if last is None or now_ms - last < PAUSE_MS:
-            return False
+            return 0
         # The process did not run for a while and does not know what the others
         # agreed meanwhile. It notices by the gap between two events, stops to
         # be a home, and joins anew once another VM has answered. Answers that
@@ -278,7 +279,7 @@
         if self.me.serves:
             self._contact.restart(self._probes.last_number)
             self._become(member.MemberState.JOINING)
-        return True
+        return now_ms - last
 
     def _check_own_state(self, now_ms: int, ready: bool) -> None:
         state = self.me.state
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,6 +5,8 @@
 
 from tests import fleet, world
 
+pytest_plugins = ["tests.control_steps"]
+
 # The same verdict every time: no random seeds and no time limits.
 hypothesis.settings.register_profile("same", derandomize=True, deadline=None)
 hypothesis.settings.load_profile("same")
--- /dev/null
+++ b/tests/features/drain.feature
@@ -0,0 +1,52 @@
+Feature: A target that is leaving gets no new flow after a few seconds
+
+  Scenario Outline: Updates reach the VMs evenly or unevenly
+    Given a fleet of 8 VMs in three zones
+    And 40 open boards of 8 s
+    When <trouble>
+    And the operator <change> d7
+    And 3 s pass with new flows
+    And the flows of d7 are counted
+    And 7 s pass with new flows
+    Then d7 has got no new flow since
+    And every flow is whole
+    And no request ran twice
+    And d7 is said to be empty after its last flow
+
+    Examples:
+      | change  | trouble                                |
+      | drains  | nothing else happens                   |
+      | removes | nothing else happens                   |
+      | drains  | z3 is cut off from the platform        |
+      | removes | z1 is cut off from the platform        |
+      | drains  | the platform answers after 400 ms      |
+      | drains  | one in twenty datagrams is lost        |
+      | removes | all watches go mute                    |
+      | drains  | the watching VMs of z2 are killed      |
+
+  Scenario: The platform goes down as soon as the change is accepted
+    Given a fleet of 8 VMs in three zones
+    And 40 open boards of 8 s
+    When z2 is cut off from the platform
+    And z3 is cut off from the platform
+    And the operator drains d7
+    And the platform is down
+    And 3 s pass with new flows
+    And the flows of d7 are counted
+    And 7 s pass with new flows
+    Then d7 has got no new flow since
+    And every flow is whole
+
+  Scenario: A zone that was cut off learns of a drain when it comes back
+    Given a fleet of 8 VMs in three zones
+    When 2 s pass with new flows
+    And z3 is cut off from everything
+    And 3 s pass
+    And the operator drains d7
+    And 20 s pass
+    And the network heals
+    And 3 s pass with new flows
+    And the flows of d7 are counted
+    And 4 s pass with new flows
+    Then d7 has got no new flow since
+    And no VM has gone back
--- /dev/null
+++ b/tests/test_feature_drain.py
@@ -0,0 +1,46 @@
+"""Targets that leave, while VMs hear of it at different times."""
+
+import pytest_bdd
+
+from tests import control_steps
+
+# An operator drains a target for repair, or removes its line. A VM that hears
+# of it late, or has slept, goes on to send check-ins there, and the machine is
+# switched off under them.
+pytest_bdd.scenarios("features/drain.feature")
+
+
+@pytest_bdd.when(pytest_bdd.parsers.parse("the operator drains {name}"))
+def drain(control: control_steps.Control, name: str) -> None:
+    control.apply(f"{control.text}drain {name}  # asked by Wanjiru\n")
+
+
+@pytest_bdd.when(pytest_bdd.parsers.parse("the operator removes {name}"))
+def remove(control: control_steps.Control, name: str) -> None:
+    lines = control.text.splitlines()
+    kept = [line for line in lines if not line.startswith(f"target {name} ")]
+    control.apply("\n".join(kept) + "\n")
+
+
+@pytest_bdd.when(pytest_bdd.parsers.parse("the flows of {name} are counted"))
+def count(control: control_steps.Control, name: str) -> None:
+    control.boundary = max(control.world.executed())
+    assert control.world.targets[name].executed
+
+
+@pytest_bdd.then(pytest_bdd.parsers.parse("{name} has got no new flow since"))
+def no_new_flow(control: control_steps.Control, name: str) -> None:
+    executed = control.world.targets[name].executed
+    late = [number for number in executed if number > control.boundary]
+    assert late == []
+    assert max(control.world.executed()) > control.boundary + 50
+
+
+@pytest_bdd.then(
+    pytest_bdd.parsers.parse("{name} is said to be empty after its last flow")
+)
+def said_empty(control: control_steps.Control, name: str) -> None:
+    control.world.run(3000)
+    told = {vm for vm, item in control.logged("target_empty") if item["target"] == name}
+    running = {vm.me.name for vm in control.world.vms.values() if vm.alive}
+    assert told >= running
