Accepted configuration under failure, as a feature

22 scenarios: in force within 3 s while zones are cut off, the platform is slow, mute or down, datagrams are lost or watching VMs die; VMs that start in an outage, the whole fleet among them; older rules from VMs that slept or were cut off; restored stores, also with an operator faster than the repair; foreign values under the key; a write that arrives late. The emulated store told its watchers of a restore while it went through its keys; a repair that came at once changed them under it. It tells them after.

--- a/eelgrasswick/emulated_platform.py
+++ b/eelgrasswick/emulated_platform.py
@@ -81,6 +81,7 @@
         self.revision += 1
         for key, item in self._entries.items():
             self._entries[key] = item._replace(revision=self.revision)
+        for key in list(self._entries):
             self._notify(key)
 
     async def read(self, key: str) -> store.Row | None:
--- /dev/null
+++ b/tests/test_feature_configuration.py
@@ -0,0 +1,146 @@
+"""Accepted rules, while the platform, the network and VMs fail."""
+
+import typing
+
+import pytest
+import pytest_bdd
+
+from eelgrasswick import change, errors, member, store
+from tests import control_steps, fleet_view
+
+# The platform is down or slow, answers with an old copy, or is restored from
+# one; VMs sleep through a change or are cut off. An operator sees a change
+# accepted that is not in force, or in force here and undone there.
+pytest_bdd.scenarios("features/configuration.feature")
+
+
+class Rate(typing.NamedTuple):
+    """Calls to the store that one fleet made."""
+
+    calls: int
+    watches: int
+
+
+@pytest.fixture
+def rates() -> dict[int, Rate]:
+    """Calls by size of the fleet."""
+    return {}
+
+
+@pytest_bdd.given("the platform holds rules and is down")
+def rules_behind_outage(control: control_steps.Control) -> None:
+    control.apply(control.text)
+    control.faults(outage=True)
+
+
+@pytest_bdd.when(pytest_bdd.parsers.parse("{count:d} VMs start at once"))
+def start_all(control: control_steps.Control, count: int) -> None:
+    control.world.add_fleet(count, control_steps.ZONES)
+
+
+@pytest_bdd.then("no VM serves")
+def none_serves(control: control_steps.Control) -> None:
+    for vm in control.world.vms.values():
+        assert vm.engine.membership.me.state is member.MemberState.JOINING
+        assert vm.engine.keeper.current is None
+
+
+@pytest_bdd.then(pytest_bdd.parsers.parse("every VM serves within {limit:d} s"))
+def all_serve(control: control_steps.Control, limit: int) -> None:
+    control.world.run_until(lambda: fleet_view.agreed(control.world), limit * 1000)
+    every_vm_newest(control)
+
+
+@pytest_bdd.then("every VM serves with the newest rules")
+def every_vm_newest(control: control_steps.Control) -> None:
+    for vm in fleet_view.running(control.world):
+        assert vm.engine.membership.me.serves
+    assert fleet_view.in_force(control.world) == {control.sequence}
+
+
+@pytest_bdd.then("all VMs have the same rules in force")
+def same_rules(control: control_steps.Control) -> None:
+    running = fleet_view.running(control.world)
+    digests = {vm.engine.keeper.current.digest for vm in running}  # type: ignore[union-attr]
+    assert len(digests) == 1
+
+
+@pytest_bdd.then("older rules were refused and logged")
+def refusals_logged(control: control_steps.Control) -> None:
+    stale = [
+        vm
+        for vm, item in control.logged("config_refused")
+        if item["kind"] == errors.ErrorKind.CONFIG_STALE.value
+    ]
+    assert set(stale) >= {vm.me.name for vm in fleet_view.running(control.world)}
+
+
+@pytest_bdd.when("the store is copied")
+def copy_store(control: control_steps.Control) -> None:
+    control.world.platform.save()
+
+
+@pytest_bdd.when("the store is restored from the copy")
+def restore_store(control: control_steps.Control) -> None:
+    control.world.platform.restore()
+
+
+@pytest_bdd.when("the store is restored and given another change at once")
+def restore_and_change(control: control_steps.Control) -> None:
+    # Slow answers to the watchers stand for the time in which the operator
+    # gets in front of them.
+    control.world.platform.mute_watches()
+    control.world.platform.restore()
+    control.apply(f"{control.text}# another operator's change\n")
+
+
+@pytest_bdd.when(pytest_bdd.parsers.parse("the value in the store becomes {value}"))
+def overwrite(control: control_steps.Control, value: str) -> None:
+    put = store.Put(store.RULES_KEY, value.encode())
+    control.world.platform.write((), (put,))
+
+
+@pytest_bdd.when(
+    pytest_bdd.parsers.parse(
+        "a change is held up for {seconds:d} s and reported as not accepted"
+    )
+)
+def held_up(control: control_steps.Control, seconds: int) -> None:
+    control.faults(lost_answers=1, late_ms=seconds * 1000)
+    operator = change.Operator(control.world.platform, "ben")
+    text = f"{control.text}# held up\n"
+    plan = control.world.wait(operator.plan(text, control.world.now_ms))
+    with pytest.raises(errors.StoreError, match="not accepted"):
+        control.world.wait(operator.submit(plan))
+
+
+@pytest_bdd.given(
+    pytest_bdd.parsers.parse(
+        "the calls of {few:d} VMs and of {many:d} VMs in {seconds:d} s "
+        "with a change in force within {limit:d} s"
+    )
+)
+def count_calls(
+    rates: dict[int, Rate], few: int, many: int, seconds: int, limit: int
+) -> None:
+    for count in (few, many):
+        control = control_steps.Control()
+        control_steps.given_fleet(control, count)
+        platform = control.world.platform
+        platform.calls.clear()
+        control_steps.change_rules(control)
+        control_steps.in_force_soon(control, limit)
+        begun_ms = control.accepted_ms
+        control.world.run(seconds * 1000 - (control.world.now_ms - begun_ms))
+        rates[count] = Rate(platform.calls.total(), platform.watching)
+
+
+@pytest_bdd.then("the larger fleet makes at most a third more calls")
+def calls_do_not_grow(rates: dict[int, Rate]) -> None:
+    few, many = sorted(rates)
+    assert rates[many].calls <= 4 / 3 * rates[few].calls
+
+
+@pytest_bdd.then(pytest_bdd.parsers.parse("both have at most {count:d} watches"))
+def few_watches(rates: dict[int, Rate], count: int) -> None:
+    assert all(0 < item.watches <= count for item in rates.values())
