--- a/tests/control_steps.py
+++ b/tests/control_steps.py
@@ -161,12 +161,12 @@
     control.world.add_vm(name, zone)
 
 
-@pytest_bdd.when(pytest_bdd.parsers.parse("{seconds:d} s pass"))
+@pytest_bdd.when(pytest_bdd.parsers.parse("{seconds:d} s go by"))
 def pass_time(control: Control, seconds: int) -> None:
     control.world.run(seconds * 1000)
 
 
-@pytest_bdd.when(pytest_bdd.parsers.parse("{seconds:d} s pass with new flows"))
+@pytest_bdd.when(pytest_bdd.parsers.parse("{seconds:d} s go by with new flows"))
 def pass_time_with_calls(control: Control, seconds: int) -> None:
     control.call_for(seconds * 1000)
 
--- a/tests/features/configuration.feature
+++ b/tests/features/configuration.feature
@@ -28,11 +28,11 @@
   Scenario: VMs start during a long outage
     Given a fleet of 8 VMs in three zones
     When the platform is down
-    And 30 s pass with new flows
+    And 30 s go by with new flows
     And a VM vm9 starts in z1
     And a VM vm10 starts in z2
     And vm1 is killed
-    And 3 s pass
+    And 3 s go by
     Then all views agree within 3 s
     And every VM serves with the newest rules
     And every flow is whole
@@ -40,7 +40,7 @@
   Scenario: The whole fleet starts while the platform is down
     Given the platform holds rules and is down
     When 8 VMs start at once
-    And 10 s pass
+    And 10 s go by
     Then no VM serves
     When the platform is back
     Then every VM serves within 4 s
@@ -49,9 +49,9 @@
     Given a fleet of 8 VMs in three zones
     When <cause>
     And the operator changes the rules
-    And 9 s pass
+    And 9 s go by
     And the network heals
-    And 3 s pass
+    And 3 s go by
     And vm2 offers the first rules again
     Then every VM serves with the newest rules
     And no VM has gone back
@@ -67,12 +67,12 @@
     Given a fleet of 8 VMs in three zones
     When the store is copied
     And the operator changes the rules
-    And 3 s pass
+    And 3 s go by
     And <trouble>
     And the store is restored from the copy
-    And 4 s pass
+    And 4 s go by
     And the platform is back
-    And 16 s pass
+    And 16 s go by
     Then every VM serves with the newest rules
     And the store holds what is in force
     And no VM has gone back
@@ -90,9 +90,9 @@
     Given a fleet of 8 VMs in three zones
     When the store is copied
     And the operator changes the rules
-    And 3 s pass
-    And the store is restored and given another change at once
-    And 4 s pass
+    And 3 s go by
+    And the store is restored and an operator is first to change it
+    And 4 s go by
     Then all VMs have the same rules in force
     And the store holds what is in force
     And no VM has gone back
@@ -103,7 +103,7 @@
     Given a fleet of 8 VMs in three zones
     When the value in the store becomes <value>
     And a VM vm9 starts in z3
-    And 4 s pass
+    And 4 s go by
     Then every VM serves with the newest rules
     And the store holds what is in force
     When the operator changes the rules
@@ -118,7 +118,7 @@
     Given a fleet of 8 VMs in three zones
     When a change is held up for 5 s and reported as not accepted
     And the operator changes the rules
-    And 8 s pass
+    And 8 s go by
     Then every VM serves with the newest rules
     And the store holds what is in force
     And no VM has gone back
--- a/tests/features/drain.feature
+++ b/tests/features/drain.feature
@@ -5,9 +5,9 @@
     And 40 open boards of 8 s
     When <trouble>
     And the operator <change> d7
-    And 3 s pass with new flows
+    And 3 s go by with new flows
     And the flows of d7 are counted
-    And 7 s pass with new flows
+    And 7 s go by with new flows
     Then d7 has got no new flow since
     And every flow is whole
     And no request ran twice
@@ -31,22 +31,22 @@
     And z3 is cut off from the platform
     And the operator drains d7
     And the platform is down
-    And 3 s pass with new flows
+    And 3 s go by with new flows
     And the flows of d7 are counted
-    And 7 s pass with new flows
+    And 7 s go by with new flows
     Then d7 has got no new flow since
     And every flow is whole
 
   Scenario: A zone that was cut off learns of a drain when it comes back
     Given a fleet of 8 VMs in three zones
-    When 2 s pass with new flows
+    When 2 s go by with new flows
     And z3 is cut off from everything
-    And 3 s pass
+    And 3 s go by
     And the operator drains d7
-    And 20 s pass
+    And 20 s go by
     And the network heals
-    And 3 s pass with new flows
+    And 3 s go by with new flows
     And the flows of d7 are counted
-    And 4 s pass with new flows
+    And 4 s go by with new flows
     Then d7 has got no new flow since
     And no VM has gone back
--- a/tests/test_feature_configuration.py
+++ b/tests/test_feature_configuration.py
@@ -85,7 +85,7 @@
     control.world.platform.restore()
 
 
-@pytest_bdd.when("the store is restored and given another change at once")
+@pytest_bdd.when("the store is restored and an operator is first to change it")
 def restore_and_change(control: control_steps.Control) -> None:
     # Slow answers to the watchers stand for the time in which the operator
     # gets in front of them.
