--- a/eelgrasswick/command.py
+++ b/eelgrasswick/command.py
@@ -9,13 +9,16 @@
 from twisted.internet import reactor as default_reactor
 
 from eelgrasswick import (
+    command_load,
     command_operator,
     command_standin,
     compose,
     console,
     errors,
     log,
+    packet_cost,
     setting,
+    trial,
 )
 
 
@@ -48,8 +51,11 @@
         | command_operator.Watch
         | command_operator.Show
         | command_operator.Audit
+        | command_load.Load
         | Entry
         | command_standin.Standin
+        | trial.Trial
+        | packet_cost.PacketCost
     ]
 
 
--- a/eelgrasswick/daemon.py
+++ b/eelgrasswick/daemon.py
@@ -86,6 +86,7 @@
         self._data = _Port(self._on_data)
         self._peer = _Port(self._on_peer)
         self._stopping = False
+        self._trust: dict[bytes, bool] = {}
 
     def start(self) -> None:
         """Bind the sockets and begin to tick.
@@ -139,16 +140,20 @@
         self._feed(message.FabricDatagram(source, payload))
 
     def _on_peer(self, source: packet.Address, payload: bytes) -> None:
-        host = socket.inet_ntoa(source.ip)
-        if self._trusted(host):
+        if self._trusted(source.ip):
             self._feed(message.PeerDatagram(source, payload))
         else:
             self._engine.outbox.count(message.Counter.PACKETS_UNKNOWN_SENDER)
 
-    def _trusted(self, host: str) -> bool:
-        networks = self._settings.fleet.networks
-        address = ipaddress.IPv4Address(host)
-        return any(address in network for network in networks)
+    def _trusted(self, ip: bytes) -> bool:
+        known = self._trust.get(ip)
+        if known is None:
+            networks = self._settings.fleet.networks
+            address = ipaddress.IPv4Address(ip)
+            known = any(address in network for network in networks)
+            if len(self._trust) < MAX_CACHED_ADDRESSES:
+                self._trust[ip] = known
+        return known
 
     def _on_link(self, arrival: link.Arrival) -> None:
         # The name in a link's path is a claim. Believed from any address, one
