Judge a flow by its answer when the reset comes after its end

Cause: while a VM is paused, the fabric still gives it a seventh of all packets, so the last acknowledgement of a flow can be lost until its target has forgotten it and resets the caller's FIN. The caller had the whole answer and the target's FIN by then; the emulated caller counted it as broken. Ruled out: a packet to a wrong VM or target; the trace of the flow shows the home sending each packet to the one target, whose answers are whole.

--- a/eelgrasswick/emulated_caller.py
+++ b/eelgrasswick/emulated_caller.py
@@ -268,7 +268,12 @@
 
     def _check(self, now_ms: int, key: packet.FlowKey, flow: _Flow) -> None:
         stream = flow.stream
-        if stream.reset:
+        if stream.reset and stream.peer_closed:
+            # The whole answer and its end came before. A program has read them
+            # by then; only the last acknowledgement was lost on the way.
+            end, detail = _judge(flow)
+            self._end(now_ms, key, flow, end, detail)
+        elif stream.reset:
             refused = b"kind=" in stream.reset_data
             end = End.REFUSED if refused else End.BROKEN
             detail = stream.reset_data.decode(errors="replace") or "reset"
--- a/tests/features/drain.feature
+++ b/tests/features/drain.feature
@@ -22,6 +22,7 @@
       | drains  | the platform answers after 400 ms      |
       | drains  | one in twenty datagrams is lost        |
       | removes | all watches go mute                    |
+      | drains  | vm3 is paused for 6 s                  |
       | drains  | the watching VMs of z2 are killed      |
 
   Scenario: The platform goes down as soon as the change is accepted
