Explain why a flow or a target is where it is

A datagram needs no connection, no store and no second way of links; it works while the VM is cut off from the platform. Ruled out: the store, which a question would cost several writes and which may be down when one asks; links, which carry messages one way and whose opener must be a known VM.

A VM answers addresses in [fleet] networks only, and changes nothing. No answer is the new error kind vm_silent with exit code 6.

--- a/eelgrasswick/command.py
+++ b/eelgrasswick/command.py
@@ -10,6 +10,7 @@
 
 from eelgrasswick import (
     command_operator,
+    command_show,
     command_standin,
     compose,
     console,
@@ -46,7 +47,7 @@
         command_operator.Check
         | command_operator.Apply
         | command_operator.Watch
-        | command_operator.Show
+        | command_show.Show
         | command_operator.Audit
         | Entry
         | command_standin.Standin
--- a/eelgrasswick/command_operator.py
+++ b/eelgrasswick/command_operator.py
@@ -17,7 +17,6 @@
     errors,
     gateway,
     rule,
-    store,
 )
 
 _WATCH_S: typing.Final = 0.5
@@ -188,36 +187,6 @@
         _tell(result, False)
 
 
-@cappa.command(name="show", help="show the sequence in force at each entry VM")
-@dataclasses.dataclass
-class Show:
-    """Arguments of ``show``."""
-
-    platform: console.Platform
-    as_json: console.Json = False
-
-    def __call__(self) -> None:
-        """Print one line per VM."""
-        console.run(self._show)
-
-    async def _show(self, reactor: typing.Any) -> None:
-        platform = gateway.Gateway(reactor, self.platform, console.STORE_TIMEOUT_MS)
-        rows = await platform.read_prefix(store.IN_FORCE_PREFIX)
-        console.print_table(
-            [item for row in rows for item in _in_force(row)], self.as_json
-        )
-
-
-def _in_force(row: store.Row) -> list[console.Row]:
-    zone = row.key.removeprefix(store.IN_FORCE_PREFIX)
-    try:
-        sequences = sorted(json.loads(row.value).items())
-    except (ValueError, AttributeError) as error:
-        print(f"{row.key}: {error}", file=sys.stderr)
-        return []
-    return [{"zone": zone, "vm": vm, "sequence": number} for vm, number in sequences]
-
-
 @cappa.command(name="audit", help="show who changed what, and how it ended")
 @dataclasses.dataclass
 class Audit:
--- a/eelgrasswick/engine.py
+++ b/eelgrasswick/engine.py
@@ -12,6 +12,7 @@
     config,
     epoch,
     errors,
+    explain,
     flow,
     health,
     hint,
@@ -80,6 +81,7 @@
         )
         self.switch = switch.Switch(me.name, codec, self.books, self.home)
         self.rehomer = rehome.Rehomer(me.name, self.books)
+        self._explainer = explain.Explainer(self.books, self.keeper, self.membership)
         self._report_ms = 0
         self._told_empty: set[str] = set()
 
@@ -136,7 +138,7 @@
             self.keeper.heard(now_ms, item.sender.name, item.sequence)
             return
         if sender is None:
-            self.outbox.count(message.Counter.PACKETS_UNKNOWN_SENDER)
+            self._stranger(now_ms, source, item)
             return
         match item:
             case wire.Forward():
@@ -152,6 +154,15 @@
             case _:
                 raise errors.MessageInvalidError("message belongs on a link")
 
+    def _stranger(
+        self, now_ms: int, source: packet.Address, item: wire.PeerMessage
+    ) -> None:
+        # Operators' commands speak from machines that are no VM of the fleet.
+        if isinstance(item, wire.ExplainFlow | wire.ExplainTarget):
+            self.peers.send_to(source, self._explainer.answer(now_ms, item))
+        else:
+            self.outbox.count(message.Counter.PACKETS_UNKNOWN_SENDER)
+
     def _link(self, now_ms: int, event: message.LinkReceived) -> None:
         try:
             self._link_message(now_ms, event.sender, wire.decode(event.payload))
--- a/eelgrasswick/errors.py
+++ b/eelgrasswick/errors.py
@@ -28,6 +28,7 @@
     CHANGE_CONFLICT = "change_conflict"
     CHANGE_UNKNOWN = "change_unknown"
     SCENARIO_INVALID = "scenario_invalid"
+    VM_SILENT = "vm_silent"
 
 
 class Reply(enum.Enum):
@@ -122,6 +123,9 @@
     ErrorKind.SCENARIO_INVALID: Answer(
         _EXIT, False, 2, "Mend the scenario file and run load again."
     ),
+    ErrorKind.VM_SILENT: Answer(
+        _EXIT, False, 6, "Ask a live VM, from an address in its [fleet] networks."
+    ),
 }
 
 
@@ -201,3 +205,9 @@
     """The store's answer was lost and its state can't be read."""
 
     kind = ErrorKind.CHANGE_UNKNOWN
+
+
+class VmSilentError(EelgrasswickError):
+    """No entry VM answered an operator's question."""
+
+    kind = ErrorKind.VM_SILENT
--- /dev/null
+++ b/eelgrasswick/explain.py
@@ -0,0 +1,184 @@
+"""Explains why a flow or a target is where it is, as one entry VM sees it.
+
+Any VM can work out the default target, home and backup of a flow; only the home
+knows the rest. So a VM that is asked says what it knows and who the home is,
+and the operator's command goes on to ask there.
+"""
+
+import ipaddress
+import typing
+
+from eelgrasswick import books, keeper, membership, packet, service, target, wire
+
+NONE: typing.Final = "none"
+_PROTOCOLS: typing.Final = {"tcp": packet.Protocol.TCP, "udp": packet.Protocol.UDP}
+
+
+def read_flow(text: str) -> packet.FlowKey:
+    """Read a flow in the form in which the logs write it.
+
+    Args:
+        text: ``tcp/CALLER:PORT>SERVICE:PORT`` or the same with ``udp``.
+
+    Returns:
+        The flow's key.
+
+    Raises:
+        ValueError: The text has another form.
+    """
+    name, _, rest = text.partition("/")
+    caller, separator, owner = rest.partition(">")
+    if name not in _PROTOCOLS or not separator:
+        raise ValueError(f"{text!r} is not like tcp/10.9.0.1:4000>10.1.0.1:443")
+    source, destination = packet.address(caller), packet.address(owner)
+    return packet.FlowKey(_PROTOCOLS[name], *source, *destination)
+
+
+class Explainer:
+    """Collects what one VM knows of a flow or a target."""
+
+    def __init__(
+        self, shared: books.Books, kept: keeper.Keeper, fleet: membership.Membership
+    ) -> None:
+        """Read from the parts of an engine; nothing is changed."""
+        self._books = shared
+        self._keeper = kept
+        self._fleet = fleet
+
+    def answer(
+        self, now_ms: int, asked: wire.ExplainFlow | wire.ExplainTarget
+    ) -> wire.Explained:
+        """Answer an operator's question.
+
+        Args:
+            now_ms: Present time in milliseconds.
+            asked: What to explain.
+
+        Returns:
+            Facts in the order in which a reader wants them.
+
+        Raises:
+            errors.MessageInvalidError: The flow key is malformed.
+        """
+        facts = {
+            "vm": self._fleet.me.name,
+            "state": self._fleet.me.state.name.lower(),
+            "sequence": str(self._keeper.sequence),
+        }
+        if isinstance(asked, wire.ExplainFlow):
+            facts.update(self._flow(now_ms, wire.flow_key(asked.flow)))
+        else:
+            facts.update(self._target(now_ms, asked.target))
+        return wire.Explained(tuple(wire.Fact(*item) for item in facts.items()))
+
+    def _flow(self, now_ms: int, key: packet.FlowKey) -> dict[str, str]:
+        facts = {"flow": str(key)}
+        current = self._books.epochs.current
+        if current is None:
+            return {**facts, "reason": "this VM has no configuration yet"}
+        owner = current.config.service_at(
+            key.protocol, key.service_ip, key.service_port
+        )
+        if owner is None:
+            return {**facts, "reason": "no rule names this address"}
+        place = current.locate(key, owner)
+        default = place.default.name if place.default is not None else NONE
+        facts["service"] = owner.name
+        facts["default_target"] = default
+        facts.update(self._vm("home", place.home))
+        facts.update(self._vm("backup", place.backup))
+        facts.update(self._knowledge(now_ms, key))
+        record = self._books.flows.get(key)
+        if record is not None:
+            facts["origin"] = record.origin.value
+            facts["flow_state"] = record.state.value
+            facts["known_for_ms"] = str(now_ms - record.opened_ms)
+            facts["silent_for_ms"] = str(now_ms - record.seen_ms)
+        facts["reason"] = _reason(facts, owner, self._fleet.me.name)
+        return facts
+
+    def _knowledge(self, now_ms: int, key: packet.FlowKey) -> dict[str, str]:
+        record = self._books.flows.get(key)
+        sources = {
+            "record": record.target if record is not None else None,
+            "hint": self._books.hints.get(now_ms, key),
+            "copy": self._books.replicator.kept.get(now_ms, key),
+        }
+        facts = {}
+        for name, known in sources.items():
+            facts[name] = known.name if known is not None else NONE
+        for known in sources.values():
+            if known is not None:
+                facts["draining"] = _word(not known.accepts)
+                suspected = self._books.health.suspected(now_ms, known.name)
+                facts["suspected"] = _word(suspected)
+                break
+        return facts
+
+    def _vm(self, role: str, name: str | None) -> dict[str, str]:
+        for item in self._fleet.members:
+            if item.name == name:
+                address = f"{ipaddress.IPv4Address(item.ip)}:{item.peer_port}"
+                return {role: item.name, f"{role}_at": address}
+        return {role: NONE}
+
+    def _target(self, now_ms: int, name: str) -> dict[str, str]:
+        facts = {"target": name}
+        current = self._books.epochs.current
+        known = current.config.targets.get(name) if current is not None else None
+        if known is None:
+            return {**facts, "reason": "no rule names this target"}
+        facts.update(_rule_of(known))
+        suspected = self._books.health.suspected(now_ms, name)
+        facts["suspected"] = _word(suspected)
+        here = self._books.flows.open_by_target[name]
+        elsewhere = self._books.loads.elsewhere(name)
+        facts["open_here"] = str(here)
+        facts["open_elsewhere"] = str(elsewhere)
+        facts["reason"] = _target_reason(known, suspected, here + elsewhere)
+        return facts
+
+
+def _rule_of(known: target.Target) -> dict[str, str]:
+    return {
+        "service": known.service,
+        "endpoint": str(known.endpoint),
+        "zone": known.zone,
+        "slots": str(known.slots),
+        "connections": str(known.connections),
+        "weight": str(known.weight),
+        "draining": _word(known.draining),
+        "retired": _word(known.retired),
+    }
+
+
+def _target_reason(known: target.Target, suspected: bool, flows: int) -> str:
+    if not known.accepts:
+        cause = "its line has left the rules" if known.retired else "a drain rule"
+        left = f"{flows} open flows stay until they end" if flows else "it is empty"
+        return f"gets no new flow because of {cause}; {left}"
+    if suspected:
+        return "gets no new flow for now: it left opening packets unanswered"
+    return "takes new flows by its weight"
+
+
+def _reason(facts: dict[str, str], owner: service.Service, me: str) -> str:
+    known = facts["record"]
+    if known == NONE:
+        if facts["home"] != me:
+            return "this VM is not the home; the home decides"
+        return "no record here: the flow has not begun, has ended or was not asked for"
+    if facts["origin"] == "guessed":
+        return "no VM had a record; tried until a target answers"
+    if known == facts["default_target"]:
+        return "on the default target that hashing gives under this configuration"
+    if owner.retired:
+        return "its service has left the rules; the flow stays where it began"
+    return (
+        "not on its default target: placed elsewhere when it opened, for load or "
+        "silence, or the default changed after it opened"
+    )
+
+
+def _word(value: bool) -> str:
+    return "yes" if value else "no"
--- a/eelgrasswick/wire.py
+++ b/eelgrasswick/wire.py
@@ -145,6 +145,31 @@
     sequence: int
 
 
+class ExplainFlow(typing.NamedTuple):
+    """An operator asks what a VM knows of a flow."""
+
+    flow: bytes
+
+
+class ExplainTarget(typing.NamedTuple):
+    """An operator asks what a VM knows of a target."""
+
+    target: str
+
+
+class Fact(typing.NamedTuple):
+    """One key and value of an explanation."""
+
+    key: str
+    value: str
+
+
+class Explained(typing.NamedTuple):
+    """The answer to an operator's question."""
+
+    facts: tuple[Fact, ...]
+
+
 PeerMessage = (
     Forward
     | Relay
@@ -159,6 +184,9 @@
     | LoadReport
     | ConfigOffer
     | ConfigWant
+    | ExplainFlow
+    | ExplainTarget
+    | Explained
 )
 
 _TYPES: typing.Final[dict[int, type[PeerMessage]]] = {
@@ -175,6 +203,9 @@
     11: LoadReport,
     12: ConfigOffer,
     13: ConfigWant,
+    14: ExplainFlow,
+    15: ExplainTarget,
+    16: Explained,
 }
 _CODES: typing.Final[dict[type[PeerMessage], int]] = {
     kind: code for code, kind in _TYPES.items()
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,86 @@
+"""Why a flow or a target is where it is."""
+
+import pytest
+from hypothesis import given, strategies
+
+from eelgrasswick import explain, packet, wire
+from tests import world
+
+CALLER = packet.address("10.9.0.1:4000")
+ASKER = packet.address("10.8.0.1:5000")
+
+
+def asked(
+    made: world.World, name: str, question: wire.ExplainFlow | wire.ExplainTarget
+) -> dict[str, str]:
+    """Return the facts that one VM gives."""
+    answer = made.vms[name].engine._explainer.answer(made.now_ms, question)
+    assert wire.decode(wire.encode(answer)) == answer
+    return {fact.key: fact.value for fact in answer.facts}
+
+
+def open_flow(made: world.World) -> packet.FlowKey:
+    """Open one long flow and return its key."""
+    made.call("desk", parts=100, every_ms=100)
+    made.run(500)
+    for vm in made.vms.values():
+        for key, _ in vm.engine.books.flows.items():
+            return key
+    raise AssertionError("no flow is open")
+
+
+def test_home_knows_the_target_of_a_flow(small_world: world.World) -> None:
+    key = open_flow(small_world)
+    question = wire.ExplainFlow(key.packed)
+    anywhere = asked(small_world, "vm1", question)
+    home = asked(small_world, anywhere["home"], question)
+    assert home["flow"] == str(key)
+    assert home["service"] == "desk"
+    assert home["origin"] == "placed"
+    assert home["record"] != explain.NONE
+    assert home["draining"] == "no"
+    assert "home decides" in anywhere["reason"] or anywhere["vm"] == home["vm"]
+
+
+def test_drained_target_says_so(small_world: world.World, rules_text: str) -> None:
+    key = open_flow(small_world)
+    question = wire.ExplainFlow(key.packed)
+    first = asked(small_world, "vm1", question)
+    target = asked(small_world, first["home"], question)["record"]
+    small_world.apply(rules_text + f"drain {target}  # asked by Wanjiru\n")
+    small_world.run(2500)
+    facts = asked(small_world, "vm2", wire.ExplainTarget(target))
+    assert facts["draining"] == "yes"
+    assert int(facts["open_here"]) + int(facts["open_elsewhere"]) == 1
+    assert "a drain rule; 1 open flows stay" in facts["reason"]
+
+
+@pytest.mark.parametrize(
+    ("text", "reason"),
+    [
+        ("tcp/10.9.0.1:4000>10.7.7.7:1", "no rule names this address"),
+        ("tcp/10.9.0.1:4000>10.1.0.1:443", "no record here"),
+    ],
+)
+def test_flow_that_is_not_there_says_so(
+    small_world: world.World, text: str, reason: str
+) -> None:
+    question = wire.ExplainFlow(explain.read_flow(text).packed)
+    facts = asked(small_world, "vm1", question)
+    if "home" in facts:
+        facts = asked(small_world, facts["home"], question)
+    assert reason in facts["reason"]
+
+
+def test_target_without_a_rule_says_so(small_world: world.World) -> None:
+    facts = asked(small_world, "vm1", wire.ExplainTarget("nobody"))
+    assert facts["reason"] == "no rule names this target"
+
+
+@given(strategies.text(max_size=60))
+def test_any_text_gives_a_flow_or_a_value_error(text: str) -> None:
+    try:
+        key = explain.read_flow(text)
+    except ValueError:
+        return
+    assert explain.read_flow(str(key)) == key
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -130,6 +130,23 @@
     assert "outcome=accepted" in plain.stdout
 
 
+def test_show_explains_a_flow_and_a_target(run: fleet.Fleet) -> None:
+    source = ("--from", f"127.{BLOCK}.1.90")
+    flow = ("show", "--flow", "tcp/10.9.0.1:4000>10.1.0.1:443", "--json")
+    by_list = run.command(*flow, *source, "--platform", run.url)
+    assert by_list.returncode == 0, by_list.stderr
+    answers = json.loads(by_list.stdout)
+    assert {item["default_target"] for item in answers} != {"none"}
+    assert any(item["home"] == item["vm"] for item in answers)
+    target = ("show", "--target", "d1", "--vm", f"{run.nodes[0].ip}:6081")
+    by_vm = run.command(*target, *source)
+    assert "takes new flows by its weight" in by_vm.stdout
+    stranger = run.command(*target, "--from", f"127.{BLOCK}.7.1")
+    assert stranger.returncode == 6
+    assert "vm_silent" in stranger.stderr
+    assert run.command("show", "--flow", "what").returncode == 1
+
+
 def test_dry_run_and_stale_base_change_nothing(run: fleet.Fleet) -> None:
     text = run.rules.read_text()
     run.rules.write_text(text + "drain d1  # asked by Otieno\n")
