Write to the audit trail when a drained target is empty

The engine logged target_empty only, so audit could not say when a machine may be switched off. The key holds target and sequence, so the second VM finds it there; an outage keeps it for the next report.

Ruled out: writing at the first count of zero, because flows of a home that died are counted nowhere until its successors see their packets.

--- a/eelgrasswick/change.py
+++ b/eelgrasswick/change.py
@@ -7,11 +7,12 @@
 
 import msgspec
 
-from eelgrasswick import config, errors, rule, store
+from eelgrasswick import config, errors, message, rule, store
 
 TRIES: typing.Final = 4
 RETIRED_LINES: typing.Final = 2000
 REUSED_ADDRESSES: typing.Final = 2000
+FLEET_AUTHOR: typing.Final = "fleet"
 _EMPTY: typing.Final = config.Document(0, "", "", 0, "", "", ())
 
 
@@ -22,6 +23,7 @@
     UNCHANGED = "unchanged"
     CONFLICT = "conflict"
     REPAIRED = "repaired"
+    EMPTY = "target_empty"
 
 
 class AuditEntry(typing.NamedTuple):
@@ -232,6 +234,20 @@
     return store.Put(key, msgspec.json.encode(entry))
 
 
+def empty_put(item: message.RecordEmpty) -> store.Put:
+    """Return the trail's entry for a target that has no open flow left."""
+    entry = AuditEntry(
+        item.sequence,
+        "",
+        FLEET_AUTHOR,
+        item.since_ms,
+        Outcome.EMPTY.value,
+        (f"target {item.target} has no open flow at {item.homes} VMs",),
+    )
+    key = f"{_audit_key(item.sequence)}-{Outcome.EMPTY.value}-{item.target}"
+    return store.Put(key, msgspec.json.encode(entry))
+
+
 def _difference(before: str, after: str) -> tuple[str, ...]:
     lines = difflib.unified_diff(before.splitlines(), after.splitlines(), n=0)
     return tuple(
--- a/eelgrasswick/daemon.py
+++ b/eelgrasswick/daemon.py
@@ -206,6 +206,8 @@
                 self._watcher.report(action)
             case message.RepairStore():
                 self._watcher.repair(action)
+            case message.RecordEmpty():
+                self._watcher.record_empty(action)
             case message.Log():
                 self._logger.write(now_ms, action)
             case message.Stopped():
--- a/eelgrasswick/engine.py
+++ b/eelgrasswick/engine.py
@@ -10,6 +10,7 @@
 from eelgrasswick import (
     books,
     config,
+    emptiness,
     epoch,
     errors,
     explain,
@@ -83,7 +84,7 @@
         self.rehomer = rehome.Rehomer(me.name, self.books)
         self._explainer = explain.Explainer(self.books, self.keeper, self.membership)
         self._report_ms = 0
-        self._told_empty: set[str] = set()
+        self._emptiness = emptiness.EmptyTargets(self.books)
 
     def feed(self, now_ms: int, event: message.Event) -> list[message.Action]:
         """Handle one event.
@@ -255,27 +256,14 @@
         if now_ms < self._report_ms:
             return
         self._report_ms = now_ms + LOAD_REPORT_MS
-        self._note_empty()
+        serving = [item.name for item in self.membership.others.values() if item.serves]
+        self._emptiness.check(now_ms, self.membership.me, self.keeper.watching, serving)
         counts = self.books.flows.open_by_target
         report = wire.LoadReport(
             tuple(wire.OpenFlows(name, flows) for name, flows in sorted(counts.items()))
         )
-        for other in self.membership.others.values():
-            if other.serves:
-                self.peers.send_link(other.name, report)
-
-    def _note_empty(self) -> None:
-        current = self.books.epochs.current
-        if current is None:
-            return
-        for item in current.config.targets.values():
-            here = self.books.flows.open_by_target[item.name]
-            flows = here + self.books.loads.elsewhere(item.name)
-            if item.accepts or flows:
-                self._told_empty.discard(item.name)
-            elif item.name not in self._told_empty:
-                self._told_empty.add(item.name)
-                self.outbox.put(message.log("target_empty", target=item.name))
+        for name in serving:
+            self.peers.send_link(name, report)
 
     def _follow(self, now_ms: int) -> None:
         if not (self.membership.changed or self.keeper.changed):
--- a/eelgrasswick/load.py
+++ b/eelgrasswick/load.py
@@ -48,6 +48,10 @@
         """Return the open flows of a target at all other homes."""
         return self._totals.get(name, 0)
 
+    def heard_from(self, names: typing.Iterable[str]) -> bool:
+        """Tell whether there is a recent report of each of these homes."""
+        return all(name in self._reports for name in names)
+
     def _sum(self) -> None:
         totals: dict[str, int] = {}
         for report in self._reports.values():
--- a/eelgrasswick/message.py
+++ b/eelgrasswick/message.py
@@ -147,6 +147,22 @@
     sequence: int
 
 
+class RecordEmpty(typing.NamedTuple):
+    """Write to the audit trail that a target has no open flow left.
+
+    Attributes:
+        target: Name of the target.
+        sequence: Configuration under which it was first seen to leave.
+        since_ms: When its last flow had ended, milliseconds since 1970.
+        homes: Number of VMs whose counts were at hand.
+    """
+
+    target: str
+    sequence: int
+    since_ms: int
+    homes: int
+
+
 class Field(typing.NamedTuple):
     """One key and value of a log line."""
 
@@ -173,6 +189,7 @@
     | WatchStore
     | ReportInForce
     | RepairStore
+    | RecordEmpty
     | Log
     | Stopped
 )
--- a/eelgrasswick/watcher.py
+++ b/eelgrasswick/watcher.py
@@ -13,6 +13,7 @@
 LEASE_S: typing.Final = 15
 WATCH_MS: typing.Final = 2000
 READ_MS: typing.Final = 10_000
+MAX_UNWRITTEN: typing.Final = 1000
 
 
 class Watcher:
@@ -35,6 +36,7 @@
         self._watch: defer.Deferred[None] | None = None
         self._turn = 0
         self._lease = 0
+        self._unwritten: dict[str, store.Put] = {}
         self._revision = 0
 
     def set_active(self, active: bool) -> None:
@@ -50,11 +52,20 @@
     def report(self, action: message.ReportInForce) -> None:
         """Write which sequence each VM of the zone has in force."""
         self._start(self._report(action))
+        if self._unwritten:
+            self._start(self._write_trail())
 
     def repair(self, action: message.RepairStore) -> None:
         """Put a newer accepted document back into the store."""
         self._start(self._repair(action))
 
+    def record_empty(self, action: message.RecordEmpty) -> None:
+        """Write to the audit trail that a target is empty."""
+        if len(self._unwritten) < MAX_UNWRITTEN:
+            put = change.empty_put(action)
+            self._unwritten[put.key] = put
+        self._start(self._write_trail())
+
     def _start(self, work: typing.Coroutine[typing.Any, typing.Any, None]) -> None:
         done = defer.Deferred.fromCoroutine(work)
         done.addErrback(self._failed)
@@ -138,6 +149,13 @@
         key = store.IN_FORCE_PREFIX + self._zone
         await self._store.commit((), (store.Put(key, value.encode(), self._lease),))
 
+    async def _write_trail(self) -> None:
+        # An outage keeps the entries here until the next report gets through.
+        # Two VMs of a zone write the same key; the second finds it there.
+        for put in list(self._unwritten.values()):
+            await self._store.commit((store.Compare(put.key, 0),), (put,))
+            self._unwritten.pop(put.key, None)
+
     async def _repair(self, action: message.RepairStore) -> None:
         row = await self._store.read(store.RULES_KEY)
         revision = row.revision if row is not None else 0
--- a/tests/world.py
+++ b/tests/world.py
@@ -344,6 +344,8 @@
                 vm.watcher.report(action)
             case message.RepairStore():
                 vm.watcher.repair(action)
+            case message.RecordEmpty():
+                vm.watcher.record_empty(action)
             case message.Log():
                 self.logs.append((vm.me.name, action))
             case message.Stopped():
