--- a/eelgrasswick/command.py
+++ b/eelgrasswick/command.py
@@ -9,6 +9,7 @@
 from twisted.internet import reactor as default_reactor
 
 from eelgrasswick import (
+    command_load,
     command_operator,
     command_show,
     command_standin,
@@ -16,7 +17,9 @@
     console,
     errors,
     log,
+    packet_cost,
     setting,
+    trial,
 )
 
 
@@ -49,8 +52,11 @@
         | command_operator.Watch
         | command_show.Show
         | command_operator.Audit
+        | command_load.Load
         | Entry
         | command_standin.Standin
+        | trial.Trial
+        | packet_cost.PacketCost
     ]
 
 
--- a/eelgrasswick/engine.py
+++ b/eelgrasswick/engine.py
@@ -79,9 +79,8 @@
             self.peers,
             self.outbox,
         )
-        self.home = home.Home(
-            me.name, self.books, opener.Opener(me.name, self.books, policy)
-        )
+        self.opener = opener.Opener(me.name, self.books, policy)
+        self.home = home.Home(me.name, self.books, self.opener)
         self.switch = switch.Switch(me.name, codec, self.books, self.home)
         self.rehomer = rehome.Rehomer(me.name, self.books)
         self._explainer = explain.Explainer(self.books, self.keeper, self.membership)
@@ -288,9 +287,8 @@
         serving = [item.name for item in self.membership.others.values() if item.serves]
         self._emptiness.check(now_ms, self.membership.me, self.keeper.watching, serving)
         counts = self.books.flows.open_by_target
-        report = wire.LoadReport(
-            tuple(wire.OpenFlows(name, flows) for name, flows in sorted(counts.items()))
-        )
+        recent = self.opener.chooser.work.recent_tenths(now_ms)
+        report = load.report(counts, recent)
         for name in serving:
             self.peers.send_link(name, report)
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -90,6 +90,7 @@
         self.nodes = nodes(count, block)
         self.rules = folder / "rules.txt"
         self.rules.write_text(rules_text(block))
+        self.tls: dict[str, str] = {}
         self.running: dict[str, subprocess.Popen[bytes]] = {}
 
     def start(self, name: str, *arguments: str) -> subprocess.Popen[bytes]:
@@ -128,7 +129,7 @@
             f"[fabric]\negress = {self.fabric_inside}\n"
             f"[fleet]\nnetworks = 127.{self.block}.1.0/24\nseeds = {seeds}\n"
             f"[platform]\nurl = {self.url}\ntimeout_ms = 1000\n"
-            "[log]\nmetrics_interval_s = 2\n"
+            "[log]\nmetrics_interval_s = 2\n" + self.tls.get(node.name, "")
         )
 
     def list_vm(self, node: Node, state: str) -> None:
