--- a/eelgrasswick/engine.py
+++ b/eelgrasswick/engine.py
@@ -351,6 +351,8 @@
                 # service now. No packet of the flow may go there any more.
                 self.books.flows.remove(key)
                 self.outbox.count(message.Counter.FLOWS_DROPPED)
+                name = record.target.name
+                self.outbox.put(message.log("flow_dropped", flow=str(key), target=name))
             else:
                 self.books.flows.move(key, record, present)
 
--- a/eelgrasswick/home.py
+++ b/eelgrasswick/home.py
@@ -228,8 +228,14 @@
         )
         self._books.flows.add(key, record)
         self._books.outbox.count(_COUNT.FLOWS_GUESSED)
+        self._log_guess("flow_guessed", key, record)
         self._continue(now_ms, item, key, record)
 
+    def _log_guess(self, name: str, key: packet.FlowKey, record: flow.Record) -> None:
+        self._books.outbox.put(
+            message.log(name, flow=str(key), target=record.target.name)
+        )
+
     def _candidates(
         self, key: packet.FlowKey, owner: service.Service
     ) -> list[target.Target]:
@@ -314,6 +320,7 @@
             self._books.flows.move(key, record, sender)
         record.origin = flow.Origin.LEARNED
         record.first = None
+        self._log_guess("guess_settled", key, record)
 
     def _answer_reset(
         self,
--- a/eelgrasswick/opener.py
+++ b/eelgrasswick/opener.py
@@ -315,6 +315,14 @@
         if chosen is None:
             return False
         record.refuted = refuted
+        self._books.outbox.put(
+            message.log(
+                "flow_moved",
+                flow=str(key),
+                before=record.target.name,
+                target=chosen.name,
+            )
+        )
         self._books.flows.move(key, record, chosen)
         self.chooser.move(now_ms, key.packed, chosen.name)
         self._books.outbox.count(_COUNT.FLOWS_MOVED)
