--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -286,7 +286,18 @@
     second = identity(tmp_path, "vm2", trustme.CA())
     site = open_site(heard, first, second)
     site.pool.send(site.receiver, b"hello")
-    spin(lambda: not site.pool._links)
+    spin(lambda: not site.pool._links and bool(heard.faults))
+    assert heard.arrivals == []
+    assert not heard.faults[0].known
+    close_site(site)
+
+
+def test_plain_link_to_a_vm_with_tls_is_refused(
+    heard: Heard, tmp_path: pathlib.Path, authority: trustme.CA
+) -> None:
+    site = open_site(heard, identity(tmp_path, "vm1", authority), None)
+    site.pool.send(site.receiver, b"hello")
+    spin(lambda: not site.pool._links and bool(heard.faults))
     assert heard.arrivals == []
     close_site(site)
 
