Disown a flow whose caller answered another target

With z1 cut off and 8 % loss, 10 of 80 flows opened during the cut were reset. Cause: a SYN that is repeated reaches homes on both sides, each places it, the caller answers one SYN-ACK, and packets that reach the other side make its target reset them; as the flow was placed there, the home passed the reset on. A home now compares the caller's first packet with the SYN-ACK it passed on and treats the flow as unknown when they differ.

--- a/eelgrasswick/emulated_caller.py
+++ b/eelgrasswick/emulated_caller.py
@@ -268,15 +268,16 @@
 
     def _check(self, now_ms: int, key: packet.FlowKey, flow: _Flow) -> None:
         stream = flow.stream
-        if stream.reset:
+        if stream.peer_closed:
+            # All bytes and the end have come; what follows can't spoil them.
+            self._finished(now_ms, key, flow)
+        elif stream.reset:
             refused = b"kind=" in stream.reset_data
             end = End.REFUSED if refused else End.BROKEN
             detail = stream.reset_data.decode(errors="replace") or "reset"
             self._end(now_ms, key, flow, end, detail)
         elif stream.gave_up:
             self._end(now_ms, key, flow, End.BROKEN, "gave up")
-        elif stream.peer_closed:
-            self._finished(now_ms, key, flow)
 
     def _finished(self, now_ms: int, key: packet.FlowKey, flow: _Flow) -> None:
         flow.stream.close(now_ms)
--- a/eelgrasswick/emulated_target.py
+++ b/eelgrasswick/emulated_target.py
@@ -93,7 +93,7 @@
     stream: emulated_stream.Stream
 
 
-TIME_WAIT_MS: typing.Final = 2000
+TIME_WAIT_MS: typing.Final = 60_000
 _COLD_SPEED: typing.Final = 0.3
 
 
--- a/eelgrasswick/flow.py
+++ b/eelgrasswick/flow.py
@@ -7,6 +7,8 @@
 from eelgrasswick import _wheel, packet, target
 
 LINGER_MS: typing.Final = 25_000
+_SEQUENCES: typing.Final = 2**32
+_WINDOW: typing.Final = 2**24
 
 
 class Origin(enum.Enum):
@@ -36,6 +38,8 @@
         seen_ms: When a packet of it last came by.
         idle_ms: Silence after which it is forgotten.
         first: The packet that opened it, until the target has answered.
+        greeting: Sequence number of the target's SYN-ACK, until the caller has
+            acknowledged it.
         refuted: Names of targets that are known not to hold the flow.
         caller_done: The caller has sent its FIN.
         target_done: The target has sent its FIN.
@@ -44,6 +48,7 @@
     __slots__ = (
         "caller_done",
         "first",
+        "greeting",
         "idle_ms",
         "opened_ms",
         "origin",
@@ -70,6 +75,7 @@
         self.seen_ms = now_ms
         self.idle_ms = idle_ms
         self.first: packet.Packet | None = None
+        self.greeting: int | None = None
         self.refuted: frozenset[str] = frozenset()
         self.caller_done = False
         self.target_done = False
@@ -79,6 +85,25 @@
         """True while the flow takes room at its target."""
         return self.state is not State.CLOSED
 
+    def answers_another(self, item: packet.Packet) -> bool:
+        """Tell whether a caller's packet shows that it met another target.
+
+        Args:
+            item: A packet of the caller that is no SYN.
+
+        Returns:
+            True when no SYN-ACK of this target has gone to the caller, or when
+            the packet acknowledges another one.
+        """
+        if item.resets or item.protocol != packet.Protocol.TCP:
+            return False
+        if self.state is State.OPENING:
+            return True
+        if self.greeting is None:
+            return False
+        ahead = item.acknowledgement - self.greeting - 1
+        return ahead % _SEQUENCES >= _WINDOW
+
     @property
     def until_ms(self) -> int:
         """When the record may be dropped unless a packet comes."""
--- a/eelgrasswick/home.py
+++ b/eelgrasswick/home.py
@@ -44,6 +44,8 @@
             self._unknown(now_ms, item, key, owner)
         elif item.opens:
             self._open_again(now_ms, item, key, owner, record)
+        elif record.answers_another(item):
+            self._disown(now_ms, item, key, owner, record)
         else:
             self._continue(now_ms, item, key, record)
 
@@ -92,9 +94,7 @@
         record: flow.Record,
     ) -> None:
         record.seen_ms = now_ms
-        if record.state is flow.State.OPENING:
-            record.state = flow.State.OPEN
-            record.first = None
+        record.greeting = None
         if record.origin is flow.Origin.GUESSED:
             record.first = item
         self._send(record.target, item)
@@ -250,19 +250,48 @@
         # so it is held back and the next possible target is tried. Only when
         # every one of them has reset the flow is it truly gone.
         record.refuted = record.refuted | {record.target.name}
+        if self._try_next(key, owner, record):
+            self._books.outbox.count(_COUNT.RESETS_HELD_BACK)
+            return
+        self._pass(item)
+        self._close(now_ms, key, record)
+
+    def _disown(
+        self,
+        now_ms: int,
+        item: packet.Packet,
+        key: packet.FlowKey,
+        owner: service.Service,
+        record: flow.Record,
+    ) -> None:
+        # While zones are cut off from each other, or views differ, a repeated
+        # SYN can be placed on a second target by a second home. The caller
+        # answers one of them. The other would reset the caller's packets, and
+        # passed on as valid that reset would break an open flow. So the home
+        # whose target the caller did not answer takes the flow for unknown.
+        record.seen_ms = now_ms
+        record.greeting = None
+        record.state = flow.State.OPEN
+        record.origin = flow.Origin.GUESSED
+        self._books.outbox.count(_COUNT.FLOWS_GUESSED)
+        record.refuted = record.refuted | {record.target.name}
+        record.first = item
+        self._try_next(key, owner, record)
+
+    def _try_next(
+        self, key: packet.FlowKey, owner: service.Service, record: flow.Record
+    ) -> bool:
         rest = [
             other
             for other in self._candidates(key, owner)
             if other.name not in record.refuted
         ]
         if not rest:
-            self._pass(item)
-            self._close(now_ms, key, record)
-            return
-        self._books.outbox.count(_COUNT.RESETS_HELD_BACK)
+            return False
         self._books.flows.move(key, record, rest[0])
         if record.first is not None:
             self._send(record.target, record.first)
+        return True
 
     # Packets of targets.
 
@@ -340,6 +369,7 @@
         record.seen_ms = now_ms
         if item.flags & packet.Flags.SYN:
             record.first = None
+            record.greeting = item.sequence
             if record.state is flow.State.OPENING:
                 record.state = flow.State.OPEN
                 self._books.health.answered(record.target.name)
