Doubt an opening flow instead of disowning it without proof

Now such a flow is guessed to be on its target, and only a SYN-ACK that was passed on and not acknowledged proves the opposite. A caller that has read the whole answer and its end is whole even if the last FIN is lost.

--- a/eelgrasswick/emulated_caller.py
+++ b/eelgrasswick/emulated_caller.py
@@ -241,7 +241,10 @@
         for key, flow in list(self._flows.items()):
             flow.stream.tick(now_ms)
             self._collect(flow.stream)
-            if now_ms - flow.heard_ms > GIVE_UP_MS:
+            silent = now_ms - flow.heard_ms > GIVE_UP_MS
+            if silent and flow.stream.peer_closed:
+                self._end(now_ms, key, flow, *_judge(flow))
+            elif silent:
                 self._end(now_ms, key, flow, End.BROKEN, "silence")
             else:
                 self._check(now_ms, key, flow)
--- a/eelgrasswick/flow.py
+++ b/eelgrasswick/flow.py
@@ -92,14 +92,10 @@
             item: A packet of the caller that is no SYN.
 
         Returns:
-            True when no SYN-ACK of this target has gone to the caller, or when
-            the packet acknowledges another one.
+            True when the packet does not acknowledge the SYN-ACK that this
+            target has sent.
         """
-        if item.resets or item.protocol != packet.Protocol.TCP:
-            return False
-        if self.state is State.OPENING:
-            return True
-        if self.greeting is None:
+        if self.greeting is None or item.resets:
             return False
         ahead = item.acknowledgement - self.greeting - 1
         return ahead % _SEQUENCES >= _WINDOW
--- a/eelgrasswick/home.py
+++ b/eelgrasswick/home.py
@@ -95,6 +95,12 @@
     ) -> None:
         record.seen_ms = now_ms
         record.greeting = None
+        if record.state is flow.State.OPENING:
+            # The caller has met a target whose SYN-ACK took its way over
+            # another VM, which has or had other views. Most likely it is this
+            # one; if another one, a reset by this one must not be passed on.
+            record.state = flow.State.OPEN
+            record.origin = flow.Origin.GUESSED
         if record.origin is flow.Origin.GUESSED:
             record.first = item
         self._send(record.target, item)
@@ -271,7 +277,6 @@
         # whose target the caller did not answer takes the flow for unknown.
         record.seen_ms = now_ms
         record.greeting = None
-        record.state = flow.State.OPEN
         record.origin = flow.Origin.GUESSED
         self._books.outbox.count(_COUNT.FLOWS_GUESSED)
         record.refuted = record.refuted | {record.target.name}
