Place a repeated first datagram on one target under all views

Ruled out: duplicates at one target, which knows the numbers it ran.

Now a datagram's target is the default alone; a VM that answers 'not known' leaves the flow to the asker for 10 s; and when a former home is lost, the flow goes where that home would have placed it. Touches Opener.choose and Opener.admit. Guessing moves to a module of its own.

--- a/eelgrasswick/epoch.py
+++ b/eelgrasswick/epoch.py
@@ -180,6 +180,24 @@
             names.update(dict.fromkeys((place.home, place.backup)))  # type: ignore[arg-type]
         return [name for name in names if name]
 
+    def recent_defaults(
+        self, now_ms: int, flow: packet.FlowKey, owner: service.Service
+    ) -> list[target.Target]:
+        """Return default targets of a flow within the window, newest first."""
+        assert self.current is not None
+        recent = [
+            item.epoch
+            for item in self._earlier
+            if now_ms - item.ended_ms <= self._window_ms
+        ]
+        found: dict[str, target.Target] = {}
+        for epoch in (self.current, *recent):
+            known = epoch.config.services.get(owner.name)
+            default = epoch.locate(flow, known).default if known is not None else None
+            if default is not None:
+                found.setdefault(default.name, default)
+        return list(found.values())
+
     def possible_targets(
         self, flow: packet.FlowKey, owner: service.Service
     ) -> list[target.Target]:
--- /dev/null
+++ b/eelgrasswick/guess.py
@@ -0,0 +1,131 @@
+"""Flows of whose target a home has no record, or a doubtful one.
+
+A packet in the middle of such a flow goes to the possible targets in turn: the
+one that holds the flow takes it, and any other resets it. Those resets are
+held back from the caller until every possible target has sent one.
+"""
+
+import typing
+
+from eelgrasswick import books, flow, message, packet, service, target
+
+MAX_CANDIDATES: typing.Final = 16
+_COUNT: typing.Final = message.Counter
+_VIEWS: typing.Final = 2
+
+
+class Guesser:
+    """Finds targets of flows that nobody could name."""
+
+    def __init__(self, name: str, shared: books.Books) -> None:
+        """Guess as the VM ``name``."""
+        self._name = name
+        self._books = shared
+
+    def begin(
+        self, now_ms: int, key: packet.FlowKey, owner: service.Service
+    ) -> flow.Record | None:
+        """Record a guess for a flow; None when no target may see its packets."""
+        candidates = [] if owner.reused else self._candidates(key, owner)
+        if not candidates:
+            # The address belonged to another service before: the packet may be
+            # meant for that one, and no target of this one may see it.
+            self._books.outbox.count(_COUNT.PACKETS_UNKNOWN_FLOW)
+            return None
+        record = flow.Record(
+            candidates[0],
+            flow.Origin.GUESSED,
+            flow.State.OPEN,
+            now_ms,
+            owner.idle_s * 1000,
+        )
+        self._books.flows.add(key, record)
+        self._books.outbox.count(_COUNT.FLOWS_GUESSED)
+        return record
+
+    def disown(
+        self,
+        item: packet.Packet,
+        key: packet.FlowKey,
+        owner: service.Service,
+        record: flow.Record,
+    ) -> None:
+        """Doubt a flow whose caller has answered another target's SYN-ACK."""
+        # While zones are cut off from each other, or views differ, a repeated
+        # SYN can be placed on a second target by a second home. The caller
+        # answers one of them. The other would reset the caller's packets, and
+        # passed on as valid that reset would break an open flow. So the home
+        # whose target the caller did not answer takes the flow for unknown.
+        record.greeting = None
+        record.origin = flow.Origin.GUESSED
+        record.first = item
+        self._books.outbox.count(_COUNT.FLOWS_GUESSED)
+        self.refute(key, owner, record)
+
+    def refute(
+        self, key: packet.FlowKey, owner: service.Service, record: flow.Record
+    ) -> bool:
+        """Try the next possible target, because this one does not hold the flow.
+
+        Args:
+            key: The flow.
+            owner: Its service.
+            record: The guess; it points to the next target afterwards.
+
+        Returns:
+            False when no possible target is left.
+        """
+        record.refuted = record.refuted | {record.target.name}
+        rest = [
+            other
+            for other in self._candidates(key, owner)
+            if other.name not in record.refuted
+        ]
+        if not rest:
+            return False
+        self._books.flows.move(key, record, rest[0])
+        if record.first is not None:
+            send = message.SendDatagram(record.target.endpoint, record.first.raw)
+            self._books.outbox.put(send)
+        return True
+
+    def _candidates(
+        self, key: packet.FlowKey, owner: service.Service
+    ) -> list[target.Target]:
+        epochs = self._books.epochs
+        current = epochs.current
+        assert current is not None
+        found = {item.name: item for item in epochs.possible_targets(key, owner)}
+        for item in current.ranked_all(key, owner):
+            found.setdefault(item.name, item)
+        present = current.config.targets
+        names = [name for name in found if name in present]
+        return [present[name] for name in names[:MAX_CANDIDATES]]
+
+    # First datagrams.
+
+    def certain(self, now_ms: int, key: packet.FlowKey, owner: service.Service) -> bool:
+        """Tell whether every VM that may have placed a flow can be asked."""
+        former = self._books.epochs.earlier_owners(now_ms, key, owner)
+        peers = self._books.peers
+        return all(name == self._name or peers.reachable(name) for name in former)
+
+    def agreed(
+        self, now_ms: int, key: packet.FlowKey, owner: service.Service
+    ) -> target.Target | None:
+        """Return where a former home that can't be asked would place a flow.
+
+        That home may have started this very request. It chose the default
+        target of its own rules, which knows the requests it ran; on any other
+        target the request would run twice.
+
+        Returns:
+            The target, or None when it is not clear or takes no new flow.
+        """
+        current = self._books.epochs.current
+        assert current is not None
+        defaults = self._books.epochs.recent_defaults(now_ms, key, owner)
+        if not 0 < len(defaults) <= _VIEWS:
+            return None
+        present = current.config.targets.get(defaults[-1].name)
+        return present if present is not None and present.accepts else None
--- a/eelgrasswick/home.py
+++ b/eelgrasswick/home.py
@@ -5,6 +5,7 @@
 from eelgrasswick import (
     books,
     flow,
+    guess,
     inquiry,
     message,
     opener,
@@ -14,7 +15,6 @@
 )
 
 _COUNT: typing.Final = message.Counter
-MAX_CANDIDATES: typing.Final = 16
 
 
 class Home:
@@ -30,6 +30,8 @@
         self._books = shared
         self._opener = opening
         self._inquiries = inquiry.Inquiries(shared.peers)
+        self._guesser = guess.Guesser(name, shared)
+        self._yields = inquiry.Yields()
 
     def request(
         self,
@@ -45,7 +47,8 @@
         elif item.opens:
             self._open_again(now_ms, item, key, owner, record)
         elif record.answers_another(item):
-            self._disown(now_ms, item, key, owner, record)
+            record.seen_ms = now_ms
+            self._guesser.disown(item, key, owner, record)
         else:
             self._continue(now_ms, item, key, record)
 
@@ -74,6 +77,30 @@
         if settled is not None:
             self._settle(now_ms, settled)
 
+    def leave_to(self, now_ms: int, key: packet.FlowKey, asker: str) -> bool:
+        """Leave a flow that is unknown here to the VM that asks for it.
+
+        Args:
+            now_ms: Present time in milliseconds.
+            key: The flow.
+            asker: Name of the VM that asks.
+
+        Returns:
+            False when this VM is asking for the same flow and goes first.
+        """
+        if self._inquiries.asks(key) and self._name < asker:
+            return False
+        self._inquiries.cancel(key)
+        self._yields.add(now_ms, key, asker)
+        return True
+
+    def left_to(self, now_ms: int, key: packet.FlowKey) -> str | None:
+        """Return the VM to which this one has left a flow, if it is there."""
+        name = self._yields.get(now_ms, key)
+        if name is None or self._books.flows.get(key) is not None:
+            return None
+        return name if self._books.peers.reachable(name) else None
+
     def clear(self) -> None:
         """Drop the packets that wait for answers of former homes."""
         self._inquiries.clear()
@@ -82,6 +109,7 @@
         """Settle inquiries that got no answer and note silent targets."""
         for settled in self._inquiries.overdue(now_ms):
             self._settle(now_ms, settled)
+        self._yields.expire(now_ms)
         self._opener.tick(now_ms)
 
     # Packets of callers.
@@ -171,10 +199,31 @@
                 self.request(now_ms, item, key, owner)
             elif known is not None and known.service == owner.name:
                 self._adopt(now_ms, item, key, owner, known)
-            elif item.opens or item.protocol == packet.Protocol.UDP:
+            elif item.opens:
                 self._opener.admit(now_ms, item, key, owner, settled.certain)
+            elif item.protocol == packet.Protocol.UDP:
+                self._admit_datagram(now_ms, item, key, owner, settled.certain)
             else:
-                self._guess(now_ms, item, key, owner)
+                record = self._guesser.begin(now_ms, key, owner)
+                if record is not None:
+                    self._continue(now_ms, item, key, record)
+
+    def _admit_datagram(
+        self,
+        now_ms: int,
+        item: packet.Packet,
+        key: packet.FlowKey,
+        owner: service.Service,
+        answered: bool,
+    ) -> None:
+        if answered and self._guesser.certain(now_ms, key, owner):
+            self._opener.admit(now_ms, item, key, owner, True)
+            return
+        agreed = self._guesser.agreed(now_ms, key, owner)
+        if agreed is not None:
+            self._opener.admit(now_ms, item, key, owner, False, agreed)
+        else:
+            self._books.outbox.count(_COUNT.PACKETS_UNKNOWN_FLOW)
 
     def _adopt(
         self,
@@ -204,100 +253,6 @@
         self._books.outbox.count(_COUNT.FLOWS_LEARNED)
         self._opener.replicate(key, owner, known)
 
-    # Flows that nobody knows.
-
-    def _guess(
-        self,
-        now_ms: int,
-        item: packet.Packet,
-        key: packet.FlowKey,
-        owner: service.Service,
-    ) -> None:
-        candidates = [] if owner.reused else self._candidates(key, owner)
-        if not candidates:
-            # The address belonged to another service before: the packet may be
-            # meant for that one, and no target of this one may see it.
-            self._books.outbox.count(_COUNT.PACKETS_UNKNOWN_FLOW)
-            return
-        record = flow.Record(
-            candidates[0],
-            flow.Origin.GUESSED,
-            flow.State.OPEN,
-            now_ms,
-            owner.idle_s * 1000,
-        )
-        self._books.flows.add(key, record)
-        self._books.outbox.count(_COUNT.FLOWS_GUESSED)
-        self._continue(now_ms, item, key, record)
-
-    def _candidates(
-        self, key: packet.FlowKey, owner: service.Service
-    ) -> list[target.Target]:
-        epochs = self._books.epochs
-        current = epochs.current
-        assert current is not None
-        found = {item.name: item for item in epochs.possible_targets(key, owner)}
-        for item in current.ranked_all(key, owner):
-            found.setdefault(item.name, item)
-        present = current.config.targets
-        names = [name for name in found if name in present]
-        return [present[name] for name in names[:MAX_CANDIDATES]]
-
-    def _refute(
-        self,
-        now_ms: int,
-        item: packet.Packet,
-        key: packet.FlowKey,
-        owner: service.Service,
-        record: flow.Record,
-    ) -> None:
-        # A target resets a packet of a flow that it does not hold. Passed on,
-        # the reset would cut the caller off from the target that does hold it;
-        # so it is held back and the next possible target is tried. Only when
-        # every one of them has reset the flow is it truly gone.
-        record.refuted = record.refuted | {record.target.name}
-        if self._try_next(key, owner, record):
-            self._books.outbox.count(_COUNT.RESETS_HELD_BACK)
-            return
-        self._pass(item)
-        self._close(now_ms, key, record)
-
-    def _disown(
-        self,
-        now_ms: int,
-        item: packet.Packet,
-        key: packet.FlowKey,
-        owner: service.Service,
-        record: flow.Record,
-    ) -> None:
-        # While zones are cut off from each other, or views differ, a repeated
-        # SYN can be placed on a second target by a second home. The caller
-        # answers one of them. The other would reset the caller's packets, and
-        # passed on as valid that reset would break an open flow. So the home
-        # whose target the caller did not answer takes the flow for unknown.
-        record.seen_ms = now_ms
-        record.greeting = None
-        record.origin = flow.Origin.GUESSED
-        self._books.outbox.count(_COUNT.FLOWS_GUESSED)
-        record.refuted = record.refuted | {record.target.name}
-        record.first = item
-        self._try_next(key, owner, record)
-
-    def _try_next(
-        self, key: packet.FlowKey, owner: service.Service, record: flow.Record
-    ) -> bool:
-        rest = [
-            other
-            for other in self._candidates(key, owner)
-            if other.name not in record.refuted
-        ]
-        if not rest:
-            return False
-        self._books.flows.move(key, record, rest[0])
-        if record.first is not None:
-            self._send(record.target, record.first)
-        return True
-
     # Packets of targets.
 
     def _answer_unknown(
@@ -352,7 +307,11 @@
         record: flow.Record,
     ) -> None:
         if record.origin is flow.Origin.GUESSED:
-            self._refute(now_ms, item, key, owner, record)
+            if self._guesser.refute(key, owner, record):
+                self._books.outbox.count(_COUNT.RESETS_HELD_BACK)
+            else:
+                self._pass(item)
+                self._close(now_ms, key, record)
             return
         opening = record.state is flow.State.OPENING
         if opening and item.refuses_open and record.first is not None:
--- a/eelgrasswick/inquiry.py
+++ b/eelgrasswick/inquiry.py
@@ -8,11 +8,13 @@
 
 import typing
 
-from eelgrasswick import packet, peer, wire
+from eelgrasswick import _wheel, packet, peer, wire
 
 ANSWER_MS: typing.Final = 60
 MAX_FLOWS: typing.Final = 4096
 MAX_PACKETS: typing.Final = 8
+YIELD_MS: typing.Final = 10_000
+MAX_YIELDS: typing.Final = 100_000
 
 
 class Settled(typing.NamedTuple):
@@ -31,6 +33,43 @@
     certain: bool
 
 
+class _Yield(typing.NamedTuple):
+    name: str
+    until_ms: int
+
+
+class Yields:
+    """Flows that this VM has left to another one, which asked for them.
+
+    A VM that answers "not known" must not place the flow afterwards: it may
+    have older rules than the asker, and a repeated first packet that reaches it
+    would start the same request on a second target.
+    """
+
+    def __init__(self) -> None:
+        """Start with no flow left to another VM."""
+        self._yields: dict[packet.FlowKey, _Yield] = {}
+        self._wheel: _wheel.Wheel[packet.FlowKey] = _wheel.Wheel()
+
+    def add(self, now_ms: int, key: packet.FlowKey, name: str) -> None:
+        """Leave a flow to the VM ``name`` for a while."""
+        if len(self._yields) < MAX_YIELDS:
+            self._yields[key] = _Yield(name, now_ms + YIELD_MS)
+            self._wheel.add(key, now_ms + YIELD_MS)
+
+    def get(self, now_ms: int, key: packet.FlowKey) -> str | None:
+        """Return the VM to which a flow is left."""
+        found = self._yields.get(key)
+        return found.name if found is not None and found.until_ms > now_ms else None
+
+    def expire(self, now_ms: int) -> None:
+        """Drop what is over."""
+        for key in self._wheel.due(now_ms):
+            found = self._yields.get(key)
+            if found is not None and found.until_ms <= now_ms:
+                del self._yields[key]
+
+
 class _Open:
     __slots__ = ("asked", "due_ms", "packets")
 
@@ -81,6 +120,14 @@
         del self._open[key]
         return Settled(key, tuple(found.packets), name, True)
 
+    def cancel(self, key: packet.FlowKey) -> None:
+        """Drop an inquiry and its packets, which their sender repeats."""
+        self._open.pop(key, None)
+
+    def asks(self, key: packet.FlowKey) -> bool:
+        """Tell whether an inquiry about a flow is open."""
+        return key in self._open
+
     def clear(self) -> None:
         """Drop all inquiries and the packets that wait with them."""
         self._open.clear()
--- a/eelgrasswick/opener.py
+++ b/eelgrasswick/opener.py
@@ -77,6 +77,7 @@
         key: packet.FlowKey,
         owner: service.Service,
         certain: bool,
+        preset: target.Target | None = None,
     ) -> None:
         """Let a new flow in and place it, or refuse it.
 
@@ -86,11 +87,12 @@
             key: The flow.
             owner: Its service.
             certain: False when another VM may have placed the flow already.
+            preset: Target on which that VM would have placed it, if known.
         """
         refusal = self._refusal(now_ms, key, owner)
         chosen = None
         if refusal is None:
-            chosen = self.choose(now_ms, key, owner, frozenset())
+            chosen = preset or self.choose(now_ms, key, owner, frozenset())
             if chosen is None:
                 refusal = admission.Refusal(
                     errors.ErrorKind.NO_TARGET, admission.BASE_RETRY_MS
@@ -137,6 +139,11 @@
         """Choose a target for a new flow, or None when none is usable."""
         current = self._books.epochs.current
         assert current is not None
+        if key.protocol == packet.Protocol.UDP:
+            # A datagram can be repeated and reach two homes, as on the sides of
+            # a cut. Both must choose alike, or it would run twice; so nothing
+            # that one VM alone sees counts, neither load nor reach.
+            return current.locate(key, owner).default
         ranked = [
             item for item in current.ranked(key, owner) if item.name not in excluded
         ]
@@ -146,10 +153,6 @@
             self._target_load(item, good)
             for item, good in zip(ranked, usable, strict=True)
         ]
-        if key.protocol == packet.Protocol.UDP:
-            # A datagram can be repeated and reach two homes whose views differ.
-            # Both must choose alike, or it would run twice; so load is left out.
-            return next((item.target for item in loads if item.usable), None)
         return self._policy.choose(loads)
 
     def _suspected(
--- a/eelgrasswick/switch.py
+++ b/eelgrasswick/switch.py
@@ -75,6 +75,8 @@
         """Answer the present home of a flow that this VM may know."""
         key = wire.flow_key(event.flow)
         known = self._known(now_ms, key)
+        if known is None and not self._home.leave_to(now_ms, key, sender):
+            return
         name = known.name if known is not None else ""
         self._books.peers.send(sender, wire.Tell(event.flow, name))
 
@@ -118,11 +120,23 @@
             return
         if not item.controls and self._direct(now_ms, item, key):
             return
-        place = current.locate(key, owner)
-        if place.home == self._name or (hops and self._books.flows.get(key)):
+        receiver = self._receiver(now_ms, current, key, owner)
+        if receiver == self._name or (hops and self._books.flows.get(key)):
             self._home.request(now_ms, item, key, owner)
         else:
-            self._forward(item, place, hops)
+            self._pass_on(receiver, wire.Forward(hops + 1, item.raw))
+
+    def _receiver(
+        self,
+        now_ms: int,
+        current: epoch.Epoch,
+        key: packet.FlowKey,
+        owner: service.Service,
+    ) -> str | None:
+        home_name = current.locate(key, owner).home
+        if home_name != self._name:
+            return home_name
+        return self._home.left_to(now_ms, key) or home_name
 
     def _direct(self, now_ms: int, item: packet.Packet, key: packet.FlowKey) -> bool:
         if self._books.flows.get(key) is not None:
@@ -133,15 +147,15 @@
         self._books.outbox.put(message.SendDatagram(known.endpoint, item.raw))
         return True
 
-    def _forward(self, item: packet.Packet, place: epoch.Location, hops: int) -> None:
+    def _pass_on(self, receiver: str | None, item: wire.Forward | wire.Relay) -> None:
         outbox = self._books.outbox
-        if place.home is None:
+        if receiver is None:
             outbox.count(_COUNT.PACKETS_NO_HOME)
-        elif hops >= MAX_HOPS:
+        elif item.hops > MAX_HOPS:
             outbox.count(_COUNT.PACKETS_HOP_LIMIT)
         else:
             outbox.count(_COUNT.PACKETS_FORWARDED)
-            self._books.peers.send(place.home, wire.Forward(hops + 1, item.raw))
+            self._books.peers.send(receiver, item)
 
     def _no_service(self, item: packet.Packet, current: epoch.Epoch) -> None:
         outbox = self._books.outbox
@@ -176,18 +190,12 @@
         if owner is None or current is None:
             return
         key = item.answer_key()
-        place = current.locate(key, owner)
+        receiver = self._receiver(now_ms, current, key, owner)
         here = self._books.flows.get(key) is not None
-        if place.home == self._name or (hops and here):
+        if receiver == self._name or (hops and here):
             self._home.answer(now_ms, item, key, sender, owner)
-        elif place.home is None:
-            self._books.outbox.count(_COUNT.PACKETS_NO_HOME)
-        elif hops >= MAX_HOPS:
-            self._books.outbox.count(_COUNT.PACKETS_HOP_LIMIT)
         else:
-            self._books.outbox.count(_COUNT.PACKETS_FORWARDED)
-            relay = wire.Relay(hops + 1, sender.name, item.raw)
-            self._books.peers.send(place.home, relay)
+            self._pass_on(receiver, wire.Relay(hops + 1, sender.name, item.raw))
 
     def _owner(
         self, item: packet.Packet, sender: target.Target
--- a/tests/flow_steps.py
+++ b/tests/flow_steps.py
@@ -5,7 +5,7 @@
 import pytest
 import pytest_bdd
 
-from eelgrasswick import epoch, packet
+from eelgrasswick import epoch, packet, service
 from tests import fleet, world
 
 UDP_RULES = """\
@@ -41,7 +41,7 @@
 
     def port(
         self,
-        service: str,
+        name: str,
         fits: typing.Callable[[epoch.Location], bool],
         start: int = 2000,
     ) -> int:
@@ -49,12 +49,9 @@
         vm = next(item for item in self.world.vms.values() if item.alive)
         current = vm.engine.books.epochs.current
         assert current is not None
-        owner = current.config.services[service]
+        owner = current.config.services[name]
         for port in range(start, start + 4000):
-            key = packet.FlowKey(
-                owner.protocol, bytes((10, 9, 0, 1)), port, *owner.address
-            )
-            if fits(current.locate(key, owner)):
+            if fits(current.locate(flow_key(owner, port), owner)):
                 return port
         raise AssertionError("no port fits")
 
@@ -92,6 +89,12 @@
         self.edit(text.replace("12.2:5555 zone=z2", "12.2:5555 zone=z2 weight=9"))
 
 
+def flow_key(owner: service.Service, port: int) -> packet.FlowKey:
+    """Return the flow of caller 0 from a port to a service."""
+    caller = bytes((10, 9, 0, 1))
+    return packet.FlowKey(owner.protocol, caller, port, *owner.address)
+
+
 CHANGES: dict[str, typing.Callable[[Bench], None]] = {
     "nothing": lambda bench: None,
     "vm2 leaves": lambda bench: bench.world.leave("vm2"),
