--- a/eelgrasswick/switch.py
+++ b/eelgrasswick/switch.py
@@ -74,6 +74,7 @@
     def ask(self, now_ms: int, sender: str, event: wire.Ask) -> None:
         """Answer the present home of a flow that this VM may know."""
         key = wire.flow_key(event.flow)
+        self._home.cancel(key)
         known = self._known(now_ms, key)
         if known is None and not self._home.leave_to(now_ms, key, sender):
             return
