Keep an address vacant before another service gets it

The booth got the vault's address in the change that removed the vault; one VM got it 2 s late. Cause: the VM behind served the address by the old rules, which nothing forbade.

Now plan refuses an address or endpoint that belongs to another service, or did in the document before if that one is younger than 10 s. A VM that has heard of a newer configuration no longer guesses flows of a retired service.

--- a/eelgrasswick/change.py
+++ b/eelgrasswick/change.py
@@ -7,8 +7,9 @@
 
 import msgspec
 
-from eelgrasswick import config, errors, rule, store
+from eelgrasswick import config, errors, packet, rule, store
 
+VACANT_MS: typing.Final = 10_000
 TRIES: typing.Final = 4
 RETIRED_LINES: typing.Final = 2000
 REUSED_ADDRESSES: typing.Final = 2000
@@ -101,6 +102,7 @@
         row = await self._store.read(store.RULES_KEY)
         before = config.decode(row.value) if row is not None else _EMPTY
         _check_identity(before, rules)
+        _check_vacant(before, rules, now_ms)
         after = _document(before, rules, text, self._author, now_ms)
         lines = _difference(before.text, text)
         return Plan(before, row.revision if row is not None else 0, after, lines)
@@ -256,6 +258,48 @@
         raise errors.RulesInvalidError("\n".join(str(item) for item in faults))
 
 
+def _check_vacant(before: config.Document, after: rule.Rules, now_ms: int) -> None:
+    """Refuse an address or endpoint that has not been vacant for a while.
+
+    VMs get a change within seconds of each other. Did an address pass from one
+    service to another in one change, those that are behind would send the new
+    service's callers to the old one's targets, which would serve them.
+    """
+    settled = now_ms - before.at_ms >= VACANT_MS
+    former = rule.parse(before.text).rules
+    if settled:
+        held, served = _addresses(former)
+    else:
+        both = rule.parse(f"{before.text}\n{before.retired}").rules
+        held, served = _addresses(both)
+    faults = []
+    for item in after.services:
+        name = held.get(config.address_label(item), item.name)
+        if name != item.name:
+            faults.append(_occupied(item.line, str(item.address), name))
+    for target in after.targets:
+        owner = served.get(target.endpoint, target.service)
+        if owner != target.service:
+            faults.append(_occupied(target.line, str(target.endpoint), owner))
+    if faults:
+        raise errors.RulesInvalidError("\n".join(str(item) for item in faults))
+
+
+def _addresses(rules: rule.Rules) -> tuple[dict[str, str], dict[packet.Address, str]]:
+    held = {config.address_label(item): item.name for item in rules.services}
+    served = {item.endpoint: item.service for item in rules.targets}
+    return held, served
+
+
+def _occupied(line: int, place: str, name: str) -> rule.Fault:
+    return rule.Fault(
+        line,
+        1,
+        f"{place} belongs to service {name!r}, or did so until a moment ago",
+        f"remove that line first and add this one {VACANT_MS // 1000} s later",
+    )
+
+
 def _service_faults(before: rule.Rules, after: rule.Rules) -> list[rule.Fault]:
     known = {item.name: (item.address, item.protocol) for item in before.services}
     return [
--- a/eelgrasswick/engine.py
+++ b/eelgrasswick/engine.py
@@ -153,11 +153,13 @@
         if isinstance(item, wire.Ping):
             self.membership.ping(now_ms, source, item)
             self.keeper.heard(now_ms, item.sender.name, item.sequence)
+            self.books.epochs.heard(item.sequence)
             return
         sender = self.peers.name_at(source)
         if isinstance(item, wire.Ack):
             self.membership.ack(now_ms, item)
             self.keeper.heard(now_ms, item.sender.name, item.sequence)
+            self.books.epochs.heard(item.sequence)
             return
         if sender is None:
             self.outbox.count(message.Counter.PACKETS_UNKNOWN_SENDER)
--- a/eelgrasswick/epoch.py
+++ b/eelgrasswick/epoch.py
@@ -153,6 +153,7 @@
     def __init__(self, window_ms: int) -> None:
         """Keep ended epochs for a window in milliseconds."""
         self.current: Epoch | None = None
+        self._heard = 0
         self._window_ms = window_ms
         self._earlier: collections.deque[_Earlier] = collections.deque(
             maxlen=MAX_EARLIER
@@ -161,6 +162,15 @@
             maxlen=MAX_EARLIER
         )
 
+    @property
+    def behind(self) -> bool:
+        """True when another VM has told of a newer configuration."""
+        return self.current is not None and self._heard > self.current.config.sequence
+
+    def heard(self, sequence: int) -> None:
+        """Note the sequence that another VM has in force."""
+        self._heard = max(self._heard, sequence)
+
     def advance(self, now_ms: int, epoch: Epoch) -> None:
         """Put a new epoch in force."""
         if self.current is not None:
--- a/eelgrasswick/guess.py
+++ b/eelgrasswick/guess.py
@@ -26,10 +26,12 @@
         self, now_ms: int, key: packet.FlowKey, owner: service.Service
     ) -> flow.Record | None:
         """Record a guess for a flow; None when no target may see its packets."""
-        candidates = [] if owner.reused else self._candidates(key, owner)
+        # The address belonged to another service before, or may belong to one
+        # by newer rules that this VM has not got yet: the packet may be meant
+        # for that one, and no target of this one may see it.
+        doubtful = owner.reused or (owner.retired and self._books.epochs.behind)
+        candidates = [] if doubtful else self._candidates(key, owner)
         if not candidates:
-            # The address belonged to another service before: the packet may be
-            # meant for that one, and no target of this one may see it.
             self._books.outbox.count(_COUNT.PACKETS_UNKNOWN_FLOW)
             return None
         record = flow.Record(
--- a/tests/world.py
+++ b/tests/world.py
@@ -249,6 +249,10 @@
         """Start an emulated target for each target line that has none."""
         for line in rule.parse(text).rules.targets:
             self._target_zones[line.name] = line.zone
+            _, former = self._addresses.get(line.endpoint, ("", line.name))
+            if former != line.name:
+                # The machine works for another service now.
+                self.dead_targets.add(former)
             self._addresses[line.endpoint] = ("target", line.name)
             if line.name not in self.targets:
                 speed = (speeds or {}).get(line.name, line.weight / line.slots)
