--- a/eelgrasswick/command.py
+++ b/eelgrasswick/command.py
@@ -12,6 +12,7 @@
     capacity,
     command_load,
     command_operator,
+    command_show,
     command_standin,
     compose,
     console,
@@ -50,7 +51,7 @@
         command_operator.Check
         | command_operator.Apply
         | command_operator.Watch
-        | command_operator.Show
+        | command_show.Show
         | command_operator.Audit
         | command_load.Load
         | Entry
--- a/eelgrasswick/engine.py
+++ b/eelgrasswick/engine.py
@@ -10,8 +10,10 @@
 from eelgrasswick import (
     books,
     config,
+    emptiness,
     epoch,
     errors,
+    explain,
     flow,
     health,
     hint,
@@ -81,9 +83,10 @@
         self.home = home.Home(me.name, self.books, self.opener)
         self.switch = switch.Switch(me.name, codec, self.books, self.home)
         self.rehomer = rehome.Rehomer(me.name, self.books)
+        self._explainer = explain.Explainer(self.books, self.keeper, self.membership)
         self._report_ms = 0
+        self._emptiness = emptiness.EmptyTargets(self.books)
         self._discard_until_ms = 0
-        self._told_empty: set[str] = set()
 
     def feed(self, now_ms: int, event: message.Event) -> list[message.Action]:
         """Handle one event.
@@ -153,14 +156,16 @@
         if isinstance(item, wire.Ping):
             self.membership.ping(now_ms, source, item)
             self.keeper.heard(now_ms, item.sender.name, item.sequence)
+            self.books.epochs.heard(item.sequence)
             return
         sender = self.peers.name_at(source)
         if isinstance(item, wire.Ack):
             self.membership.ack(now_ms, item)
             self.keeper.heard(now_ms, item.sender.name, item.sequence)
+            self.books.epochs.heard(item.sequence)
             return
         if sender is None:
-            self.outbox.count(message.Counter.PACKETS_UNKNOWN_SENDER)
+            self._stranger(now_ms, source, item)
             return
         match item:
             case wire.Forward():
@@ -178,6 +183,15 @@
             case _:
                 raise errors.MessageInvalidError("message belongs on a link")
 
+    def _stranger(
+        self, now_ms: int, source: packet.Address, item: wire.PeerMessage
+    ) -> None:
+        # Operators' commands speak from machines that are no VM of the fleet.
+        if isinstance(item, wire.ExplainFlow | wire.ExplainTarget):
+            self.peers.send_to(source, self._explainer.answer(now_ms, item))
+        else:
+            self.outbox.count(message.Counter.PACKETS_UNKNOWN_SENDER)
+
     def _link(self, now_ms: int, event: message.LinkReceived) -> None:
         try:
             self._link_message(now_ms, event.sender, wire.decode(event.payload))
@@ -272,26 +286,13 @@
         if now_ms < self._report_ms:
             return
         self._report_ms = now_ms + LOAD_REPORT_MS
-        self._note_empty()
+        serving = [item.name for item in self.membership.others.values() if item.serves]
+        self._emptiness.check(now_ms, self.membership.me, self.keeper.watching, serving)
         counts = self.books.flows.open_by_target
         recent = self.opener.chooser.work.recent_tenths(now_ms)
         report = load.report(counts, recent)
-        for other in self.membership.others.values():
-            if other.serves:
-                self.peers.send_link(other.name, report)
-
-    def _note_empty(self) -> None:
-        current = self.books.epochs.current
-        if current is None:
-            return
-        for item in current.config.targets.values():
-            here = self.books.flows.open_by_target[item.name]
-            flows = here + self.books.loads.elsewhere(item.name)
-            if item.accepts or flows:
-                self._told_empty.discard(item.name)
-            elif item.name not in self._told_empty:
-                self._told_empty.add(item.name)
-                self.outbox.put(message.log("target_empty", target=item.name))
+        for name in serving:
+            self.peers.send_link(name, report)
 
     def _follow(self, now_ms: int) -> None:
         if not (self.membership.changed or self.keeper.changed):
@@ -352,6 +353,8 @@
                 # service now. No packet of the flow may go there any more.
                 self.books.flows.remove(key)
                 self.outbox.count(message.Counter.FLOWS_DROPPED)
+                name = record.target.name
+                self.outbox.put(message.log("flow_dropped", flow=str(key), target=name))
             else:
                 self.books.flows.move(key, record, present)
 
--- a/eelgrasswick/epoch.py
+++ b/eelgrasswick/epoch.py
@@ -223,6 +223,7 @@
     def __init__(self, window_ms: int) -> None:
         """Keep ended epochs for a window in milliseconds."""
         self.current: Epoch | None = None
+        self._heard = 0
         self._window_ms = window_ms
         self._earlier: collections.deque[_Earlier] = collections.deque(
             maxlen=MAX_EARLIER
@@ -231,6 +232,15 @@
             maxlen=MAX_EARLIER
         )
 
+    @property
+    def behind(self) -> bool:
+        """True when another VM has told of a newer configuration."""
+        return self.current is not None and self._heard > self.current.config.sequence
+
+    def heard(self, sequence: int) -> None:
+        """Note the sequence that another VM has in force."""
+        self._heard = max(self._heard, sequence)
+
     def advance(self, now_ms: int, epoch: Epoch) -> None:
         """Put a new epoch in force."""
         if self.current is not None:
@@ -269,6 +279,24 @@
             names.update(dict.fromkeys((place.home, place.backup)))  # type: ignore[arg-type]
         return [name for name in names if name]
 
+    def recent_defaults(
+        self, now_ms: int, flow: packet.FlowKey, owner: service.Service
+    ) -> list[target.Target]:
+        """Return default targets of a flow within the window, newest first."""
+        assert self.current is not None
+        recent = [
+            item.epoch
+            for item in self._earlier
+            if now_ms - item.ended_ms <= self._window_ms
+        ]
+        found: dict[str, target.Target] = {}
+        for epoch in (self.current, *recent):
+            known = epoch.config.services.get(owner.name)
+            default = epoch.locate(flow, known).default if known is not None else None
+            if default is not None:
+                found.setdefault(default.name, default)
+        return list(found.values())
+
     def possible_targets(
         self, flow: packet.FlowKey, owner: service.Service
     ) -> list[target.Target]:
--- a/eelgrasswick/opener.py
+++ b/eelgrasswick/opener.py
@@ -162,6 +162,7 @@
         key: packet.FlowKey,
         owner: service.Service,
         certain: bool,
+        preset: target.Target | None = None,
     ) -> None:
         """Let a new flow in and place it, or refuse it.
 
@@ -171,6 +172,7 @@
             key: The flow.
             owner: Its service.
             certain: False when another VM may have placed the flow already.
+            preset: Target on which that VM would have placed it, if known.
         """
         refusal = self._refusal(now_ms, key, owner)
         chosen = None
@@ -179,7 +181,7 @@
             if refusal is None:
                 return
         elif refusal is None:
-            chosen = self.choose(now_ms, key, owner, frozenset()).target
+            chosen = preset or self.choose(now_ms, key, owner, frozenset()).target
             refusal = _no_target(key)
         if chosen is not None:
             self.place(now_ms, item, key, owner, chosen)
@@ -241,33 +243,36 @@
         """Choose a target for a new flow."""
         current = self._books.epochs.current
         assert current is not None
+        if key.protocol == packet.Protocol.UDP:
+            # A datagram can be repeated and reach two homes, as on the sides of
+            # a cut. Both must choose alike, or it would run twice; so nothing
+            # that one VM alone sees counts, neither load nor reach.
+            return choice.Choice(current.locate(key, owner).default, False)
         ranked = [
             item for item in current.ranked(key, owner) if item.name not in excluded
         ]
-        suspected = [self._suspected(now_ms, item, current) for item in ranked]
+        ranked = self._reachable(ranked, current)
+        suspected = [self._books.health.suspected(now_ms, i.name) for i in ranked]
         usable = health.usable(suspected)
         sights = [
             self._sight(item, good) for item, good in zip(ranked, usable, strict=True)
         ]
-        if key.protocol == packet.Protocol.UDP:
-            # A datagram can be repeated and reach two homes whose views differ.
-            # Both must choose alike, or it would run twice; so load is left out.
-            first = next((item.target for item in sights if item.usable), None)
-            return choice.Choice(first, False)
         return self.chooser.choose(now_ms, sights)
 
-    def _suspected(
-        self, now_ms: int, item: target.Target, current: epoch.Epoch
-    ) -> bool:
-        if self._books.health.suspected(now_ms, item.name):
-            return True
+    def _reachable(
+        self, ranked: list[target.Target], current: epoch.Epoch
+    ) -> list[target.Target]:
         # A zone whose entry VMs are all out of reach is cut off or gone, and
-        # its targets with it. Flows sent there would hang until it heals.
-        own_zones = current.zones
-        return bool(own_zones) and item.zone not in own_zones and self._zone_lost(item)
-
-    def _zone_lost(self, item: target.Target) -> bool:
-        return self._books.peers.zone_known(item.zone)
+        # its targets with it. Flows sent there would hang until it heals. Left
+        # out before the panic share is worked out: a small zone that is cut
+        # off sees most targets as lost, and would send flows to all of them.
+        peers = self._books.peers
+        near = [
+            item
+            for item in ranked
+            if item.zone in current.zones or not peers.zone_known(item.zone)
+        ]
+        return near or ranked
 
     def _sight(self, item: target.Target, good: bool) -> choice.Sight:
         here = self._books.flows.open_by_target[item.name]
@@ -315,6 +320,14 @@
         if chosen is None:
             return False
         record.refuted = refuted
+        self._books.outbox.put(
+            message.log(
+                "flow_moved",
+                flow=str(key),
+                before=record.target.name,
+                target=chosen.name,
+            )
+        )
         self._books.flows.move(key, record, chosen)
         self.chooser.move(now_ms, key.packed, chosen.name)
         self._books.outbox.count(_COUNT.FLOWS_MOVED)
