--- a/eelgrasswick/emulated_caller.py
+++ b/eelgrasswick/emulated_caller.py
@@ -113,6 +113,10 @@
         """Flows that have not ended."""
         return len(self._flows) + len(self._exchanges)
 
+    def calls(self, key: packet.FlowKey) -> bool:
+        """Tell whether a flow is open."""
+        return key in self._flows or key in self._exchanges
+
     def call(
         self,
         now_ms: int,
--- a/eelgrasswick/engine.py
+++ b/eelgrasswick/engine.py
@@ -317,6 +317,7 @@
         if before.config is current and before.same_members(members):
             return
         self.books.epochs.advance(now_ms, epoch.Epoch(current, members))
+        self.home.take_back()
         self._note_return(now_ms, before, members)
         if before.config is not current:
             self._revise(before.config, current)
--- a/eelgrasswick/home.py
+++ b/eelgrasswick/home.py
@@ -105,6 +105,12 @@
             return None
         return name if self._books.peers.reachable(name) else None
 
+    def take_back(self) -> None:
+        """End all leave given to other VMs, because homes may have changed."""
+        # Left to a VM that is no longer the home, a flow's packets would go to
+        # and fro between the two until each of its callers gives up.
+        self._yields.clear()
+
     def clear(self) -> None:
         """Drop the packets that wait for answers of former homes."""
         self._inquiries.clear()
--- a/eelgrasswick/inquiry.py
+++ b/eelgrasswick/inquiry.py
@@ -62,6 +62,10 @@
         found = self._yields.get(key)
         return found.name if found is not None and found.until_ms > now_ms else None
 
+    def clear(self) -> None:
+        """Leave no flow to another VM any more."""
+        self._yields.clear()
+
     def expire(self, now_ms: int) -> None:
         """Drop what is over."""
         for key in self._wheel.due(now_ms):
--- a/tests/flow_steps.py
+++ b/tests/flow_steps.py
@@ -55,6 +55,12 @@
                 return port
         raise AssertionError("no port fits")
 
+    def call_if_free(self, name: str, port: int, **request: int) -> None:
+        """Call a service from a port of caller 0 that has no open flow."""
+        owner = self.world.config().services[name]
+        if not self.world.callers.calls(flow_key(owner, port)):
+            self.world.call(name, caller=0, port=port, **request)
+
     def edit(self, text: str) -> None:
         """Submit a changed rules text."""
         self.text = text
--- /dev/null
+++ b/tests/test_feature_at_most_once.py
@@ -0,0 +1,55 @@
+"""Opening packets that are repeated and reach VMs with different views."""
+
+import pytest_bdd
+
+from tests import flow_steps, world
+
+# A SYN or a first datagram is lost or its answer is, so the caller repeats it,
+# and the fabric hands the copy to another VM with older rules or another view
+# of the fleet. Were it placed anew, a submission could run on two targets.
+pytest_bdd.scenarios("features/at_most_once.feature")
+
+
+@pytest_bdd.given("a network that loses and doubles packets")
+def bad_network(bench: flow_steps.Bench) -> None:
+    bench.world.link = world.Link(loss=0.2, double=0.2)
+
+
+@pytest_bdd.given("targets that hold two connections each")
+def small_targets(bench: flow_steps.Bench) -> None:
+    # Fewer than the rules say, so that only the targets themselves refuse.
+    for target in bench.world.targets.values():
+        target.model = target.model._replace(connections=2)
+
+
+@pytest_bdd.when(pytest_bdd.parsers.parse("callers keep calling while {change}"))
+def keep_calling(bench: flow_steps.Bench, change: str) -> None:
+    for turn in range(150):
+        if turn == 50:
+            flow_steps.CHANGES[change](bench)
+        bench.world.call(("desk", "ratio")[turn % 2], work_ms=100)
+        bench.world.run(20)
+
+
+@pytest_bdd.then("no request ran twice")
+def none_twice(bench: flow_steps.Bench) -> None:
+    executed = bench.world.executed()
+    assert len(executed) > 50
+    assert set(executed.values()) == {1}
+
+
+@pytest_bdd.when("callers open more boards than the targets hold")
+def open_too_many(bench: flow_steps.Bench) -> None:
+    for _ in range(60):
+        bench.world.call("desk", parts=40, every_ms=250)
+        bench.world.run(20)
+
+
+@pytest_bdd.then("some flows are refused, none of which ran")
+def some_refused(bench: flow_steps.Bench) -> None:
+    executed = bench.world.executed()
+    turned_away = [
+        item for item in bench.world.histories() if item.end.value != "whole"
+    ]
+    assert turned_away
+    assert not any(executed[item.number] for item in turned_away)
