--- /dev/null
+++ b/tests/test_mixed_faults.py
@@ -0,0 +1,135 @@
+"""Faults and planned changes in any order, while callers keep calling."""
+
+import typing
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from eelgrasswick import emulated_caller
+from tests import flow_steps, world
+
+MIN_VMS = 5
+MAX_VMS = 10
+ZONES = ("z1", "z2", "z3")
+CUTS = (
+    ("z1", "z2", "z3"),
+    ("z2", "z1", "z3", "platform"),
+    ("z3", "platform"),
+)
+PAUSES_MS = (500, 1200, 3000, 12_000)
+SERVICES = ("desk", "vault", "ratio")
+FIRST_PORT = 2000
+PORTS = 40
+
+
+class MixedFaults(stateful.RuleBasedStateMachine):
+    """Whatever comes together, the history keeps every promise.
+
+    VMs die, leave, join, stand still and lose each other while operators edit
+    the rules. A caller must never get another request's answer, a request must
+    not run twice or at a wrong service, and what was refused must not have run.
+    """
+
+    def __init__(self) -> None:
+        """Start a fleet on a network that loses and doubles some packets."""
+        super().__init__()
+        link = world.Link(loss=0.02, double=0.02)
+        self.bench = flow_steps.Bench(world.World(3, link))
+        self.turn = 0
+        self.call_for(500)
+
+    def call_for(self, ms: int) -> None:
+        """Let callers call every 20 ms, now and then for a longer answer."""
+        for _ in range(ms // 20):
+            self.turn += 1
+            port = FIRST_PORT + self.turn % PORTS
+            parts = 12 if self.turn % 7 == 0 else 1
+            name = SERVICES[self.turn % len(SERVICES)]
+            self.bench.call_if_free(name, port, parts=parts, every_ms=250)
+            self.bench.world.run(20)
+
+    def running(self) -> list[str]:
+        """Return the VMs that run, in the order of their start."""
+        return [
+            name
+            for name, vm in self.bench.world.vms.items()
+            if vm.alive and not vm.paused
+        ]
+
+    def pick(self, number: int) -> str | None:
+        """Return a VM that can be spared."""
+        names = self.running()
+        return names[number % len(names)] if len(names) > MIN_VMS else None
+
+    @stateful.rule(number=st.integers(0, 9), gap_ms=st.sampled_from((100, 1000, 4000)))
+    def kill(self, number: int, gap_ms: int) -> None:
+        """End a VM without warning."""
+        name = self.pick(number)
+        if name is not None:
+            self.bench.world.kill(name)
+        self.call_for(gap_ms)
+
+    @stateful.rule(number=st.integers(0, 9), gap_ms=st.sampled_from((100, 1000, 4000)))
+    def leave(self, number: int, gap_ms: int) -> None:
+        """Stop a VM as planned."""
+        name = self.pick(number)
+        if name is not None:
+            self.bench.world.leave(name)
+        self.call_for(gap_ms)
+
+    @stateful.rule(zone=st.sampled_from(ZONES), gap_ms=st.sampled_from((100, 2000)))
+    def join(self, zone: str, gap_ms: int) -> None:
+        """Start a VM."""
+        if len(self.running()) < MAX_VMS:
+            self.bench.join(zone)
+        self.call_for(gap_ms)
+
+    @stateful.rule(number=st.integers(0, 9), pause_ms=st.sampled_from(PAUSES_MS))
+    def pause(self, number: int, pause_ms: int) -> None:
+        """Freeze a VM; what is sent to it waits until it wakes."""
+        name = self.pick(number)
+        if name is not None:
+            self.bench.world.pause(name, pause_ms)
+        self.call_for(500)
+
+    @stateful.rule(places=st.sampled_from(CUTS), cut_ms=st.sampled_from((500, 5000)))
+    def cut(self, places: tuple[str, ...], cut_ms: int) -> None:
+        """Cut a zone off for a while."""
+        self.bench.world.cut(*places)
+        self.call_for(cut_ms)
+        self.bench.world.heal()
+
+    @stateful.rule(change=st.sampled_from(("drain", "undrain", "weigh", "add")))
+    def edit(self, change: str) -> None:
+        """Have an operator change the rules."""
+        bench = self.bench
+        drains, more = flow_steps.DRAINS, flow_steps.MORE_TARGETS
+        text = bench.text.replace(drains, "").replace(more, "")
+        edits: dict[str, typing.Callable[[], str]] = {
+            "drain": lambda: text + drains,
+            "undrain": lambda: text,
+            "weigh": lambda: text.replace("weight=4 ", "weight=3 "),
+            "add": lambda: text + more,
+        }
+        bench.edit(edits[change]())
+        self.call_for(300)
+
+    def teardown(self) -> None:
+        """Let all flows end and check the history."""
+        self.bench.world.run(emulated_caller.GIVE_UP_MS + 2000)
+        assert self.bench.world.breaches() == []
+        assert self.bench.world.callers.open_flows == 0
+
+
+TestMixedFaults = MixedFaults.TestCase
+TestMixedFaults.settings = hypothesis.settings(
+    max_examples=5,
+    stateful_step_count=6,
+    # A run takes seconds, so a failing one is reported as found, not shrunk.
+    phases=(hypothesis.Phase.explicit, hypothesis.Phase.generate),
+    deadline=None,
+    derandomize=True,
+    database=None,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
