--- a/eelgrasswick/guess.py
+++ b/eelgrasswick/guess.py
@@ -43,6 +43,8 @@
         )
         self._books.flows.add(key, record)
         self._books.outbox.count(_COUNT.FLOWS_GUESSED)
+        name = record.target.name
+        self._books.outbox.put(message.log("flow_guessed", flow=str(key), target=name))
         return record
 
     def disown(
--- a/eelgrasswick/home.py
+++ b/eelgrasswick/home.py
@@ -309,6 +309,8 @@
             self._books.flows.move(key, record, sender)
         record.origin = flow.Origin.LEARNED
         record.first = None
+        name = record.target.name
+        self._books.outbox.put(message.log("guess_settled", flow=str(key), target=name))
 
     def _answer_reset(
         self,
