--- a/tests/test_mixed_faults.py
+++ b/tests/test_mixed_faults.py
@@ -124,8 +124,8 @@
 
 TestMixedFaults = MixedFaults.TestCase
 TestMixedFaults.settings = hypothesis.settings(
-    max_examples=5,
-    stateful_step_count=6,
+    max_examples=30,
+    stateful_step_count=10,
     # A run takes seconds, so a failing one is reported as found, not shrunk.
     phases=(hypothesis.Phase.explicit, hypothesis.Phase.generate),
     deadline=None,
