--- a/eelgrasswick/home.py
+++ b/eelgrasswick/home.py
@@ -181,16 +181,15 @@
             return
         known = shared.hints.get(now_ms, key)
         known = known or shared.replicator.kept.get(now_ms, key)
-        if known is not None:
+        # A copy can outlive its flow, and a SYN opens another on a used port.
+        if known is not None and (known.accepts or not item.opens):
             self._adopt(now_ms, item, key, owner, known)
             return
         if self._inquiries.hold(key, item):
             return
-        former = [
-            name
-            for name in shared.epochs.earlier_owners(now_ms, key, owner)
-            if name != self._name and shared.peers.reachable(name)
-        ]
+        earlier = shared.epochs.earlier_owners(now_ms, key, owner)
+        others = [name for name in earlier if name != self._name]
+        former = [name for name in others if shared.peers.reachable(name)]
         if former:
             self._inquiries.start(now_ms, key, item, former)
             return
