--- a/eelgrasswick/command.py
+++ b/eelgrasswick/command.py
@@ -9,6 +9,7 @@
 from twisted.internet import reactor as default_reactor
 
 from eelgrasswick import (
+    capacity,
     command_load,
     command_operator,
     command_show,
@@ -57,6 +58,7 @@
         | command_standin.Standin
         | trial.Trial
         | packet_cost.PacketCost
+        | capacity.Capacity
     ]
 
 
