Take in no member without an address, and bound what faults log

Cause, shown by a test that failed before (hypothesis found a member with an empty address): a heartbeat may tell of a VM whose ip is no address or whose port is none. Taken in, the next heartbeat to it raised, and so did each one after; the VM would have looked dead to the others. Decoding checks the fields of a member and the hops of a packet now. Ruled out: catching the error where datagrams are sent, because the member would stay in the view and spread.

In the daemon a fault of one action no longer drops the actions after it; faults and failed sends are written at the logger's bounded rate, and errors that Twisted reports become events of the log. A datagram that is too long for the system is a failed send and no traceback. [DEFAULT] in a settings file is refused; before, its keys counted for every section.

--- a/eelgrasswick/command.py
+++ b/eelgrasswick/command.py
@@ -36,6 +36,7 @@
         try:
             loaded = setting.load(self.settings)
             log.write_to(sys.stdout)
+            log.take_twisted(loaded.vm.name)
             compose.entry_daemon(default_reactor, loaded).start()
         except errors.EelgrasswickError as error:
             console.fail(error)
--- a/eelgrasswick/daemon.py
+++ b/eelgrasswick/daemon.py
@@ -5,6 +5,7 @@
 import signal
 import socket
 import time
+import traceback
 import typing
 
 import eliot
@@ -26,14 +27,20 @@
 )
 
 IDLE_CHECK_S: typing.Final = 10.0
+TRACE_FRAMES: typing.Final = 4
 MAX_CACHED_ADDRESSES: typing.Final = 100_000
 
 
 class _Port(protocol.DatagramProtocol):
     """A UDP socket that passes datagrams to the daemon."""
 
-    def __init__(self, receive: typing.Callable[[packet.Address, bytes], None]) -> None:
+    def __init__(
+        self,
+        receive: typing.Callable[[packet.Address, bytes], None],
+        failed: typing.Callable[[packet.Address, Exception], None],
+    ) -> None:
         self._receive = receive
+        self._failed = failed
         self._sources: dict[tuple[str, int], packet.Address] = {}
         self._destinations: dict[packet.Address, tuple[str, int]] = {}
 
@@ -52,10 +59,8 @@
             self._destinations[destination] = addr
         try:
             typing.cast(typing.Any, self.transport).write(payload, addr)
-        except OSError as error:
-            eliot.log_message(
-                message_type="send_failed", to=str(destination), detail=str(error)
-            )
+        except (OSError, error.MessageLengthError) as failed:
+            self._failed(destination, failed)
 
 
 class Daemon:
@@ -83,8 +88,8 @@
         self._links = link_pool.LinkPool(
             reactor, settings.vm.name, settings.vm.ip, identity, self._on_link_drop
         )
-        self._data = _Port(self._on_data)
-        self._peer = _Port(self._on_peer)
+        self._data = _Port(self._on_data, self._on_send_failed)
+        self._peer = _Port(self._on_peer, self._on_send_failed)
         self._stopping = False
         self._trust: dict[bytes, bool] = {}
 
@@ -186,13 +191,32 @@
     def _feed(self, event: message.Event) -> None:
         now_ms = _now_ms()
         try:
-            for action in self._engine.feed(now_ms, event):
-                self._do(now_ms, action)
-        except Exception:  # noqa: BLE001
+            actions = self._engine.feed(now_ms, event)
+        except Exception as failed:  # noqa: BLE001
             # A fault in handling one event must not end the ticks or the
             # socket: the VM would keep its place in the fleet and serve nobody.
-            # The traceback in the log shows the fault; the next event goes on.
-            eliot.write_traceback()
+            # The event in the log shows the fault; the next event goes on.
+            self._on_fault(now_ms, failed)
+            return
+        for action in actions:
+            try:
+                self._do(now_ms, action)
+            except Exception as failed:  # noqa: BLE001
+                # The actions after it may be for other flows.
+                self._on_fault(now_ms, failed)
+
+    def _on_fault(self, now_ms: int, failed: Exception) -> None:
+        where = traceback.extract_tb(failed.__traceback__)[-TRACE_FRAMES:]
+        item = message.log(
+            "handling_failed",
+            detail=repr(failed),
+            where=" < ".join(f"{item.name}:{item.lineno}" for item in reversed(where)),
+        )
+        self._logger.write(now_ms, item)
+
+    def _on_send_failed(self, destination: packet.Address, failed: Exception) -> None:
+        item = message.log("send_failed", to=str(destination), detail=str(failed))
+        self._logger.write(_now_ms(), item)
 
     def _do(self, now_ms: int, action: message.Action) -> None:
         match action:
--- a/eelgrasswick/log.py
+++ b/eelgrasswick/log.py
@@ -7,6 +7,7 @@
 import typing
 
 import eliot
+from twisted import logger
 
 from eelgrasswick import message
 
@@ -53,6 +54,23 @@
     eliot.add_destinations(destination)
 
 
+def take_twisted(vm: str) -> None:
+    """Write errors that Twisted reports as events of this log.
+
+    An error in a callback that nobody waits for would otherwise go to standard
+    error in many lines, where no grep by VM finds it.
+    """
+
+    def observer(event: typing.Any) -> None:
+        if event.get("log_level") in (logger.LogLevel.error, logger.LogLevel.critical):
+            detail = logger.formatEvent(event)
+            eliot.log_message(message_type="twisted_error", vm=vm, detail=detail)
+
+    logger.globalLogBeginner.beginLoggingTo(
+        [typing.cast(typing.Any, observer)], redirectStandardIO=False
+    )
+
+
 class Logger:
     """Writes log actions, each sort at a bounded rate.
 
--- a/eelgrasswick/member.py
+++ b/eelgrasswick/member.py
@@ -3,6 +3,19 @@
 import enum
 import typing
 
+import msgspec
+
+# Members come in messages of other VMs, and their addresses are sent to. One that
+# is no address would fail at each heartbeat from then on, and the VM that took it
+# in would look dead to the others; so decoding checks these bounds.
+_OCTET: typing.Final = r"(25[0-5]|2[0-4]\d|1\d\d|[1-9]?\d)"
+_MAX_NAME: typing.Final = 63
+Name = typing.Annotated[str, msgspec.Meta(min_length=1, max_length=_MAX_NAME)]
+Ip = typing.Annotated[str, msgspec.Meta(pattern=rf"^({_OCTET}\.){{3}}{_OCTET}\Z")]
+Port = typing.Annotated[int, msgspec.Meta(ge=1, le=65535)]
+Size = typing.Annotated[int, msgspec.Meta(ge=1, le=1000)]
+Incarnation = typing.Annotated[int, msgspec.Meta(ge=0, lt=2**62)]
+
 
 class MemberState(enum.IntEnum):
     """Life of a VM; for one incarnation a higher state overrides a lower one."""
@@ -33,13 +46,13 @@
         state: Where it is in its life.
     """
 
-    name: str
-    zone: str
-    ip: str
-    peer_port: int
-    link_port: int
-    size: int
-    incarnation: int
+    name: Name
+    zone: Name
+    ip: Ip
+    peer_port: Port
+    link_port: Port
+    size: Size
+    incarnation: Incarnation
     state: MemberState
 
     @property
--- a/eelgrasswick/setting.py
+++ b/eelgrasswick/setting.py
@@ -182,7 +182,11 @@
     Raises:
         errors.SettingsInvalidError: The detail names every fault, one a line.
     """
-    parser = configparser.ConfigParser(interpolation=None)
+    parser = configparser.ConfigParser(
+        # Keys under [DEFAULT] would count for all sections without being named.
+        interpolation=None,
+        default_section="",
+    )
     try:
         parser.read_string(text)
     except configparser.Error as error:
--- a/eelgrasswick/wire.py
+++ b/eelgrasswick/wire.py
@@ -14,6 +14,8 @@
 MAX_DATAGRAM_BYTES: typing.Final = 9200
 MAX_LINK_BYTES: typing.Final = 2_000_000
 
+Hops = typing.Annotated[int, msgspec.Meta(ge=0, le=255)]
+
 
 class Forward(typing.NamedTuple):
     """A caller's packet on its way to the flow's home.
@@ -23,7 +25,7 @@
         packet: The IPv4 packet.
     """
 
-    hops: int
+    hops: Hops
     packet: bytes
 
 
@@ -36,7 +38,7 @@
         packet: The IPv4 packet.
     """
 
-    hops: int
+    hops: Hops
     target: str
     packet: bytes
 
