--- a/tests/control_steps.py
+++ b/tests/control_steps.py
@@ -223,3 +223,10 @@
 @pytest_bdd.then("no request ran twice")
 def at_most_once(control: Control) -> None:
     assert set(control.world.executed().values()) <= {1}
+
+
+@pytest_bdd.then("every VM serves with the newest rules")
+def every_vm_newest(control: Control) -> None:
+    for vm in fleet_view.running(control.world):
+        assert vm.engine.membership.me.serves
+    assert fleet_view.in_force(control.world) == {control.sequence}
--- a/tests/test_feature_configuration.py
+++ b/tests/test_feature_configuration.py
@@ -48,14 +48,7 @@
 @pytest_bdd.then(pytest_bdd.parsers.parse("every VM serves within {limit:d} s"))
 def all_serve(control: control_steps.Control, limit: int) -> None:
     control.world.run_until(lambda: fleet_view.agreed(control.world), limit * 1000)
-    every_vm_newest(control)
-
-
-@pytest_bdd.then("every VM serves with the newest rules")
-def every_vm_newest(control: control_steps.Control) -> None:
-    for vm in fleet_view.running(control.world):
-        assert vm.engine.membership.me.serves
-    assert fleet_view.in_force(control.world) == {control.sequence}
+    control_steps.every_vm_newest(control)
 
 
 @pytest_bdd.then("all VMs have the same rules in force")
