Check recorded histories of operators for linearizability

Cause: an operator whose answer was lost writes the present document again, so that its late write fails. Another one's comparison fails then, too, and it was told of a conflict without any line, though nothing had changed. Fix: a submission whose base is still there is tried again on its new revision.

--- a/eelgrasswick/change.py
+++ b/eelgrasswick/change.py
@@ -120,12 +120,19 @@
         if plan.empty:
             before = plan.before
             return Result(Outcome.UNCHANGED, before.sequence, before.change_id, ())
-        try:
-            committed = await self._commit(plan)
-        except errors.StoreError as error:
-            return await self._resolve(plan, error)
-        if committed.accepted:
-            return _accepted(plan)
+        for _ in range(TRIES):
+            try:
+                committed = await self._commit(plan)
+            except errors.StoreError as error:
+                return await self._resolve(plan, error)
+            if committed.accepted:
+                return _accepted(plan)
+            row = await self._store.read(store.RULES_KEY)
+            if row is None or not _same(row, plan.before):
+                break
+            # Another operator whose answer was lost wrote the same document
+            # again. Reported as a conflict, it would be one without any line.
+            plan = plan._replace(revision=row.revision)
         return await self._conflict(plan)
 
     async def _commit(self, plan: Plan) -> store.Committed:
@@ -189,6 +196,13 @@
         return tuple(_entry(row) for row in rows)
 
 
+def _same(row: store.Row, before: config.Document) -> bool:
+    try:
+        return config.decode(row.value) == before
+    except errors.RulesInvalidError:
+        return False
+
+
 def _accepted(plan: Plan) -> Result:
     after = plan.after
     return Result(Outcome.ACCEPTED, after.sequence, after.change_id, plan.lines)
--- /dev/null
+++ b/tests/operators.py
@@ -0,0 +1,145 @@
+"""Operators who edit at the same time while the platform fails, recorded."""
+
+import random
+import typing
+
+from twisted.internet import defer, task
+
+from eelgrasswick import change, errors, history_config, store
+from tests import control_steps, world
+
+KIND = history_config.Kind
+OUTCOME = history_config.Outcome
+
+
+class Operators:
+    """Some operators at one platform, with what they did and were told."""
+
+    def __init__(self, seed: int, count: int, vms: int, wait_s: float = 0.4) -> None:
+        """Start operators who edit until they are stopped.
+
+        Args:
+            seed: Of all that is drawn.
+            count: Number of operators.
+            vms: Number of VMs that put the changes in force.
+            wait_s: Longest wait of an operator between two edits.
+        """
+        self._wait_s = wait_s
+        self.control = control_steps.Control()
+        self.world = self.control.world
+        self.rng = random.Random(seed)
+        self.operations: list[history_config.Operation] = []
+        self.in_force: list[history_config.InForce] = []
+        self.unreadable = 0
+        self._edits = 0
+        self._busy = True
+        self.world.add_fleet(vms, control_steps.ZONES)
+        self._watch_vms()
+        for number in range(count):
+            work = self._edit_on(f"operator{number}")
+            defer.Deferred.fromCoroutine(work)
+
+    def run(self, steps: int) -> history_config.History:
+        """Switch faults at random for some steps, end them, return the history."""
+        for _ in range(steps):
+            self.control.faults(**self._draw())
+            self.world.run(self.rng.randrange(200, 1500))
+        self.control.faults()
+        self.world.run(2000)
+        self._busy = False
+        self.world.run(8000)
+        return history_config.History(tuple(self.operations), tuple(self.in_force))
+
+    def _draw(self) -> dict[str, typing.Any]:
+        return self.rng.choice(
+            (
+                {},
+                {"outage": True},
+                {"delay_ms": self.rng.randrange(1, 300)},
+                {"lost_answers": self.rng.randrange(1, 4)},
+                {"lost_answers": 1, "late_ms": self.rng.randrange(1, 2500)},
+            )
+        )
+
+    async def _edit_on(self, name: str) -> None:
+        operator = change.Operator(self.world.platform, name)
+        while self._busy:
+            await task.deferLater(
+                self.world.clock, self.rng.random() * self._wait_s, _nothing
+            )
+            self._edits += 1
+            text = f"{self.control.text}# edit {self._edits} by {name}\n"
+            try:
+                plan = await self._plan(operator, name, text)
+            except errors.StoreError:
+                self.unreadable += 1
+                continue
+            await task.deferLater(self.world.clock, self.rng.random() * 0.2, _nothing)
+            await self._submit(operator, name, plan)
+
+    async def _plan(
+        self, operator: change.Operator, name: str, text: str
+    ) -> change.Plan:
+        began_ms = self.world.now_ms
+        plan = await operator.plan(text, began_ms)
+        value = plan.before.change_id
+        self._record(name, KIND.READ, began_ms, "", value, OUTCOME.DONE)
+        return plan
+
+    async def _submit(
+        self, operator: change.Operator, name: str, plan: change.Plan
+    ) -> None:
+        began_ms = self.world.now_ms
+        outcome = OUTCOME.DONE
+        try:
+            result = await operator.submit(plan)
+            if result.outcome is change.Outcome.CONFLICT:
+                outcome = OUTCOME.LOST
+        except errors.ChangeUnknownError:
+            outcome = OUTCOME.UNKNOWN
+        except errors.StoreError as error:
+            told = error.detail.startswith("not accepted")
+            outcome = OUTCOME.REFUSED if told else OUTCOME.UNKNOWN
+        before, after = plan.before.change_id, plan.after.change_id
+        self._record(name, KIND.SWAP, began_ms, before, after, outcome)
+
+    def _record(
+        self,
+        name: str,
+        kind: history_config.Kind,
+        began_ms: int,
+        expected: str,
+        value: str,
+        outcome: history_config.Outcome,
+    ) -> None:
+        ended_ms = self.world.now_ms
+        key = store.RULES_KEY
+        item = (name, key, kind, began_ms, ended_ms, expected, value, outcome)
+        self.operations.append(history_config.Operation(*item))
+
+    def _watch_vms(self) -> None:
+        loop = task.LoopingCall(self._note_vms)
+        loop.clock = self.world.clock
+        loop.start(0.005)
+
+    def _note_vms(self) -> None:
+        for vm in self.world.vms.values():
+            note_in_force(vm, self.world.now_ms, self.in_force)
+
+
+def note_in_force(
+    vm: world.Vm, now_ms: int, noted: list[history_config.InForce]
+) -> None:
+    """Note what a VM has in force, when it is new."""
+    current = vm.engine.keeper.current
+    if current is None:
+        return
+    name = vm.me.name
+    last = next((item for item in reversed(noted) if item.vm == name), None)
+    change_id = current.document.change_id
+    if last is None or (last.sequence, last.value) != (current.sequence, change_id):
+        noted.append(history_config.InForce(name, now_ms, current.sequence, change_id))
+
+
+def _nothing() -> None:
+    return
