--- a/eelgrasswick/command.py
+++ b/eelgrasswick/command.py
@@ -9,8 +9,10 @@
 from twisted.internet import reactor as default_reactor
 
 from eelgrasswick import (
+    capacity,
     command_load,
     command_operator,
+    command_show,
     command_standin,
     compose,
     console,
@@ -49,13 +51,14 @@
         command_operator.Check
         | command_operator.Apply
         | command_operator.Watch
-        | command_operator.Show
+        | command_show.Show
         | command_operator.Audit
         | command_load.Load
         | Entry
         | command_standin.Standin
         | trial.Trial
         | packet_cost.PacketCost
+        | capacity.Capacity
     ]
 
 
--- a/eelgrasswick/emulated_caller.py
+++ b/eelgrasswick/emulated_caller.py
@@ -241,7 +241,10 @@
         for key, flow in list(self._flows.items()):
             flow.stream.tick(now_ms)
             self._collect(flow.stream)
-            if now_ms - flow.heard_ms > GIVE_UP_MS:
+            silent = now_ms - flow.heard_ms > GIVE_UP_MS
+            if silent and flow.stream.peer_closed:
+                self._end(now_ms, key, flow, *_judge(flow))
+            elif silent:
                 self._end(now_ms, key, flow, End.BROKEN, "silence")
             else:
                 self._check(now_ms, key, flow)
@@ -268,11 +271,9 @@
 
     def _check(self, now_ms: int, key: packet.FlowKey, flow: _Flow) -> None:
         stream = flow.stream
-        if stream.reset and stream.peer_closed:
-            # The whole answer and its end came before. A program has read them
-            # by then; only the last acknowledgement was lost on the way.
-            end, detail = _judge(flow)
-            self._end(now_ms, key, flow, end, detail)
+        if stream.peer_closed:
+            # All bytes and the end have come; what follows can't spoil them.
+            self._finished(now_ms, key, flow)
         elif stream.reset:
             refused = b"kind=" in stream.reset_data
             end = End.REFUSED if refused else End.BROKEN
@@ -280,8 +281,6 @@
             self._end(now_ms, key, flow, end, detail)
         elif stream.gave_up:
             self._end(now_ms, key, flow, End.BROKEN, "gave up")
-        elif stream.peer_closed:
-            self._finished(now_ms, key, flow)
 
     def _finished(self, now_ms: int, key: packet.FlowKey, flow: _Flow) -> None:
         flow.stream.close(now_ms)
--- a/eelgrasswick/home.py
+++ b/eelgrasswick/home.py
@@ -5,6 +5,7 @@
 from eelgrasswick import (
     books,
     flow,
+    guess,
     inquiry,
     message,
     opener,
@@ -14,7 +15,6 @@
 )
 
 _COUNT: typing.Final = message.Counter
-MAX_CANDIDATES: typing.Final = 16
 
 
 class Home:
@@ -30,6 +30,8 @@
         self._books = shared
         self._opener = opening
         self._inquiries = inquiry.Inquiries(shared.peers)
+        self._guesser = guess.Guesser(name, shared)
+        self._yields = inquiry.Yields()
 
     def request(
         self,
@@ -44,6 +46,9 @@
             self._unknown(now_ms, item, key, owner)
         elif item.opens:
             self._open_again(now_ms, item, key, owner, record)
+        elif record.answers_another(item):
+            record.seen_ms = now_ms
+            self._guesser.disown(item, key, owner, record)
         else:
             self._continue(now_ms, item, key, record)
 
@@ -76,6 +81,30 @@
         if settled is not None:
             self._settle(now_ms, settled)
 
+    def leave_to(self, now_ms: int, key: packet.FlowKey, asker: str) -> bool:
+        """Leave a flow that is unknown here to the VM that asks for it.
+
+        Args:
+            now_ms: Present time in milliseconds.
+            key: The flow.
+            asker: Name of the VM that asks.
+
+        Returns:
+            False when this VM is asking for the same flow and goes first.
+        """
+        if self._inquiries.asks(key) and self._name < asker:
+            return False
+        self._inquiries.cancel(key)
+        self._yields.add(now_ms, key, asker)
+        return True
+
+    def left_to(self, now_ms: int, key: packet.FlowKey) -> str | None:
+        """Return the VM to which this one has left a flow, if it is there."""
+        name = self._yields.get(now_ms, key)
+        if name is None or self._books.flows.get(key) is not None:
+            return None
+        return name if self._books.peers.reachable(name) else None
+
     def clear(self) -> None:
         """Drop the packets that wait for answers of former homes."""
         self._inquiries.clear()
@@ -84,6 +113,7 @@
         """Settle inquiries that got no answer and note silent targets."""
         for settled in self._inquiries.overdue(now_ms):
             self._settle(now_ms, settled)
+        self._yields.expire(now_ms)
         self._opener.tick(now_ms)
 
     # Packets of callers.
@@ -96,9 +126,13 @@
         record: flow.Record,
     ) -> None:
         record.seen_ms = now_ms
+        record.greeting = None
         if record.state is flow.State.OPENING:
+            # The caller has met a target whose SYN-ACK took its way over
+            # another VM, which has or had other views. Most likely it is this
+            # one; if another one, a reset by this one must not be passed on.
             record.state = flow.State.OPEN
-            record.first = None
+            record.origin = flow.Origin.GUESSED
         if record.origin is flow.Origin.GUESSED:
             record.first = item
         self._send(record.target, item)
@@ -171,10 +205,31 @@
                 self.request(now_ms, item, key, owner)
             elif known is not None and known.service == owner.name:
                 self._adopt(now_ms, item, key, owner, known)
-            elif item.opens or item.protocol == packet.Protocol.UDP:
+            elif item.opens:
                 self._opener.admit(now_ms, item, key, owner, settled.certain)
+            elif item.protocol == packet.Protocol.UDP:
+                self._admit_datagram(now_ms, item, key, owner, settled.certain)
             else:
-                self._guess(now_ms, item, key, owner)
+                record = self._guesser.begin(now_ms, key, owner)
+                if record is not None:
+                    self._continue(now_ms, item, key, record)
+
+    def _admit_datagram(
+        self,
+        now_ms: int,
+        item: packet.Packet,
+        key: packet.FlowKey,
+        owner: service.Service,
+        answered: bool,
+    ) -> None:
+        if answered and self._guesser.certain(now_ms, key, owner):
+            self._opener.admit(now_ms, item, key, owner, True)
+            return
+        agreed = self._guesser.agreed(now_ms, key, owner)
+        if agreed is not None:
+            self._opener.admit(now_ms, item, key, owner, False, agreed)
+        else:
+            self._books.outbox.count(_COUNT.PACKETS_UNKNOWN_FLOW)
 
     def _adopt(
         self,
@@ -204,72 +259,6 @@
         self._books.outbox.count(_COUNT.FLOWS_LEARNED)
         self._opener.replicate(key, owner, known)
 
-    # Flows that nobody knows.
-
-    def _guess(
-        self,
-        now_ms: int,
-        item: packet.Packet,
-        key: packet.FlowKey,
-        owner: service.Service,
-    ) -> None:
-        candidates = [] if owner.reused else self._candidates(key, owner)
-        if not candidates:
-            # The address belonged to another service before: the packet may be
-            # meant for that one, and no target of this one may see it.
-            self._books.outbox.count(_COUNT.PACKETS_UNKNOWN_FLOW)
-            return
-        record = flow.Record(
-            candidates[0],
-            flow.Origin.GUESSED,
-            flow.State.OPEN,
-            now_ms,
-            owner.idle_s * 1000,
-        )
-        self._books.flows.add(key, record)
-        self._books.outbox.count(_COUNT.FLOWS_GUESSED)
-        self._continue(now_ms, item, key, record)
-
-    def _candidates(
-        self, key: packet.FlowKey, owner: service.Service
-    ) -> list[target.Target]:
-        epochs = self._books.epochs
-        current = epochs.current
-        assert current is not None
-        found = {item.name: item for item in epochs.possible_targets(key, owner)}
-        for item in current.ranked_all(key, owner):
-            found.setdefault(item.name, item)
-        present = current.config.targets
-        names = [name for name in found if name in present]
-        return [present[name] for name in names[:MAX_CANDIDATES]]
-
-    def _refute(
-        self,
-        now_ms: int,
-        item: packet.Packet,
-        key: packet.FlowKey,
-        owner: service.Service,
-        record: flow.Record,
-    ) -> None:
-        # A target resets a packet of a flow that it does not hold. Passed on,
-        # the reset would cut the caller off from the target that does hold it;
-        # so it is held back and the next possible target is tried. Only when
-        # every one of them has reset the flow is it truly gone.
-        record.refuted = record.refuted | {record.target.name}
-        rest = [
-            other
-            for other in self._candidates(key, owner)
-            if other.name not in record.refuted
-        ]
-        if not rest:
-            self._pass(item)
-            self._close(now_ms, key, record)
-            return
-        self._books.outbox.count(_COUNT.RESETS_HELD_BACK)
-        self._books.flows.move(key, record, rest[0])
-        if record.first is not None:
-            self._send(record.target, record.first)
-
     # Packets of targets.
 
     def _answer_unknown(
@@ -314,6 +303,8 @@
             self._books.flows.move(key, record, sender)
         record.origin = flow.Origin.LEARNED
         record.first = None
+        name = record.target.name
+        self._books.outbox.put(message.log("guess_settled", flow=str(key), target=name))
 
     def _answer_reset(
         self,
@@ -324,7 +315,11 @@
         record: flow.Record,
     ) -> None:
         if record.origin is flow.Origin.GUESSED:
-            self._refute(now_ms, item, key, owner, record)
+            if self._guesser.refute(key, owner, record):
+                self._books.outbox.count(_COUNT.RESETS_HELD_BACK)
+            else:
+                self._pass(item)
+                self._close(now_ms, key, record)
             return
         opening = record.state is flow.State.OPENING
         if opening and item.refuses_open and record.first is not None:
@@ -346,6 +341,7 @@
         record.seen_ms = now_ms
         if item.flags & packet.Flags.SYN:
             record.first = None
+            record.greeting = item.sequence
             if record.state is flow.State.OPENING:
                 record.state = flow.State.OPEN
                 self._opener.answered(now_ms, record)
--- a/eelgrasswick/load.py
+++ b/eelgrasswick/load.py
@@ -71,6 +71,10 @@
         """Return the open flows of a target at all other homes."""
         return self._flows[name]
 
+    def heard_from(self, names: typing.Iterable[str]) -> bool:
+        """Tell whether there is a recent report of each of these homes."""
+        return all(name in self._reports for name in names)
+
     def recent_elsewhere(self, name: str) -> float:
         """Return the recent starts on a target at all other homes."""
         return self._recent_tenths[name] / 10
--- a/eelgrasswick/trial_engine.py
+++ b/eelgrasswick/trial_engine.py
@@ -23,6 +23,7 @@
 FABRIC_LAG_MS: typing.Final = 1000.0
 REQUEST_BYTES: typing.Final = 200
 _FABRIC: typing.Final = packet.address("10.255.0.1:6080")
+_TARGET_SEQUENCE: typing.Final = 1
 
 
 class Row(typing.NamedTuple):
@@ -225,10 +226,11 @@
 def _segment(key: packet.FlowKey, flags: int, sequence: int, size: int) -> bytes:
     caller = packet.Address(key.caller_ip, key.caller_port)
     address = packet.Address(key.service_ip, key.service_port)
-    return packet.build_tcp(caller, address, flags, sequence, 0, bytes(size))
+    acknowledged = 0 if flags == packet.Flags.SYN else _TARGET_SEQUENCE + 1
+    return packet.build_tcp(caller, address, flags, sequence, acknowledged, bytes(size))
 
 
 def _answer(key: packet.FlowKey, flags: int, acknowledgement: int) -> bytes:
     caller = packet.Address(key.caller_ip, key.caller_port)
     address = packet.Address(key.service_ip, key.service_port)
-    return packet.build_tcp(address, caller, flags, 1, acknowledgement)
+    return packet.build_tcp(address, caller, flags, _TARGET_SEQUENCE, acknowledgement)
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -11,7 +11,6 @@
 
 from tests import fleet
 
-BLOCK = 4
 LIMIT_S = 30
 STOP_BOUND_S = 10
 
@@ -64,9 +63,18 @@
 
 
 @pytest.fixture(scope="module")
-def run(tmp_path_factory: pytest.TempPathFactory) -> typing.Iterator[fleet.Fleet]:
+def block() -> typing.Iterator[int]:
+    """A block of addresses that this run has for itself."""
+    with fleet.reserved_block() as block:
+        yield block
+
+
+@pytest.fixture(scope="module")
+def run(
+    block: int, tmp_path_factory: pytest.TempPathFactory
+) -> typing.Iterator[fleet.Fleet]:
     """Three VMs that have the first configuration in force."""
-    made = fleet.Fleet(tmp_path_factory.mktemp("fleet"), 4, BLOCK)
+    made = fleet.Fleet(tmp_path_factory.mktemp("fleet"), 4, block)
     try:
         made.start("platform", "standin", "platform", made.platform)
         made.await_platform()
@@ -130,6 +138,23 @@
     assert "outcome=accepted" in plain.stdout
 
 
+def test_show_explains_a_flow_and_a_target(run: fleet.Fleet) -> None:
+    source = ("--from", f"127.{run.block}.1.90")
+    flow = ("show", "--flow", "tcp/10.9.0.1:4000>10.1.0.1:443", "--json")
+    by_list = run.command(*flow, *source, "--platform", run.url)
+    assert by_list.returncode == 0, by_list.stderr
+    answers = json.loads(by_list.stdout)
+    assert {item["default_target"] for item in answers} != {"none"}
+    assert any(item["home"] == item["vm"] for item in answers)
+    target = ("show", "--target", "d1", "--vm", f"{run.nodes[0].ip}:6081")
+    by_vm = run.command(*target, *source)
+    assert "takes new flows by its weight" in by_vm.stdout
+    stranger = run.command(*target, "--from", f"127.{run.block}.7.1")
+    assert stranger.returncode == 6
+    assert "vm_silent" in stranger.stderr
+    assert run.command("show", "--flow", "what").returncode == 1
+
+
 def test_dry_run_and_stale_base_change_nothing(run: fleet.Fleet) -> None:
     text = run.rules.read_text()
     run.rules.write_text(text + "drain d1  # asked by Otieno\n")
@@ -159,11 +184,11 @@
     node = run.nodes[0]
     garbage = [b"", b"\x45", b"\xff" * 200, b"\x60" + b"\0" * 60, b"\x45" + b"\0" * 19]
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
-        sender.bind((f"127.{BLOCK}.1.99", 0))
+        sender.bind((f"127.{run.block}.1.99", 0))
         for payload in garbage:
             sender.sendto(payload, (node.ip, 6080))
             sender.sendto(payload, (node.ip, 6081))
-    for host in (f"127.{BLOCK}.1.99", f"127.{BLOCK}.7.1"):
+    for host in (f"127.{run.block}.1.99", f"127.{run.block}.7.1"):
         link = socket.create_connection((node.ip, 6082), LIMIT_S, (host, 0))
         link.settimeout(LIMIT_S)
         link.sendall(b"\x16\x03garbage\r\n\r\n")
