--- a/tests/features/drain.feature
+++ b/tests/features/drain.feature
@@ -51,3 +51,11 @@
     And 4 s go by with new flows
     Then d7 has got no new flow since
     And no VM has gone back
+
+  Scenario: The trail tells when a drained target was empty
+    Given a fleet of 8 VMs in three zones
+    And 30 open boards of 8 s
+    When the operator drains d7
+    And one in twenty datagrams is lost
+    And 40 s go by
+    Then the trail tells that d7 was empty, not before its last flow ended
--- a/tests/test_feature_drain.py
+++ b/tests/test_feature_drain.py
@@ -2,7 +2,7 @@
 
 import pytest_bdd
 
-from eelgrasswick import flow
+from eelgrasswick import change, flow
 from tests import control_steps
 
 # An operator drains a target for repair, or removes its line. A VM that hears
@@ -45,3 +45,22 @@
     told = {vm for vm, item in control.logged("target_empty") if item["target"] == name}
     running = {vm.me.name for vm in control.world.vms.values() if vm.alive}
     assert told >= running
+
+
+@pytest_bdd.then(
+    pytest_bdd.parsers.parse(
+        "the trail tells that {name} was empty, not before its last flow ended"
+    )
+)
+def trail_tells(control: control_steps.Control, name: str) -> None:
+    operator = change.Operator(control.world.platform, "auditor")
+    trail = control.world.wait(operator.audit())
+    told = [
+        item
+        for item in trail
+        if item.outcome == change.Outcome.EMPTY.value and name in "".join(item.lines)
+    ]
+    histories = control.world.histories()
+    last_ms = max(item.ended_ms for item in histories if item.target == name)
+    assert len(told) == 1
+    assert told[0].at_ms >= last_ms
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -206,3 +206,28 @@
         alone.now_ms += 60_000
         alone.run(50)
     assert alone.state("b") is None
+
+
+def test_leaving_vm_refutes_its_death_and_goes_on_leaving(alone: Alone) -> None:
+    # The pings to a VM that is leaving are lost, and it is taken for dead. It
+    # still passes packets on and answers for its former flows, so it must be
+    # heard; it must not become a home again by that.
+    alone.run(2000)
+    alone.view.leave(alone.now_ms)
+    before = alone.view.me
+    alone.ping(vm("a", 1), before._replace(state=SUSPECT))
+    assert alone.view.me == before
+    alone.ping(vm("a", 1), before._replace(state=DEAD))
+    assert alone.view.me.state is member.MemberState.LEAVING
+    assert alone.view.me.incarnation > before.incarnation
+
+
+def test_one_lost_probe_does_not_end_a_leaving_vm() -> None:
+    leaving = vm("a", 1, member.MemberState.LEAVING)
+    alone = Alone(leaving)
+    alone.run(membership.SUSPECT_MS - 100)
+    assert alone.state("a") is member.MemberState.LEAVING
+    for item in alone.run(200):
+        alone.ack(item.number, leaving)
+    alone.run(350)
+    assert alone.state("a") is member.MemberState.LEAVING
