--- a/eelgrasswick/trial_placement.py
+++ b/eelgrasswick/trial_placement.py
@@ -6,7 +6,6 @@
 keep every flow. Bytes are those of the messages in ``wire``.
 """
 
-import collections
 import heapq
 import random
 import typing
@@ -19,6 +18,7 @@
     replica,
     service,
     target,
+    trial_counts,
     trial_load,
     virtual_fleet,
     wire,
@@ -27,7 +27,6 @@
 ZONES: typing.Final = ("z1", "z2", "z3")
 TARGETS: typing.Final = 7
 HINT_TTL_MS: typing.Final = 10_000.0
-LOAD_REPORT_MS: typing.Final = 1000.0
 FLUSH_MS: typing.Final = 50.0
 DETECT_MS: typing.Final = 1300.0
 SPREAD_MS: typing.Final = 200.0
@@ -161,7 +160,7 @@
     def place(self, bounded: bool) -> Outcome:
         """Place all flows; each home knows the others' counts of a second ago."""
         policy = placement.BoundedHash()
-        books = _Counts()
+        books = trial_counts.Counts(-trial_load.LONG_MAX_MS)
         closing: list[tuple[float, str, str]] = []
         placed = []
         samples = []
@@ -236,34 +235,6 @@
         return Passage(2 * len(times_ms), 2 * len(times_ms) + away, stalled)
 
 
-class _Counts:
-    """Open flows by home and target, with the others' counts a second late."""
-
-    def __init__(self) -> None:
-        self.all: collections.Counter[str] = collections.Counter()
-        self._own: dict[str, collections.Counter[str]] = {}
-        self._late_all: collections.Counter[str] = collections.Counter()
-        self._late_own: dict[str, collections.Counter[str]] = {}
-        self._next_ms = -trial_load.LONG_MAX_MS
-
-    def add(self, home: str, name: str, step: int) -> None:
-        self.all[name] += step
-        self._own.setdefault(home, collections.Counter())[name] += step
-
-    def refresh(self, now_ms: float) -> None:
-        if now_ms < self._next_ms:
-            return
-        self._next_ms = now_ms + LOAD_REPORT_MS
-        self._late_all = self.all.copy()
-        self._late_own = {home: own.copy() for home, own in self._own.items()}
-
-    def seen(self, home: str, name: str) -> int:
-        late_own = self._late_own.get(home)
-        others = self._late_all[name] - (late_own[name] if late_own else 0)
-        own = self._own.get(home)
-        return others + (own[name] if own else 0)
-
-
 def _slots(stage: Stage, way: str, placed: Outcome) -> Row:
     new, still = stage.new(placed), stage.open(placed)
     exceptions = [item for item in new if item.exception]
