--- a/eelgrasswick/command_show.py
+++ b/eelgrasswick/command_show.py
@@ -20,7 +20,6 @@
 Target = typing.Annotated[str, cappa.Arg(long="--target", help="explain a target")]
 Vm = typing.Annotated[str, cappa.Arg(long="--vm", help="peer address of a VM to ask")]
 Source = typing.Annotated[str, cappa.Arg(long="--from", help="address to ask from")]
-Url = typing.Annotated[str, cappa.Arg(long="--platform", help="URL of the store")]
 
 
 @cappa.command(name="show", help="show what is in force, or explain a flow or target")
@@ -28,7 +27,7 @@
 class Show:
     """Arguments of ``show``."""
 
-    platform: Url = ""
+    platform: console.Platform = ""
     flow: Flow = ""
     target: Target = ""
     vm: Vm = ""
--- a/eelgrasswick/console.py
+++ b/eelgrasswick/console.py
@@ -9,11 +9,13 @@
 import cappa
 from twisted.internet import defer, task
 
-from eelgrasswick import errors
+from eelgrasswick import errors, setting
 
 STORE_TIMEOUT_MS: typing.Final = 3000
 USAGE_EXIT_CODE: typing.Final = 1
-Platform = typing.Annotated[str, cappa.Arg(long="--platform", help="URL of the store")]
+Platform = typing.Annotated[
+    str, cappa.Arg(long="--platform", help="URL of the store", parse=setting.url)
+]
 Json = typing.Annotated[bool, cappa.Arg(long="--json", help="print JSON")]
 Author = typing.Annotated[str, cappa.Arg(long="--author", help="who submits")]
 Seed = typing.Annotated[int, cappa.Arg(long="--seed", help="seed of random choices")]
--- a/eelgrasswick/setting.py
+++ b/eelgrasswick/setting.py
@@ -114,7 +114,12 @@
     return [item.strip() for item in text.split(",") if item.strip()]
 
 
-def _url(text: str) -> str:
+def url(text: str) -> str:
+    """Check the base URL of the store.
+
+    Raises:
+        ValueError: The text has another form.
+    """
     if not re.fullmatch(r"https?://[^\s/]+(:\d+)?/?", text):
         raise ValueError("write it like http://10.0.0.1:2379")
     return text.rstrip("/")
@@ -135,7 +140,7 @@
     ),
     Entry("fleet", "networks", "networks that VMs speak from", _networks, None),
     Entry("fleet", "seeds", "peer addresses of some VMs", _addresses, ""),
-    Entry("platform", "url", "base URL of the store", _url, None),
+    Entry("platform", "url", "base URL of the store", url, None),
     Entry(
         "platform", "timeout_ms", "wait for one call, ms", _integer(50, 60_000), "2000"
     ),
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -87,6 +87,13 @@
         assert "Traceback" not in done.stderr
 
 
+def test_platform_that_is_no_url_is_a_usage_error() -> None:
+    done = run("show", "--platform", "nonsense")
+    assert done.returncode == 2
+    assert "write it like http://10.0.0.1:2379" in done.stderr
+    assert "Traceback" not in done.stderr
+
+
 def test_faulty_settings_give_their_exit_code(tmp_path: pathlib.Path) -> None:
     settings = tmp_path / "vm.ini"
     settings.write_text("[vm]\nname = A B\n[what]\nx = 1\n")
