Count open flows against slots, and forget old lifetimes

Lifetimes hold the way there and back, and a burst stayed in the sample of a home that then sent few flows, so strong targets were taken for weak for minutes. And the bound on open flows went by strength, while at the same use of its slots a slow target has as many requests open as a fast one; weak targets got a tenth too little. Now a low quantile of lifetimes, forgotten after ten seconds, and three flows a slot of slack for the bound on open flows.

--- a/eelgrasswick/choice.py
+++ b/eelgrasswick/choice.py
@@ -96,7 +96,7 @@
         """Note that a flow ended; see ``strength.StrengthBook.ended``."""
         self.work.end(flow)
         if reset or life_ms < work.YOUNG_MS:
-            self.strength.ended(name, life_ms, reset)
+            self.strength.ended(now_ms, name, life_ms, reset)
         if not reset:
             self._concurrency.ended(now_ms, name, life_ms, self.work.busy(name))
 
@@ -108,7 +108,7 @@
         """
         for name in self.work.tick(now_ms):
             self._concurrency.aged(now_ms, name)
-            self.strength.ended(name, work.YOUNG_MS, False)
+            self.strength.ended(now_ms, name, work.YOUNG_MS, False)
 
     def _load(self, now_ms: int, item: Sight) -> placement.TargetLoad:
         name = item.target.name
--- a/eelgrasswick/placement.py
+++ b/eelgrasswick/placement.py
@@ -14,6 +14,7 @@
 from eelgrasswick import target
 
 OPEN_FACTOR: typing.Final = 1.25
+OPEN_PER_SLOT: typing.Final = 3
 
 
 class TargetLoad(typing.NamedTuple):
@@ -81,11 +82,16 @@
             # Half a flow of slack: a target whose share is below one flow must
             # still be able to get one.
             even = item.recent + 0.5 <= factor * recent * item.strength
-            light = item.open_flows <= OPEN_FACTOR * opened * item.strength
+            # At the same use of its slots a slow target has as many requests
+            # open as a fast one. Counted by strength they would make it look
+            # full, and it would get a tenth too little.
+            working = OPEN_PER_SLOT * item.target.slots
+            share = OPEN_FACTOR * opened * item.strength
+            light = item.open_flows <= share + working
             if even and light:
                 return item.target
         return min(usable, key=_fill).target
 
 
 def _fill(item: TargetLoad) -> float:
-    return (item.recent + item.open_flows + 1) / item.strength
+    return (item.recent + 1) / item.strength
--- a/eelgrasswick/strength.py
+++ b/eelgrasswick/strength.py
@@ -5,8 +5,9 @@
 claim keeps a slow target overloaded; trusting a load endpoint lets one wrong
 answer move everything.
 
-A home sees how long flows last, from the first packet to the last. The lower
-quartile of the last ``SAMPLES`` lifetimes leaves boards and downloads out, and
+A home sees how long flows last, from the first packet to the last. A low
+quantile of the last ``SAMPLES`` lifetimes leaves boards and downloads out, and
+the time for which a request queued, which tells of load and not of strength;
 the time of ``WAYS`` openings, which is spent on the way, is taken off. The rest
 is compared with the median over the targets of the service, after what the
 claimed weights make of it. Evidence of weakness counts down to ``LOWEST``;
@@ -21,6 +22,7 @@
 from eelgrasswick import shift, target
 
 SAMPLES: typing.Final = 16
+KEEP_MS: typing.Final = 10_000
 ENOUGH: typing.Final = 8
 LOWEST: typing.Final = 0.2
 HIGHEST: typing.Final = 1.25
@@ -29,11 +31,16 @@
 _FADE: typing.Final = 0.9
 
 
+class _Life(typing.NamedTuple):
+    at_ms: int
+    life_ms: int
+
+
 class _Sight:
-    __slots__ = ("at_ms", "failing", "lives_ms", "openings_ms", "used")
+    __slots__ = ("at_ms", "failing", "lives", "openings_ms", "used")
 
     def __init__(self) -> None:
-        self.lives_ms: collections.deque[int] = collections.deque(maxlen=SAMPLES)
+        self.lives: collections.deque[_Life] = collections.deque(maxlen=SAMPLES)
         self.openings_ms: collections.deque[int] = collections.deque(maxlen=SAMPLES)
         self.failing = 0.0
         self.used = 1.0
@@ -51,10 +58,11 @@
         """Note how long a target took to accept a flow."""
         self._sights.setdefault(name, _Sight()).openings_ms.append(opening_ms)
 
-    def ended(self, name: str, life_ms: int, reset: bool) -> None:
+    def ended(self, now_ms: int, name: str, life_ms: int, reset: bool) -> None:
         """Note that a flow ended.
 
         Args:
+            now_ms: Present time in milliseconds.
             name: Its target.
             life_ms: Time from its first packet to its last.
             reset: True when the target reset it.
@@ -62,23 +70,26 @@
         sight = self._sights.setdefault(name, _Sight())
         sight.failing = sight.failing * _FADE + (1 - _FADE if reset else 0.0)
         if not reset:
-            sight.lives_ms.append(life_ms)
+            sight.lives.append(_Life(now_ms, life_ms))
 
     def life_ms(self, name: str) -> float | None:
-        """Return the lower quartile of a target's lifetimes, once known.
+        """Return a low quantile of a target's lifetimes, once known.
 
         The way there and back is in every lifetime but is no work. Left in, it
         makes a target that is twice as fast look less than twice as fast.
         """
         sight = self._sights.get(name)
-        if sight is None or len(sight.lives_ms) < ENOUGH:
+        if sight is None or len(sight.lives) < ENOUGH:
             return None
-        quartile = sorted(sight.lives_ms)[len(sight.lives_ms) // 4]
+        lives_ms = sorted(item.life_ms for item in sight.lives)
+        low = lives_ms[len(lives_ms) // 8]
         way_ms = WAYS * min(sight.openings_ms, default=0)
-        return float(max(1, quartile - way_ms))
+        return float(max(1, low - way_ms))
 
     def tick(self, now_ms: int, targets: typing.Sequence[target.Target]) -> None:
         """Follow what was seen of the targets of one service."""
+        for item in targets:
+            self._forget(now_ms, item.name)
         slowness = {item.name: self._slowness(item) for item in targets}
         known = [value for value in slowness.values() if value is not None]
         usual = statistics.median(known) if len(known) > 1 else None
@@ -96,6 +107,15 @@
         sight = self._sights.get(name)
         return sight.used if sight is not None else 1.0
 
+    def _forget(self, now_ms: int, name: str) -> None:
+        # A target that looks weak gets few flows, so that a burst it once had
+        # would stay in its sample for minutes and keep it weak.
+        sight = self._sights.get(name)
+        while sight is not None and sight.lives:
+            if now_ms - sight.lives[0].at_ms < KEEP_MS:
+                return
+            sight.lives.popleft()
+
     def _slowness(self, item: target.Target) -> float | None:
         # Weight over slots is the claimed speed of one slot, so an honest
         # target has the same product whatever its weight.
