Look at a home's own young flows, and repeat unanswered SYNs

Cause of waits at half load: the counts of other homes are a second old, so two flows meet at one target by chance. A home's own young flows are known at once; a target with more than its part of them is passed over.

Cause of waits of a second after the loss of targets: only the caller repeated a SYN. At most once holds: only the SYN was sent, and the home drops a late SYN-ACK of the former target.

--- a/eelgrasswick/choice.py
+++ b/eelgrasswick/choice.py
@@ -120,6 +120,7 @@
         return placement.TargetLoad(
             item.target,
             item.open_flows,
+            self.work.busy(name),
             item.recent_elsewhere + self.work.recent(now_ms, name),
             item.target.weight * factor,
             item.usable and room,
--- a/eelgrasswick/opener.py
+++ b/eelgrasswick/opener.py
@@ -7,8 +7,6 @@
 from eelgrasswick import (
     admission,
     books,
-    choice,
-    epoch,
     errors,
     flow,
     health,
@@ -17,6 +15,7 @@
     pending,
     placement,
     rendezvous,
+    selector,
     service,
     target,
     waiting,
@@ -24,7 +23,7 @@
 
 _COUNT: typing.Final = message.Counter
 _DAY_MS: typing.Final = 86_400_000
-LEARN_MS: typing.Final = 500
+REPEAT_MS: typing.Final = 1000
 
 
 class Waiting(typing.NamedTuple):
@@ -44,19 +43,16 @@
         """Decide as the VM ``name`` with a placement policy."""
         self._name = name
         self._books = shared
-        self.chooser = choice.Chooser(policy)
+        self._selector = selector.Selector(shared, policy)
+        self.chooser = self._selector.chooser
         self._pending = pending.Pending(name, shared)
         self._opening: collections.deque[Waiting] = collections.deque()
-        self._learn_ms = 0
 
     def tick(self, now_ms: int) -> None:
         """Note silent targets, and serve or refuse what waits."""
         while self._opening and self._opening[0].due_ms <= now_ms:
             self._note_silence(now_ms, self._opening.popleft())
-        self.chooser.tick(now_ms)
-        if now_ms - self._learn_ms >= LEARN_MS:
-            self._learn_ms = now_ms
-            self._learn(now_ms)
+        self._selector.tick(now_ms)
         for name in self._pending.names():
             self._serve(now_ms, name)
 
@@ -70,10 +66,8 @@
 
     def answered(self, now_ms: int, record: flow.Record) -> None:
         """Note that a target has accepted a flow."""
-        name = record.target.name
-        self.chooser.strength.accepted(name, now_ms - record.opened_ms)
-        if self._books.health.answered(name):
-            self.chooser.ramp.restart(now_ms, name)
+        opening_ms = now_ms - record.opened_ms
+        self._selector.answered(now_ms, record.target.name, opening_ms)
 
     def ended(
         self, now_ms: int, key: packet.FlowKey, record: flow.Record, reset: bool
@@ -87,16 +81,6 @@
             self.chooser.work.end(key.packed)
         self._serve(now_ms, record.target.service)
 
-    def _learn(self, now_ms: int) -> None:
-        current = self._books.epochs.current
-        if current is None:
-            return
-        for owner in current.config.services.values():
-            self.chooser.strength.tick(now_ms, owner.targets)
-        targets = current.config.targets
-        names = [name for name, item in targets.items() if item.accepts]
-        self.chooser.ramp.present(now_ms, names)
-
     def _serve(self, now_ms: int, name: str) -> None:
         """Place what waits for a service, in turn, and refuse what is late."""
         current = self._books.epochs.current
@@ -111,7 +95,7 @@
             if not self._pending.mine(key, owner):
                 queue.cancel(waiter.flow)
                 continue
-            chosen = self.choose(now_ms, key, owner, frozenset())
+            chosen = self._selector.choose(now_ms, key, owner, frozenset())
             if chosen.target is None:
                 return
             queue.place(now_ms)
@@ -179,7 +163,7 @@
             if refusal is None:
                 return
         elif refusal is None:
-            chosen = self.choose(now_ms, key, owner, frozenset()).target
+            chosen = self._selector.choose(now_ms, key, owner, frozenset()).target
             refusal = _no_target(key)
         if chosen is not None:
             self.place(now_ms, item, key, owner, chosen)
@@ -201,7 +185,7 @@
         queue = self._pending.queue(owner)
         if len(queue):
             return self._pending.offer(now_ms, item, key, queue)
-        chosen = self.choose(now_ms, key, owner, frozenset())
+        chosen = self._selector.choose(now_ms, key, owner, frozenset())
         if chosen.target is not None:
             queue.note_placed(now_ms)
             self.place(now_ms, item, key, owner, chosen.target)
@@ -233,51 +217,6 @@
         total = sum(sizes.values())
         return sizes.get(self._name, total) / total if total else 1.0
 
-    def choose(
-        self,
-        now_ms: int,
-        key: packet.FlowKey,
-        owner: service.Service,
-        excluded: frozenset[str],
-    ) -> choice.Choice:
-        """Choose a target for a new flow."""
-        current = self._books.epochs.current
-        assert current is not None
-        ranked = [
-            item for item in current.ranked(key, owner) if item.name not in excluded
-        ]
-        suspected = [self._suspected(now_ms, item, current) for item in ranked]
-        usable = health.usable(suspected)
-        sights = [
-            self._sight(item, good) for item, good in zip(ranked, usable, strict=True)
-        ]
-        if key.protocol == packet.Protocol.UDP:
-            # A datagram can be repeated and reach two homes whose views differ.
-            # Both must choose alike, or it would run twice; so load is left out.
-            first = next((item.target for item in sights if item.usable), None)
-            return choice.Choice(first, False)
-        return self.chooser.choose(now_ms, sights)
-
-    def _suspected(
-        self, now_ms: int, item: target.Target, current: epoch.Epoch
-    ) -> bool:
-        if self._books.health.suspected(now_ms, item.name):
-            return True
-        # A zone whose entry VMs are all out of reach is cut off or gone, and
-        # its targets with it. Flows sent there would hang until it heals.
-        own_zones = current.zones
-        return bool(own_zones) and item.zone not in own_zones and self._zone_lost(item)
-
-    def _zone_lost(self, item: target.Target) -> bool:
-        return self._books.peers.zone_known(item.zone)
-
-    def _sight(self, item: target.Target, good: bool) -> choice.Sight:
-        here = self._books.flows.open_by_target[item.name]
-        everywhere = here + self._books.loads.elsewhere(item.name)
-        free = everywhere < item.connections
-        recent = self._books.loads.recent_elsewhere(item.name)
-        return choice.Sight(item, everywhere, recent, good and free)
-
     def place(
         self,
         now_ms: int,
@@ -313,7 +252,7 @@
         if not self.chooser.retry.spend():
             return False
         refuted = record.refuted | {record.target.name}
-        chosen = self.choose(now_ms, key, owner, refuted).target
+        chosen = self._selector.choose(now_ms, key, owner, refuted).target
         if chosen is None:
             return False
         record.refuted = refuted
@@ -367,9 +306,37 @@
         )
 
     def _note_silence(self, now_ms: int, waiting: Waiting) -> None:
-        record = self._books.flows.get(waiting.flow)
-        if record is waiting.record and record.state is flow.State.OPENING:
-            self._books.health.unanswered(now_ms, record.target.name)
+        key = waiting.flow
+        record = self._books.flows.get(key)
+        if record is not waiting.record or record.state is not flow.State.OPENING:
+            return
+        self._books.health.unanswered(now_ms, record.target.name)
+        current = self._books.epochs.current
+        owner = current.config.services.get(record.target.service) if current else None
+        if owner is None or record.first is None or not self._pending.mine(key, owner):
+            return
+        self._open_again(now_ms, key, owner, record, record.first)
+
+    def _open_again(
+        self,
+        now_ms: int,
+        key: packet.FlowKey,
+        owner: service.Service,
+        record: flow.Record,
+        first: packet.Packet,
+    ) -> None:
+        """Send an unanswered SYN once more, elsewhere if the target looks dead.
+
+        The caller repeats it too, but after a second: when a third of the
+        targets go, that second is what their callers notice. Only the SYN was
+        sent so far, and this home drops a late SYN-ACK of the former target.
+        """
+        if now_ms - record.opened_ms >= REPEAT_MS:
+            return
+        suspected = self._books.health.suspected(now_ms, record.target.name)
+        if not (suspected and self.move(now_ms, key, owner, record)):
+            self._opening.append(Waiting(now_ms + health.ANSWER_MS, key, record))
+        self._send(record.target, first)
 
     def _send(self, chosen: target.Target, item: packet.Packet) -> None:
         self._books.outbox.put(message.SendDatagram(chosen.endpoint, item.raw))
--- a/eelgrasswick/placement.py
+++ b/eelgrasswick/placement.py
@@ -9,12 +9,14 @@
 """
 
 import abc
+import math
 import typing
 
 from eelgrasswick import target
 
 OPEN_FACTOR: typing.Final = 1.25
 OPEN_PER_SLOT: typing.Final = 3
+BUSY_SLACK: typing.Final = 0.5
 
 
 class TargetLoad(typing.NamedTuple):
@@ -23,6 +25,7 @@
     Attributes:
         target: The target.
         open_flows: Estimate of its open flows over the whole fleet.
+        busy: Young flows that this home has on it.
         recent: Estimate of the flows it lately got, fading with time.
         strength: Share of the work it should get, relative to the others.
         usable: False when it is taken for dead, full or out of reach.
@@ -30,6 +33,7 @@
 
     target: target.Target
     open_flows: float
+    busy: int
     recent: float
     strength: float
     usable: bool
@@ -75,9 +79,13 @@
         usable = [item for item in ranked if item.usable]
         if not usable:
             return None
+        if math.isinf(factor):
+            return usable[0].target
         strength = sum(item.strength for item in usable)
         recent = (sum(item.recent for item in usable) + 1) / strength
         opened = (sum(item.open_flows for item in usable) + 1) / strength
+        slots = sum(item.target.slots for item in usable)
+        busy = sum(item.busy for item in usable) / slots
         for item in usable:
             # Half a flow of slack: a target whose share is below one flow must
             # still be able to get one.
@@ -88,7 +96,8 @@
             working = OPEN_PER_SLOT * item.target.slots
             share = OPEN_FACTOR * opened * item.strength
             light = item.open_flows <= share + working
-            if even and light:
+            idle = item.busy <= factor * busy * item.target.slots + BUSY_SLACK
+            if even and light and idle:
                 return item.target
         return min(usable, key=_fill).target
 
--- /dev/null
+++ b/eelgrasswick/selector.py
@@ -0,0 +1,108 @@
+"""Chooses the target of a new flow from what this VM knows.
+
+It gathers what the decisions in ``choice`` need from the configuration, the
+health and load of targets and the view of the fleet.
+"""
+
+import typing
+
+from eelgrasswick import (
+    books,
+    choice,
+    epoch,
+    health,
+    packet,
+    placement,
+    service,
+    target,
+)
+
+LEARN_MS: typing.Final = 500
+
+
+class Selector:
+    """What a home asks for a target.
+
+    Attributes:
+        chooser: What the home has learned, and its policy.
+    """
+
+    def __init__(self, shared: books.Books, policy: placement.Placement) -> None:
+        """Choose by a policy."""
+        self.chooser = choice.Chooser(policy)
+        self._books = shared
+        self._learn_ms = 0
+
+    def tick(self, now_ms: int) -> None:
+        """Let flows grow old, and learn from time to time."""
+        self.chooser.tick(now_ms)
+        if now_ms - self._learn_ms >= LEARN_MS:
+            self._learn_ms = now_ms
+            self._learn(now_ms)
+
+    def answered(self, now_ms: int, name: str, opening_ms: int) -> None:
+        """Note that a target has accepted a flow.
+
+        Args:
+            now_ms: Present time in milliseconds.
+            name: The target.
+            opening_ms: Time since the flow began.
+        """
+        self.chooser.strength.accepted(name, opening_ms)
+        if self._books.health.answered(name):
+            self.chooser.ramp.restart(now_ms, name)
+
+    def choose(
+        self,
+        now_ms: int,
+        key: packet.FlowKey,
+        owner: service.Service,
+        excluded: frozenset[str],
+    ) -> choice.Choice:
+        """Choose a target for a new flow."""
+        current = self._books.epochs.current
+        assert current is not None
+        ranked = [
+            item for item in current.ranked(key, owner) if item.name not in excluded
+        ]
+        suspected = [self._suspected(now_ms, item, current) for item in ranked]
+        usable = health.usable(suspected)
+        sights = [
+            self._sight(item, good) for item, good in zip(ranked, usable, strict=True)
+        ]
+        if key.protocol == packet.Protocol.UDP:
+            # A datagram can be repeated and reach two homes whose views differ.
+            # Both must choose alike, or it would run twice; so load is left out.
+            first = next((item.target for item in sights if item.usable), None)
+            return choice.Choice(first, False)
+        return self.chooser.choose(now_ms, sights)
+
+    def _suspected(
+        self, now_ms: int, item: target.Target, current: epoch.Epoch
+    ) -> bool:
+        if self._books.health.suspected(now_ms, item.name):
+            return True
+        # A zone whose entry VMs are all out of reach is cut off or gone, and
+        # its targets with it. Flows sent there would hang until it heals.
+        own_zones = current.zones
+        return bool(own_zones) and item.zone not in own_zones and self._zone_lost(item)
+
+    def _zone_lost(self, item: target.Target) -> bool:
+        return self._books.peers.zone_known(item.zone)
+
+    def _sight(self, item: target.Target, good: bool) -> choice.Sight:
+        here = self._books.flows.open_by_target[item.name]
+        everywhere = here + self._books.loads.elsewhere(item.name)
+        free = everywhere < item.connections
+        recent = self._books.loads.recent_elsewhere(item.name)
+        return choice.Sight(item, everywhere, recent, good and free)
+
+    def _learn(self, now_ms: int) -> None:
+        current = self._books.epochs.current
+        if current is None:
+            return
+        for owner in current.config.services.values():
+            self.chooser.strength.tick(now_ms, owner.targets)
+        targets = current.config.targets
+        names = [name for name, item in targets.items() if item.accepts]
+        self.chooser.ramp.present(now_ms, names)
--- a/eelgrasswick/shift.py
+++ b/eelgrasswick/shift.py
@@ -11,13 +11,14 @@
 to ``LOOSE``, which few flows ever reach.
 """
 
+import math
 import typing
 
 EXCEPTIONS_PER_S: typing.Final = 28.0
 BURST_S: typing.Final = 10.0
 TIGHT: typing.Final = 1.05
 LOOSE: typing.Final = 1.25
-STEP_PER_S: typing.Final = 0.1
+STEP_PER_S: typing.Final = 0.5
 
 
 class ShiftBudget:
@@ -31,8 +32,14 @@
         self._at_ms = 0
 
     def factor(self, now_ms: int) -> float:
-        """Return how far above its share a target may be."""
+        """Return how far above its share a target may be.
+
+        Without any budget left there is no bound, and flows go where hashing
+        alone puts them.
+        """
         self._refill(now_ms)
+        if self._left < 1:
+            return math.inf
         return TIGHT + (LOOSE - TIGHT) * (1 - self._left / self._full)
 
     def spend(self, now_ms: int) -> None:
