--- a/eelgrasswick/home.py
+++ b/eelgrasswick/home.py
@@ -116,7 +116,7 @@
             self._opener.reopen(now_ms, item, key, owner, record)
             return
         record.seen_ms = now_ms
-        silent = self._books.health.suspected(now_ms, record.target.name)
+        silent = self._opener.silent(now_ms, record)
         if record.state is flow.State.OPENING and silent:
             # The target has not answered the SYN and looks dead. Nothing but
             # the SYN was sent, so no work can have begun; should the target
--- a/eelgrasswick/opener.py
+++ b/eelgrasswick/opener.py
@@ -64,6 +64,17 @@
         """Stop deciding about a waiting flow, as another VM does now."""
         self._pending.cancel(key)
 
+    def silent(self, now_ms: int, record: flow.Record) -> bool:
+        """Tell whether an opening flow should try another target.
+
+        Two openings of its own without an answer are enough. Were the flow to
+        wait until the target is suspected, it could be sent to the same dead
+        target each time that the suspicion has just lapsed.
+        """
+        if now_ms - record.opened_ms >= 2 * health.ANSWER_MS:
+            return True
+        return self._books.health.suspected(now_ms, record.target.name)
+
     def answered(self, now_ms: int, record: flow.Record) -> None:
         """Note that a target has accepted a flow."""
         opening_ms = now_ms - record.opened_ms
@@ -333,8 +344,8 @@
         """
         if now_ms - record.opened_ms >= REPEAT_MS:
             return
-        suspected = self._books.health.suspected(now_ms, record.target.name)
-        if not (suspected and self.move(now_ms, key, owner, record)):
+        silent = self.silent(now_ms, record)
+        if not (silent and self.move(now_ms, key, owner, record)):
             self._opening.append(Waiting(now_ms + health.ANSWER_MS, key, record))
         self._send(record.target, first)
 
--- a/eelgrasswick/retry.py
+++ b/eelgrasswick/retry.py
@@ -4,30 +4,30 @@
 unanswered. Moved again and again, each flow costs the rest several opening
 packets, and the storm keeps them down. The budget (as in "Handling Overload",
 Google SRE book) ties moves to new flows: beyond ``FLOOR`` at once, one move
-for each ``1 / SHARE`` new flows. A caller's own retransmission still reaches a
+for each ``FLOWS_PER_MOVE`` new flows. A caller's own retransmission still reaches a
 target, and a flow that may not move is reset at once.
 """
 
 import typing
 
-SHARE: typing.Final = 0.2
-FLOOR: typing.Final = 20.0
+FLOWS_PER_MOVE: typing.Final = 5
+FLOOR: typing.Final = 20
 
 
 class RetryBudget:
-    """Tokens for moves, earned by new flows."""
+    """Moves that new flows have earned."""
 
     def __init__(self) -> None:
         """Start with ``FLOOR`` moves."""
-        self._tokens = FLOOR
+        self._earned = FLOOR * FLOWS_PER_MOVE
 
     def earn(self) -> None:
         """Note a new flow."""
-        self._tokens = min(FLOOR, self._tokens + SHARE)
+        self._earned = min(FLOOR * FLOWS_PER_MOVE, self._earned + 1)
 
     def spend(self) -> bool:
-        """Take a token for a move; False when none is left."""
-        if self._tokens < 1:
+        """Take a move; False when none is left."""
+        if self._earned < FLOWS_PER_MOVE:
             return False
-        self._tokens -= 1
+        self._earned -= FLOWS_PER_MOVE
         return True
--- a/eelgrasswick/waiting.py
+++ b/eelgrasswick/waiting.py
@@ -24,7 +24,10 @@
 LATE_MS: typing.Final = 2000
 MOST_FLOWS: typing.Final = 2000
 MOST_PROMISES: typing.Final = 20_000
+PROMISES_PER_CALLER: typing.Final = 4
 _RATE_MS: typing.Final = 2000
+_PARTS: typing.Final = 64
+_STRIDE: typing.Final = 29
 
 Item = typing.TypeVar("Item")
 
@@ -62,6 +65,7 @@
         self._promised_ms = 0.0
         self._placed = 0.0
         self._placed_ms = 0
+        self._refused = 0
 
     def __len__(self) -> int:
         """Return the number of waiting flows."""
@@ -85,9 +89,7 @@
         waiter = Waiter(flow, caller, now_ms, now_ms + self.wait_ms, item)
         if self.wait_ms and self._keeps_promise(now_ms, caller):
             self._first.append(waiter)
-        elif len(self._flows) >= MOST_FLOWS or self._expected_ms(now_ms, caller) > (
-            self.wait_ms
-        ):
+        elif self._full(now_ms, caller):
             return admission.Refusal(
                 errors.ErrorKind.WAIT_FULL, self.promise(now_ms, caller)
             )
@@ -111,9 +113,10 @@
         """Take the first flow out, because it was placed."""
         lane = self._lane()
         assert lane
-        self._flows.pop(lane.popleft().flow, None)
-        if self._turns:
-            self._turns.move_to_end(next(iter(self._turns)))
+        waiter = lane.popleft()
+        del self._flows[waiter.flow]
+        if lane is not self._first:
+            self._turns.move_to_end(waiter.caller)
         self.note_placed(now_ms)
 
     def expire(self, now_ms: int) -> list[Waiter[Item]]:
@@ -132,16 +135,23 @@
         """Set room aside for a caller and return when to come, in ms."""
         step_ms = 1000 / (self._rate(now_ms) * PROMISED)
         earliest_ms = now_ms + admission.BASE_RETRY_MS
-        self._promised_ms = max(self._promised_ms + step_ms, earliest_ms)
-        if self._promised_ms > now_ms + LAST_RETRY_MS:
-            # No room that far ahead is set aside; the turns begin anew at half
-            # of the time, so that such returns are spread too.
-            self._promised_ms = now_ms + LAST_RETRY_MS / 2
-            return LAST_RETRY_MS
-        if len(self._promises) < MOST_PROMISES:
-            kept = self._promises.setdefault(caller, collections.deque())
-            kept.append(int(self._promised_ms))
-        return int(self._promised_ms) - now_ms
+        turn_ms = max(self._promised_ms + step_ms, earliest_ms)
+        kept = self._promises.get(caller, ())
+        # One caller with many flows would get nearly all turns set aside, and
+        # those who ask for one flow would wait behind it.
+        fair = len(kept) < PROMISES_PER_CALLER
+        known = bool(kept) or len(self._promises) < MOST_PROMISES
+        if turn_ms > now_ms + LAST_RETRY_MS or not (fair and known):
+            return self._unpromised()
+        self._promised_ms = turn_ms
+        self._promises.setdefault(caller, collections.deque()).append(int(turn_ms))
+        return int(turn_ms) - now_ms
+
+    def _unpromised(self) -> int:
+        self._refused += 1
+        part = self._refused * _STRIDE % _PARTS / _PARTS
+        first_ms = 2 * admission.BASE_RETRY_MS
+        return first_ms + int(part * (LAST_RETRY_MS - first_ms))
 
     def _keeps_promise(self, now_ms: int, caller: bytes) -> bool:
         kept = self._promises.get(caller)
@@ -155,6 +165,11 @@
         kept.popleft()
         return True
 
+    def _full(self, now_ms: int, caller: bytes) -> bool:
+        if not self.wait_ms or len(self._flows) >= MOST_FLOWS:
+            return True
+        return self._expected_ms(now_ms, caller) > self.wait_ms
+
     def _expected_ms(self, now_ms: int, caller: bytes) -> float:
         own = len(self._turns.get(caller, ())) + 1
         before = sum(min(own, len(lane)) for lane in self._turns.values())
