--- a/eelgrasswick/command.py
+++ b/eelgrasswick/command.py
@@ -16,7 +16,9 @@
     console,
     errors,
     log,
+    packet_cost,
     setting,
+    trial,
 )
 
 
@@ -52,6 +54,8 @@
         | command_load.Load
         | Entry
         | command_standin.Standin
+        | trial.Trial
+        | packet_cost.PacketCost
     ]
 
 
