--- a/eelgrasswick/trial_placement.py
+++ b/eelgrasswick/trial_placement.py
@@ -408,4 +408,4 @@
 
 def _target_load(item: target.Target, flows: float) -> placement.TargetLoad:
     """Return a target's load for a model in which no flow fades from memory."""
-    return placement.TargetLoad(item, flows, flows, item.weight, True)
+    return placement.TargetLoad(item, flows, 0, flows, item.weight, True)
