--- a/eelgrasswick/choice.py
+++ b/eelgrasswick/choice.py
@@ -19,9 +19,6 @@
 )
 
 
-BLOCKED_FACTOR: typing.Final = 1
-
-
 class Sight(typing.NamedTuple):
     """What a home knows of a target besides what it placed there itself.
 
@@ -123,7 +120,7 @@
         return placement.TargetLoad(
             item.target,
             item.open_flows,
-            self.work.busy(name) + BLOCKED_FACTOR * self.work.blocked(name),
+            self.work.busy(name),
             item.recent_elsewhere + self.work.recent(now_ms, name),
             item.target.weight * factor,
             item.usable and room,
--- a/eelgrasswick/work.py
+++ b/eelgrasswick/work.py
@@ -16,7 +16,6 @@
 import typing
 
 FADE_MS: typing.Final = 10_000
-SLOW_MS: typing.Final = 200
 YOUNG_MS: typing.Final = 2000
 _NEGLIGIBLE: typing.Final = 0.01
 
@@ -45,9 +44,6 @@
     def __init__(self) -> None:
         """Start without flows."""
         self._young: dict[bytes, _Start] = {}
-        self._slow: dict[bytes, str] = {}
-        self._blocked: collections.Counter[str] = collections.Counter()
-        self._fresh: collections.deque[tuple[int, bytes, str]] = collections.deque()
         self._busy: collections.Counter[str] = collections.Counter()
         self._recent: dict[str, _Faded] = {}
 
@@ -56,7 +52,6 @@
         self.end(flow)
         self._young[flow] = _Start(now_ms, name)
         self._busy[name] += 1
-        self._fresh.append((now_ms, flow, name))
         self._recent[name] = _Faded(now_ms, self.recent(now_ms, name) + 1)
 
     def move(self, now_ms: int, flow: bytes, name: str) -> None:
@@ -72,18 +67,10 @@
         start = self._young.pop(flow, None)
         if start is not None:
             self._busy[start.name] -= 1
-        slow = self._slow.pop(flow, None)
-        if slow is not None:
-            self._blocked[slow] -= 1
 
     def tick(self, now_ms: int) -> list[str]:
         """Let flows grow old; return the target of each that did."""
         aged: list[str] = []
-        while self._fresh and now_ms - self._fresh[0][0] >= SLOW_MS:
-            at, flow, name = self._fresh.popleft()
-            if self._young.get(flow) == (at, name):
-                self._slow[flow] = name
-                self._blocked[name] += 1
         while self._young:
             flow, start = next(iter(self._young.items()))
             if now_ms - start.at_ms < YOUNG_MS:
@@ -96,10 +83,6 @@
         """Return the young flows of a target that have not ended."""
         return self._busy[name]
 
-    def blocked(self, name: str) -> int:
-        """Return the young flows of a target that have lasted long."""
-        return self._blocked[name]
-
     def recent(self, now_ms: int, name: str) -> float:
         """Return the faded count of flows placed on a target."""
         faded = self._recent.get(name, _NONE)
