--- a/eelgrasswick/change.py
+++ b/eelgrasswick/change.py
@@ -7,12 +7,10 @@
 
 import msgspec
 
-from eelgrasswick import config, errors, message, packet, rule, store
+from eelgrasswick import config, errors, message, packet, retired, rule, store
 
 VACANT_MS: typing.Final = 10_000
 TRIES: typing.Final = 4
-RETIRED_LINES: typing.Final = 2000
-REUSED_ADDRESSES: typing.Final = 2000
 FLEET_AUTHOR: typing.Final = "fleet"
 _EMPTY: typing.Final = config.Document(0, "", "", 0, "", "", ())
 
@@ -367,14 +365,14 @@
     before: config.Document, rules: rule.Rules, text: str, author: str, now_ms: int
 ) -> config.Document:
     sequence = before.sequence + 1
-    reused = _reused(before, rules)
+    reused = retired.addresses(before, rules)
     return config.Document(
         sequence,
         _change_id(author, text, sequence),
         author,
         now_ms,
         text,
-        _retired(before, rules),
+        retired.lines(before, rules),
         reused,
     )
 
@@ -382,47 +380,3 @@
 def _change_id(author: str, text: str, sequence: int) -> str:
     plain = f"{sequence}\n{author}\n{text}".encode()
     return hashlib.blake2b(plain, digest_size=8).hexdigest()
-
-
-def _retired(before: config.Document, rules: rule.Rules) -> str:
-    """Return the lines that have left the rules and whose flows may be open."""
-    lines = before.retired.splitlines() + before.text.splitlines()
-    services = {item.name for item in rules.services}
-    addresses = {config.address_label(item) for item in rules.services}
-    targets = {item.name for item in rules.targets}
-    endpoints = {item.endpoint for item in rules.targets}
-    kept: dict[tuple[str, str], str] = {}
-    for line in lines:
-        parsed = rule.parse(line).rules
-        for service in parsed.services:
-            label = config.address_label(service)
-            if service.name not in services and label not in addresses:
-                kept[("service", service.name)] = line
-        for target in parsed.targets:
-            if target.name not in targets and target.endpoint not in endpoints:
-                kept[("target", target.name)] = line
-    return "\n".join(_with_services(list(kept.values())[-RETIRED_LINES:], services))
-
-
-def _with_services(lines: list[str], present: set[str]) -> list[str]:
-    # Cut off at the bound, or with its address taken, a service can be missing
-    # while its targets are still here. No VM could read such a document.
-    parsed = {line: rule.parse(line).rules for line in lines}
-    retired = {item.name for rules in parsed.values() for item in rules.services}
-    known = present | retired
-    return [
-        line
-        for line, rules in parsed.items()
-        if all(item.service in known for item in rules.targets)
-    ]
-
-
-def _reused(before: config.Document, rules: rule.Rules) -> tuple[str, ...]:
-    former = rule.parse(before.text + "\n" + before.retired).rules.services
-    owner = {config.address_label(item): item.name for item in former}
-    labels = dict.fromkeys(before.reused)
-    for item in rules.services:
-        label = config.address_label(item)
-        if owner.get(label, item.name) != item.name:
-            labels[label] = None
-    return tuple(labels)[-REUSED_ADDRESSES:]
--- a/eelgrasswick/flow.py
+++ b/eelgrasswick/flow.py
@@ -81,13 +81,14 @@
         self.target_done = False
 
     def expect_end(self) -> None:
-        """Forget a learned flow soon, because one side of it has ended.
+        """Forget a flow soon that was learned, because a side of it has ended.
 
         The other side's end can have come to the former home, which does not
         tell. Kept for its whole idle time, the record would count as an open
         flow for a quarter of an hour, and a drained target would not get empty.
         """
-        self.idle_ms = min(self.idle_ms, LINGER_MS)
+        if self.origin is Origin.LEARNED:
+            self.idle_ms = min(self.idle_ms, LINGER_MS)
 
     @property
     def counts(self) -> bool:
--- a/eelgrasswick/home.py
+++ b/eelgrasswick/home.py
@@ -365,8 +365,7 @@
     ) -> None:
         if record.caller_done and record.target_done:
             self._close(now_ms, key, record)
-        elif record.origin is flow.Origin.LEARNED:
-            record.expect_end()
+        record.expect_end()
 
     def _close(
         self,
--- a/tests/test_change.py
+++ b/tests/test_change.py
@@ -3,7 +3,7 @@
 import pytest
 from twisted.internet import defer
 
-from eelgrasswick import change, config, emulated_platform, errors, store
+from eelgrasswick import change, config, emulated_platform, errors, retired, store
 from tests import world
 
 
@@ -196,7 +196,7 @@
 ) -> None:
     # Lines are removed all day. Cut off at the bound, a retired target may not
     # stay behind without its service, or no VM could read the document.
-    monkeypatch.setattr(change, "RETIRED_LINES", 3)
+    monkeypatch.setattr(retired, "RETIRED_LINES", 3)
     submit(empty_world, rules_text, "ann")
     submit(empty_world, without(rules_text, "vault", "v1", "v2", "v3"), "ann")
     assert config.Config(accepted(empty_world)).sequence == 2
