--- a/eelgrasswick/caller_model.py
+++ b/eelgrasswick/caller_model.py
@@ -290,7 +290,7 @@
     def _packet(key: packet.FlowKey, flags: int, kind: bytes) -> packet.Packet:
         source = packet.Address(key.caller_ip, key.caller_port)
         raw = kind + key.packed
-        return packet.Packet(key.protocol, source, _SERVICE, flags, 1, 0, 0, raw)
+        return packet.Packet(key.protocol, source, _SERVICE, flags, 1, 1, 0, raw)
 
     @staticmethod
     def _answer(
--- a/eelgrasswick/placement.py
+++ b/eelgrasswick/placement.py
@@ -9,11 +9,14 @@
 """
 
 import abc
+import math
 import typing
 
 from eelgrasswick import target
 
 OPEN_FACTOR: typing.Final = 1.25
+OPEN_PER_SLOT: typing.Final = 3
+BUSY_SLACK: typing.Final = 0.5
 
 
 class TargetLoad(typing.NamedTuple):
@@ -22,6 +25,7 @@
     Attributes:
         target: The target.
         open_flows: Estimate of its open flows over the whole fleet.
+        busy: Young flows that this home has on it.
         recent: Estimate of the flows it lately got, fading with time.
         strength: Share of the work it should get, relative to the others.
         usable: False when it is taken for dead, full or out of reach.
@@ -29,6 +33,7 @@
 
     target: target.Target
     open_flows: float
+    busy: int
     recent: float
     strength: float
     usable: bool
@@ -74,18 +79,28 @@
         usable = [item for item in ranked if item.usable]
         if not usable:
             return None
+        if math.isinf(factor):
+            return usable[0].target
         strength = sum(item.strength for item in usable)
         recent = (sum(item.recent for item in usable) + 1) / strength
         opened = (sum(item.open_flows for item in usable) + 1) / strength
+        slots = sum(item.target.slots for item in usable)
+        busy = sum(item.busy for item in usable) / slots
         for item in usable:
             # Half a flow of slack: a target whose share is below one flow must
             # still be able to get one.
             even = item.recent + 0.5 <= factor * recent * item.strength
-            light = item.open_flows <= OPEN_FACTOR * opened * item.strength
-            if even and light:
+            # At the same use of its slots a slow target has as many requests
+            # open as a fast one. Counted by strength they would make it look
+            # full, and it would get a tenth too little.
+            working = OPEN_PER_SLOT * item.target.slots
+            share = OPEN_FACTOR * opened * item.strength
+            light = item.open_flows <= share + working
+            idle = item.busy <= factor * busy * item.target.slots + BUSY_SLACK
+            if even and light and idle:
                 return item.target
         return min(usable, key=_fill).target
 
 
 def _fill(item: TargetLoad) -> float:
-    return (item.recent + item.open_flows + 1) / item.strength
+    return (item.recent + 1) / item.strength
