--- a/tests/world.py
+++ b/tests/world.py
@@ -19,7 +19,6 @@
     emulated_platform,
     emulated_target,
     engine,
-    errors,
     history,
     member,
     message,
@@ -30,11 +29,11 @@
     store,
     watcher,
 )
-from tests import recorder
+from tests import reach, recorder
 
 START_MS = 1_800_000_000_000
 STEP_MS = 1
-PLATFORM = "platform"
+PLATFORM = reach.PLATFORM
 CALLERS = "callers"
 
 
@@ -164,9 +163,9 @@
         rng = random.Random(self.rng.random())
         runs = engine.Engine(me, seeds, self._codec, self.policy(), rng)
         vm = Vm(runs, me, zone)
-        reach = _Reach(self, zone)
+        way = reach.Reach(self.platform, self.cuts, zone)
         vm.watcher = watcher.Watcher(
-            self.clock, reach, zone, lambda event: self.feed(vm, event), rng
+            self.clock, way, zone, lambda event: self.feed(vm, event), rng
         )
         self.vms[name] = vm
         data = packet.address(f"{me.ip}:6080")
@@ -471,40 +470,3 @@
                 self._flush_target(name)
         self.callers.tick(self.now_ms)
         self._flush_callers()
-
-
-class _Reach(store.Store):
-    """The platform as reached from a zone, which may be cut off from it."""
-
-    def __init__(self, world: World, zone: str) -> None:
-        self._world = world
-        self._zone = zone
-
-    def _target(self) -> emulated_platform.EmulatedStore:
-        if frozenset((self._zone, PLATFORM)) in self._world.cuts:
-            raise errors.StoreError("cut off from the platform")
-        return self._world.platform
-
-    async def read(self, key: str) -> store.Row | None:
-        return await self._target().read(key)
-
-    async def read_prefix(self, prefix: str) -> tuple[store.Row, ...]:
-        return await self._target().read_prefix(prefix)
-
-    async def commit(
-        self, compares: typing.Sequence[store.Compare], puts: typing.Sequence[store.Put]
-    ) -> store.Committed:
-        return await self._target().commit(compares, puts)
-
-    async def grant(self, ttl_s: int) -> int:
-        return await self._target().grant(ttl_s)
-
-    async def keep_alive(self, lease: int) -> bool:
-        return await self._target().keep_alive(lease)
-
-    async def watch(self, prefix: str, after: int, listener: store.Listener) -> None:
-        def reached(rows: tuple[store.Row, ...]) -> None:
-            if frozenset((self._zone, PLATFORM)) not in self._world.cuts:
-                listener(rows)
-
-        await self._target().watch(prefix, after, reached)
