Take out what nothing calls, and say twice-written steps once

Found by reading the whole change: a baseline policy, a bound and an emulator's method that nothing uses; a record looked up again right after it was made, in two places; what a Ping and an Ack tell written out for each. Behaviour and tests are as they were: format, lint, types and the whole test run passed.

--- a/eelgrasswick/baseline.py
+++ b/eelgrasswick/baseline.py
@@ -64,22 +64,5 @@
         return min(usable, key=_open_share).target
 
 
-class LeastRecent(placement.Placement):
-    """The target with the least recent work; an oracle when told the truth."""
-
-    def choose(
-        self, ranked: typing.Sequence[placement.TargetLoad], factor: float
-    ) -> target.Target | None:
-        """Choose the target with the least work for its strength."""
-        usable = [item for item in ranked if item.usable]
-        if not usable:
-            return None
-        return min(usable, key=_recent_share).target
-
-
 def _open_share(item: placement.TargetLoad) -> float:
     return (item.open_flows + 1) / item.strength
-
-
-def _recent_share(item: placement.TargetLoad) -> float:
-    return (item.recent + 1) / item.strength
--- a/eelgrasswick/emulated_stream.py
+++ b/eelgrasswick/emulated_stream.py
@@ -95,11 +95,6 @@
         self._fin_wanted = True
         self._pump(now_ms)
 
-    def abort(self) -> None:
-        """Reset the connection."""
-        self._emit(int(_RST | _ACK), self._next, b"")
-        self.closed = True
-
     def take(self) -> bytes:
         """Return the bytes received in order and clear them."""
         data = bytes(self.received)
--- a/eelgrasswick/engine.py
+++ b/eelgrasswick/engine.py
@@ -155,14 +155,12 @@
     ) -> None:
         if isinstance(item, wire.Ping):
             self.membership.ping(now_ms, source, item)
-            self.keeper.heard(now_ms, item.sender.name, item.sequence)
-            self.books.epochs.heard(item.sequence)
+            self._heard(now_ms, item)
             return
         sender = self.peers.name_at(source)
         if isinstance(item, wire.Ack):
             self.membership.ack(now_ms, item)
-            self.keeper.heard(now_ms, item.sender.name, item.sequence)
-            self.books.epochs.heard(item.sequence)
+            self._heard(now_ms, item)
             return
         if sender is None:
             self._stranger(now_ms, source, item)
@@ -183,6 +181,10 @@
             case _:
                 raise errors.MessageInvalidError("message belongs on a link")
 
+    def _heard(self, now_ms: int, item: wire.Ping | wire.Ack) -> None:
+        self.keeper.heard(now_ms, item.sender.name, item.sequence)
+        self.books.epochs.heard(item.sequence)
+
     def _stranger(
         self, now_ms: int, source: packet.Address, item: wire.PeerMessage
     ) -> None:
--- a/eelgrasswick/home.py
+++ b/eelgrasswick/home.py
@@ -244,9 +244,7 @@
         owner: service.Service,
         known: target.Target,
     ) -> None:
-        self.learn(now_ms, key, owner, known)
-        record = self._books.flows.get(key)
-        assert record is not None
+        record = self.learn(now_ms, key, owner, known)
         self._continue(now_ms, item, key, record)
 
     def learn(
@@ -255,14 +253,15 @@
         key: packet.FlowKey,
         owner: service.Service,
         known: target.Target,
-    ) -> None:
-        """Record a flow whose target has become known for sure."""
+    ) -> flow.Record:
+        """Record a flow whose target has become known for sure; return the record."""
         record = flow.Record(
             known, flow.Origin.LEARNED, flow.State.OPEN, now_ms, owner.idle_s * 1000
         )
         self._books.flows.add(key, record)
         self._books.outbox.count(_COUNT.FLOWS_LEARNED)
         self._opener.replicate(key, owner, known)
+        return record
 
     # Packets of targets.
 
@@ -279,9 +278,7 @@
             # may answer a packet that another VM sent on a wrong guess.
             self._books.outbox.count(_COUNT.RESETS_HELD_BACK)
             return
-        self.learn(now_ms, key, owner, sender)
-        record = self._books.flows.get(key)
-        assert record is not None
+        record = self.learn(now_ms, key, owner, sender)
         self._answer_known(now_ms, item, key, record)
 
     def _answer_stray(
--- a/eelgrasswick/wire.py
+++ b/eelgrasswick/wire.py
@@ -11,7 +11,6 @@
 
 from eelgrasswick import errors, member, packet
 
-MAX_DATAGRAM_BYTES: typing.Final = 9200
 MAX_LINK_BYTES: typing.Final = 2_000_000
 
 Hops = typing.Annotated[int, msgspec.Meta(ge=0, le=255)]
