End a connection attempt by the endpoint's own timeout; log what Twisted reports

Cause: a cancelled connection attempt fails with an error of its own kind that was not caught. The call to the store ended without being counted as failed and was made again at once, and the traceback went to standard error. A test connects to a listener that never accepts.

--- a/eelgrasswick/cookie/entry.py
+++ b/eelgrasswick/cookie/entry.py
@@ -96,6 +96,7 @@
         """Open the sockets and begin."""
         vm = self._settings.vm
         now_ms = clock.now_ms()
+        self._journal.take_twisted(clock.now_ms)
         self._write("started", zone=vm.zone, seeds=len(self._settings.fleet.seeds))
         self._peers.named(now_ms, self._settings.fleet.seeds)
         self._listen()
--- a/eelgrasswick/cookie/peers.py
+++ b/eelgrasswick/cookie/peers.py
@@ -20,6 +20,9 @@
 # One of this many VMs with the freshest knowledge is asked each time, so that
 # one in four requests of a zone's 20 VMs, 20 a second, reach who watches.
 FRESHEST: typing.Final = 4
+# VMs that were just named are asked so many at a time; a fleet that starts all
+# at once knows itself in about three seconds.
+NEW_AT_ONCE: typing.Final = 4
 # Part of the VMs taken for gone that are asked in each turn; one that is back
 # is mostly heard before, as it asks others.
 RETRY_SHARE: typing.Final = 0.25
@@ -139,11 +142,16 @@
                 if peer.alive or self._rng.random() < RETRY_SHARE or not len(self)
             ]
             self._rng.shuffle(self._round)
-        while self._round:
-            host = self._round.pop(0)
-            if host in self._peers:
-                return [host]
-        return []
+        chosen: list[str] = []
+        while self._round and len(chosen) < NEW_AT_ONCE:
+            peer = self._peers.get(self._round[0])
+            new = peer is not None and not peer.heard_ms and not peer.unanswered
+            if chosen and not new:
+                break
+            del self._round[0]
+            if peer is not None:
+                chosen.append(peer.host)
+        return chosen
 
     def _freshest(self) -> list[str]:
         alive = [peer for peer in self._peers.values() if peer.alive]
--- a/eelgrasswick/cookie/transfer.py
+++ b/eelgrasswick/cookie/transfer.py
@@ -84,10 +84,11 @@
         errors.VmSilentError: It did not answer in time.
     """
     client = _Client(revision)
-    end = endpoints.TCP4ClientEndpoint(reactor, address.host, address.port)
+    end = endpoints.TCP4ClientEndpoint(
+        reactor, address.host, address.port, timeout=TIMEOUT_MS / 1000
+    )
     try:
-        connecting = endpoints.connectProtocol(end, client)
-        await connecting.addTimeout(TIMEOUT_MS / 1000, reactor)
+        await endpoints.connectProtocol(end, client)
         content = await client.done.addTimeout(TIMEOUT_MS / 1000, reactor)
     except (
         error.ConnectError,
--- a/eelgrasswick/platform/store.py
+++ b/eelgrasswick/platform/store.py
@@ -159,12 +159,13 @@
         if known is not None and known.open:
             return known
         host, port = self._address
-        end = endpoints.TCP4ClientEndpoint(self._reactor, host, port)
+        end = endpoints.TCP4ClientEndpoint(
+            self._reactor, host, port, timeout=CONNECT_MS / 1000
+        )
         made = _Connection(f"{host}:{port}")
-        connecting = endpoints.connectProtocol(end, made)
         try:
-            await connecting.addTimeout(CONNECT_MS / 1000, self._reactor)
-        except (error.ConnectError, defer.TimeoutError, defer.CancelledError) as fault:
+            await endpoints.connectProtocol(end, made)
+        except error.ConnectError as fault:
             raise errors.StoreError(f"connect: {type(fault).__name__}") from fault
         self._connection = made
         return made
--- /dev/null
+++ b/tests/test_platform_store.py
@@ -0,0 +1,194 @@
+"""The platform's store over HTTP, against a stand-in on loopback."""
+
+import base64
+import json
+import typing
+import urllib.parse
+
+import h11
+import pytest
+from twisted.internet import defer, protocol
+from twisted.internet import reactor as default_reactor
+
+from eelgrasswick import errors
+from eelgrasswick.cookie import model, source
+from eelgrasswick.platform import store
+from tests import turning
+
+HOST: typing.Final = "127.0.0.1"
+Answer = tuple[int, bytes] | None
+Script = typing.Callable[[str, dict[str, str]], Answer]
+
+
+class StandIn(protocol.Factory):
+    """A store that answers what a script says; None for no answer."""
+
+    def __init__(self, script: Script) -> None:
+        """Answer calls as a script says."""
+        self.script = script
+        self.calls: list[str] = []
+        self.connections = 0
+
+    def buildProtocol(self, addr: object) -> "_Call":  # noqa: N802
+        """Count and accept a connection."""
+        self.connections += 1
+        return _Call(self)
+
+
+class _Call(protocol.Protocol):
+    def __init__(self, stand_in: StandIn) -> None:
+        self._stand_in = stand_in
+        self._http = h11.Connection(h11.SERVER)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        self._http.receive_data(data)
+        while True:
+            event = self._http.next_event()
+            if event in (h11.NEED_DATA, h11.PAUSED):
+                return
+            if isinstance(event, h11.Request):
+                self._answer(event.target.decode())
+            elif isinstance(event, h11.EndOfMessage):
+                self._http.start_next_cycle()
+
+    def _answer(self, target: str) -> None:
+        parts = urllib.parse.urlsplit(target)
+        query = dict(urllib.parse.parse_qsl(parts.query, keep_blank_values=True))
+        self._stand_in.calls.append(parts.path)
+        answer = self._stand_in.script(parts.path, query)
+        if answer is None:
+            return
+        status, body = answer
+        headers = [("Content-Length", str(len(body)))]
+        response = h11.Response(status_code=status, headers=headers)
+        out = [
+            self._http.send(response),
+            self._http.send(h11.Data(data=body)),
+            self._http.send(h11.EndOfMessage()),
+        ]
+        typing.cast(typing.Any, self.transport).write(b"".join(o for o in out if o))
+
+
+Start = typing.Callable[[Script], tuple[StandIn, store.Store]]
+
+
+@pytest.fixture
+def start() -> typing.Iterator[Start]:
+    ports = []
+
+    def begin(script: Script) -> tuple[StandIn, store.Store]:
+        stand_in = StandIn(script)
+        reactor = typing.cast(typing.Any, default_reactor)
+        port = reactor.listenTCP(0, stand_in, interface=HOST)
+        ports.append(port)
+        address = model.Address(HOST, port.getHost().port)
+        return stand_in, store.Store(reactor, address)
+
+    yield begin
+    for port in ports:
+        turning.result(defer.maybeDeferred(port.stopListening))
+
+
+def _item(key: str, revision: int, value: bytes = b"v") -> dict[str, typing.Any]:
+    text = base64.b64encode(value).decode()
+    return {"key": key, "value": text, "revision": revision, "created": 1, "lease": 0}
+
+
+def _json(body: object) -> tuple[int, bytes]:
+    return 200, json.dumps(body).encode()
+
+
+def test_reads_all_pages(start: Start) -> None:
+    def script(path: str, query: dict[str, str]) -> Answer:
+        if "after" in query:
+            assert query["after"] == "b"
+            return _json(
+                {"items": [_item("c", 9)], "has_more": False, "store_revision": 9}
+            )
+        items = [_item("a", 1), _item("b", 2)]
+        return _json({"items": items, "has_more": True, "store_revision": 7})
+
+    stand_in, client = start(script)
+    changes = turning.result(client.read_all())
+    assert [row.key for row in changes.rows] == ["a", "b", "c"]
+    assert changes.revision == 7
+    assert changes.base == 0
+    assert stand_in.connections == 1
+
+
+def test_watch_returns_writes_and_deletions(start: Start) -> None:
+    def script(path: str, query: dict[str, str]) -> Answer:
+        assert (path, query["after"]) == ("/api/kv-watch", "4")
+        events = [_item("a", 5), {"key": "b", "revision": 6, "deleted": True}]
+        return _json({"events": events, "store_revision": 6})
+
+    _, client = start(script)
+    changes = turning.result(client.changes(4, 1000))
+    assert changes.rows == (source.Row("a", b"v", 5), source.Row("b", None, 6))
+    assert (changes.base, changes.revision) == (4, 6)
+
+
+def test_forgotten_history_is_told_apart(start: Start) -> None:
+    _, client = start(lambda *_: (410, b"{}"))
+    with pytest.raises(errors.HistoryGoneError):
+        turning.result(client.changes(4, 1000))
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        (503, b"{}"),
+        (429, b""),
+        (200, b"no json"),
+        (200, b"[]"),
+        (200, b"{}"),
+        (200, b'{"events": [{}], "store_revision": 4}'),
+        (200, b'{"events": [], "store_revision": "4"}'),
+        (
+            200,
+            b'{"events": [{"key": "a", "value": "?", "revision": 5}],'
+            b' "store_revision": 5}',
+        ),
+    ],
+)
+def test_refusals_and_nonsense_are_errors(start: Start, answer: Answer) -> None:
+    """The store refuses this VM, or something else answers in its place."""
+    _, client = start(lambda *_: answer)
+    with pytest.raises(errors.StoreError):
+        turning.result(client.changes(4, 100))
+
+
+def test_connection_that_went_silent_is_left(
+    start: Start, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """An open connection returns nothing more, without a reset.
+
+    A VM that waited on it would never hear of a change again.
+    """
+    monkeypatch.setattr(store, "ANSWER_MS", 100)
+    answers: list[Answer] = [None, _json({"events": [], "store_revision": 4})]
+    stand_in, client = start(lambda *_: answers.pop(0))
+    with pytest.raises(errors.StoreError):
+        turning.result(client.changes(4, 50))
+    assert turning.result(client.changes(4, 50)).revision == 4
+    assert stand_in.connections == 2
+
+
+def test_store_that_does_not_listen_is_an_error() -> None:
+    client = store.Store(default_reactor, model.Address(HOST, 1))
+    with pytest.raises(errors.StoreError):
+        turning.result(client.read_all())
+
+
+def test_connection_that_is_never_accepted_is_an_error(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A partition swallows the opening packets of a connection.
+
+    Without a bound the only call that is made at a time would hang for minutes.
+    """
+    monkeypatch.setattr(store, "CONNECT_MS", 50)
+    with turning.full_listener() as address:
+        client = store.Store(default_reactor, address)
+        with pytest.raises(errors.StoreError):
+            turning.result(client.read_all())
