Place by the flows, speeds and silence that all VMs see

VMs now report flows, answer times and silent targets to each other on the messages they exchange anyway. The less full of two targets of the own zone gets a flow, others only when the zone is fuller by half and two flows for each slot.

Ruled out: the existing health book (three failures at one VM; a VM of the grown fleets sees too few openings for that).

--- a/eelgrasswick/cookie/entry.py
+++ b/eelgrasswick/cookie/entry.py
@@ -17,6 +17,7 @@
     peers,
     ports,
     settings,
+    sights,
     source,
     stats,
     steering,
@@ -79,9 +80,14 @@
         )
         self._knowledge = knowledge.Knowledge()
         self._catalog = catalog.Catalog(parts.reader)
-        self._steering = steering.Steering(vm.zone, parts.codec, self._catalog)
+        self._sights = sights.Sights(self._catalog)
+        self._steering = steering.Steering(
+            vm.zone, parts.codec, self._catalog, self._sights
+        )
         self._peers = peers.Peers(vm.peer.host, vm.zone, rng)
-        self._exchange = exchange.Exchange(vm.zone, self._knowledge, self._peers, rng)
+        self._exchange = exchange.Exchange(
+            vm.zone, self._knowledge, self._peers, self._sights.reports, rng
+        )
         self._storing = storing.Storing(
             parts.source, self._knowledge, self._merged, self._journal, rng
         )
@@ -118,7 +124,7 @@
         """Begin to leave: take no new flows, carry on until they are gone."""
         if self._stop_ms is None:
             self._stop_ms = clock.now_ms()
-            self._write("stopping", flows=len(self._steering.tracker))
+            self._write("stopping", flows=len(self._sights.tracker))
 
     def _listen(self) -> None:
         vm = self._settings.vm
@@ -177,11 +183,17 @@
             cookie=segment.cookie,
             target=target.name if target is not None else "-",
             zone=target.zone if target is not None else "-",
-            on_target=self._steering.tracker.flows_on(target.cookie) if target else 0,
+            on_target=self._flows_on(target),
             revision=self._knowledge.revision,
             age_ms=age_ms,
         )
 
+    def _flows_on(self, target: model.Target | None) -> int:
+        if target is None:
+            return 0
+        own = self._sights.tracker.flows_on(target.cookie)
+        return own + self._sights.reports.flows_on(target.cookie)
+
     def _on_peer(self, payload: bytes, host: str) -> None:
         now_ms = clock.now_ms()
         try:
@@ -228,14 +240,16 @@
 
     def _ask(self) -> None:
         now_ms = clock.now_ms()
+        self._sights.tick(now_ms)
+        self._catalog.tick(now_ms)
         self._exchange.reads_store = self._storing.answers
+        self._exchange.report = self._sights.report()
         requests, gone = self._exchange.ask(now_ms)
         for item in requests:
             self._send_peer(item)
         for host in gone:
             self._write("peer_lost", peer=host, alive=len(self._peers))
         self._peers.forget(now_ms)
-        self._steering.tick(now_ms)
 
     def _check(self) -> None:
         now_ms = clock.now_ms()
@@ -268,7 +282,7 @@
     def _metrics_page(self) -> web.Page:
         now_ms = clock.now_ms()
         self._stats.gauges.update(
-            flows=len(self._steering.tracker),
+            flows=len(self._sights.tracker),
             peers=len(self._peers),
             targets=len(self._catalog.targets),
             revision=self._knowledge.revision,
--- a/eelgrasswick/cookie/exchange.py
+++ b/eelgrasswick/cookie/exchange.py
@@ -12,11 +12,14 @@
 import cbor2
 
 from eelgrasswick import errors
-from eelgrasswick.cookie import knowledge, peers, source
+from eelgrasswick.cookie import knowledge, peers, reports, source
 
 # Fits one datagram beside the headers at every link's packet size.
 MAX_BYTES: typing.Final = 1200
 MAX_ROWS: typing.Final = 40
+# What a message holds beside rows and report, and an entry of a report.
+_FRAME_BYTES: typing.Final = 250
+_ENTRY_BYTES: typing.Final = 12
 # News goes to three VMs of the own zone and three of others at once.
 SPREAD: typing.Final = 3
 # An answer later than this is no answer.
@@ -59,6 +62,7 @@
     age_ms: int
     changes: source.Changes | None
     hosts: tuple[str, ...]
+    report: reports.Report
 
 
 class Exchange:
@@ -69,10 +73,21 @@
         zone: str,
         known: knowledge.Knowledge,
         others: peers.Peers,
+        said: reports.Reports,
         rng: random.Random,
     ) -> None:
-        """Talk about some knowledge with some peers."""
+        """Talk about some knowledge with some peers.
+
+        Args:
+            zone: Availability zone of this VM.
+            known: What it knows of the store.
+            others: The other VMs.
+            said: Takes their reports of targets.
+            rng: Source of randomness.
+        """
         self.reads_store = True
+        self.report: reports.Report = ()
+        self._reports = said
         self._zone = zone
         self._knowledge = known
         self._peers = others
@@ -85,6 +100,8 @@
         self._forget_asked(now_ms)
         hosts = self._peers.next_hosts()
         gone = [host for host in hosts if self._peers.asked(host)]
+        for host in gone:
+            self._reports.forget(host)
         return [self._request(now_ms, host) for host in hosts], gone
 
     def news(self, now_ms: int, merge: knowledge.Merge) -> list[Outgoing]:
@@ -92,7 +109,7 @@
         if not merge.rows:
             return []
         base = min(row.revision for row in merge.rows) - 1
-        payload = self._encode(now_ms, _NEWS, 0, self._short(base))
+        payload = self._encode(now_ms, _NEWS, 0, self._short(base, ()))
         return [Outgoing(host, payload) for host in self._peers.spread(SPREAD)]
 
     def receive(self, now_ms: int, host: str, payload: bytes) -> Heard:
@@ -104,6 +121,8 @@
         item = _decode(payload)
         joined = self._peers.heard(now_ms, host, item.zone, item.reads_store)
         self._peers.named(now_ms, item.hosts)
+        if item.kind != _NEWS:
+            self._reports.take(now_ms, host, item.report)
         merge, fetch = self._merge(now_ms, host, item)
         sends: list[Outgoing] = []
         if item.kind == _ASK:
@@ -122,7 +141,7 @@
     def _answer(self, now_ms: int, host: str, item: _Message) -> Outgoing:
         changes = None
         if item.revision < self._knowledge.revision:
-            changes = self._short(item.revision)
+            changes = self._short(item.revision, self.report)
         return Outgoing(host, self._encode(now_ms, _ANSWER, item.number, changes))
 
     def _confirm(self, now_ms: int, host: str, item: _Message) -> None:
@@ -144,14 +163,15 @@
             return None, host
         return self._knowledge.merge(now_ms, changes), ""
 
-    def _short(self, base: int) -> source.Changes | None:
+    def _short(self, base: int, report: reports.Report) -> source.Changes | None:
+        room = MAX_BYTES - _FRAME_BYTES - _ENTRY_BYTES * len(report)
         # A listing of everything never fits, and finding that out would cost
         # the encoding of the whole configuration.
         changes = self._knowledge.since(base)
         if changes.base == 0 or len(changes.rows) > MAX_ROWS:
             return None
         size = sum(len(row.key) + len(row.value or b"") + 8 for row in changes.rows)
-        return changes if size <= MAX_BYTES - 250 else None
+        return changes if size <= room else None
 
     def _encode(
         self, now_ms: int, kind: int, number: int, changes: source.Changes | None
@@ -165,6 +185,7 @@
             min(self._knowledge.age_ms(now_ms), 2**31),
             list(changes) if changes is not None else None,
             self._peers.sample(),
+            [list(entry) for entry in self.report] if kind != _NEWS else [],
         ]
         return cbor2.dumps(item)
 
@@ -207,9 +228,17 @@
 
 def _decode(payload: bytes) -> _Message:
     try:
-        kind, number, zone, reads, revision, age_ms, changes, hosts = cbor2.loads(
-            payload
-        )
+        (
+            kind,
+            number,
+            zone,
+            reads,
+            revision,
+            age_ms,
+            changes,
+            hosts,
+            report,
+        ) = cbor2.loads(payload)
         item = _Message(
             _integer(kind),
             _integer(number),
@@ -219,6 +248,7 @@
             _integer(age_ms),
             None if changes is None else _changes(changes),
             tuple(_text(host) for host in hosts[: peers.SAMPLE]),
+            tuple(_entry(entry) for entry in report[: reports.MAX_ENTRIES]),
         )
     except _FAULTS as error:
         raise errors.MessageInvalidError(f"peer message: {error}") from error
@@ -241,6 +271,13 @@
     return source.Row(_text(key), value, _integer(revision))
 
 
+def _entry(item: typing.Any) -> reports.Entry:
+    cookie, flows, answer_ms, silent = item
+    return reports.Entry(
+        _integer(cookie), _integer(flows), _integer(answer_ms), bool(silent)
+    )
+
+
 def _integer(value: object) -> int:
     if not isinstance(value, int) or isinstance(value, bool) or value < 0:
         raise TypeError(f"{value!r} is no count")
--- a/eelgrasswick/cookie/placing.py
+++ b/eelgrasswick/cookie/placing.py
@@ -1,20 +1,24 @@
 """Which target a new flow goes to, for flows that name their target.
 
 Load pattern: long flows of unequal zones on targets of unequal speed. A new
-flow stays in its own availability zone while that zone's targets are not
-fuller than those elsewhere by ``SPILL``: a cut between zones then breaks few
-flows, and a burst in one zone or a zone that has lost targets is carried by
-the others. Inside a zone the target with the fewest flows for its strength gets
-it; this VM's own flows are counted, which are an even part of the zone's.
+flow stays in its own availability zone unless that zone's targets are much
+fuller than those elsewhere: a cut between zones then breaks few flows, and a
+burst in one zone, or a zone that has lost targets, is carried by the others.
+Inside a zone the less full of two targets gets it (Mitzenmacher, "The Power of
+Two Choices in Randomized Load Balancing", 2001): all VMs know late figures, and
+if each chose the least full of all they would fill it in turn.
 """
 
 import typing
 
 from eelgrasswick.cookie import model
 
-# How much fuller than the least full target elsewhere one of the own zone may
-# be. 1.5 flows for each slot is below what makes a second request wait.
-SPILL: typing.Final = 1.5
+# How much fuller than elsewhere the own zone may be: by half, and two flows for
+# each slot. Of two zones with two and three targets for the same callers the
+# first is fuller by half; that alone should not send flows over a link that may
+# be cut, as targets are half busy on the heaviest days of the sheets.
+SPILL_FACTOR: typing.Final = 1.5
+SPILL_SLACK: typing.Final = 2.0
 # A cold server works 1.6 times slower, by the platform's sheets.
 COLD_FACTOR: typing.Final = 0.6
 
@@ -47,29 +51,26 @@
 
 
 def choose(
-    candidates: typing.Sequence[Candidate], zone: str, tie: int
+    candidates: typing.Sequence[Candidate], zone: str, draws: tuple[float, float]
 ) -> model.Target | None:
     """Choose the target of a new flow.
 
     Args:
         candidates: Targets that may get it.
         zone: Availability zone of this VM.
-        tie: A number that is even over flows; it decides among equally full
-            targets, which all VMs would else fill in the same order.
+        draws: Two numbers from 0 to 1 that are even over flows.
 
     Returns:
         The target, or None when there is no candidate.
     """
     own = [item for item in candidates if item.target.zone == zone]
     others = [item for item in candidates if item.target.zone != zone]
-    best_own = _least_full(own, tie)
-    best_other = _least_full(others, tie)
-    if best_own is None or best_other is None:
-        best = best_own or best_other
-        return best.target if best is not None else None
-    if best_own.fill > best_other.fill + SPILL:
-        return best_other.target
-    return best_own.target
+    if own and others and _fill(own) > SPILL_FACTOR * _fill(others) + SPILL_SLACK:
+        own = others
+    chosen = own or others
+    if not chosen:
+        return None
+    return _less_full(chosen, draws).target
 
 
 def pick_service(shares: typing.Sequence[model.Share], fraction: float) -> str:
@@ -88,9 +89,17 @@
     return shares[-1].service
 
 
-def _least_full(candidates: typing.Sequence[Candidate], tie: int) -> Candidate | None:
-    if not candidates:
-        return None
-    lowest = min(item.fill for item in candidates)
-    equal = [item for item in candidates if item.fill <= lowest * 1.001]
-    return equal[tie % len(equal)]
+def _fill(candidates: typing.Sequence[Candidate]) -> float:
+    flows = sum(item.flows for item in candidates)
+    return flows / sum(item.strength for item in candidates)
+
+
+def _less_full(
+    candidates: typing.Sequence[Candidate], draws: tuple[float, float]
+) -> Candidate:
+    first = int(draws[0] * len(candidates)) % len(candidates)
+    if len(candidates) == 1:
+        return candidates[first]
+    step = 1 + int(draws[1] * (len(candidates) - 1)) % (len(candidates) - 1)
+    second = (first + step) % len(candidates)
+    return min(candidates[first], candidates[second], key=lambda item: item.fill)
--- /dev/null
+++ b/eelgrasswick/cookie/reports.py
@@ -0,0 +1,90 @@
+"""What the entry VMs tell each other of the targets.
+
+Load pattern: a VM sees a part of the flows, on grown fleets a sixtieth. By its
+own part alone a target looks idle that others have filled, a zone looks
+empty to all VMs of the other zones, and each VM has to lose callers to a
+silent target before it passes it over. So each tells the others how many flows
+it has on each target, how fast the target answers it, and whether it is silent.
+
+Reports are some seconds old; flows of the kinds that fill targets last longer.
+A VM's own flows count at once, so that it does not send all of them to the
+target that looked empty when the others last spoke.
+"""
+
+import typing
+
+# VMs of a fleet of 62 hear from each other directly about every ten seconds.
+KEEP_MS: typing.Final = 10_000
+# News of silence is acted on only while it is new.
+SILENT_MS: typing.Final = 1500
+# Bounds a report at about 600 bytes, half of a datagram.
+MAX_ENTRIES: typing.Final = 60
+
+
+class Entry(typing.NamedTuple):
+    """What one VM knows of one target.
+
+    Attributes:
+        cookie: The target.
+        flows: Flows that pass this VM to it.
+        answer_ms: Smoothed time of its answers; 0 when too few were seen.
+        silent: True when it left packets unanswered lately.
+    """
+
+    cookie: int
+    flows: int
+    answer_ms: int
+    silent: bool
+
+
+Report = tuple[Entry, ...]
+
+
+class Reports:
+    """The last report of each other VM."""
+
+    def __init__(self) -> None:
+        """Begin without reports."""
+        self._reports: dict[str, tuple[Report, int]] = {}
+        self._flows: dict[int, int] = {}
+        self._answers_ms: dict[int, list[int]] = {}
+
+    def take(self, now_ms: int, host: str, report: Report) -> None:
+        """Take a VM's report in place of its last one."""
+        self._reports[host] = (report, now_ms)
+
+    def forget(self, host: str) -> None:
+        """Drop the report of a VM that is gone; its flows pass others now."""
+        self._reports.pop(host, None)
+
+    def tick(self, now_ms: int) -> None:
+        """Drop what is old, and sum up the rest."""
+        old = [h for h, (_, at_ms) in self._reports.items() if now_ms - at_ms > KEEP_MS]
+        for host in old:
+            del self._reports[host]
+        self._flows = {}
+        self._answers_ms = {}
+        for report, _ in self._reports.values():
+            for entry in report:
+                self._flows[entry.cookie] = (
+                    self._flows.get(entry.cookie, 0) + entry.flows
+                )
+                if entry.answer_ms:
+                    times_ms = self._answers_ms.setdefault(entry.cookie, [])
+                    times_ms.append(entry.answer_ms)
+
+    def flows_on(self, cookie: int) -> int:
+        """Return how many flows the other VMs have on a target."""
+        return self._flows.get(cookie, 0)
+
+    def answers_ms(self, cookie: int) -> typing.Sequence[int]:
+        """Return the answer times that other VMs see of a target."""
+        return self._answers_ms.get(cookie, ())
+
+    def silent_for(self, now_ms: int, cookie: int) -> int:
+        """Return how many other VMs lately found a target silent."""
+        return sum(
+            any(entry.cookie == cookie and entry.silent for entry in report)
+            for report, at_ms in self._reports.values()
+            if now_ms - at_ms <= SILENT_MS
+        )
--- a/eelgrasswick/cookie/speed.py
+++ b/eelgrasswick/cookie/speed.py
@@ -32,7 +32,7 @@
 
 
 class SpeedBook:
-    """Answer times by cookie."""
+    """Answer times by cookie, as this VM sees them."""
 
     def __init__(self) -> None:
         """Know no target."""
@@ -57,32 +57,32 @@
             return None
         return max(1.0, known.mean_ms)
 
-    def factors(self, cookies: typing.Sequence[int]) -> dict[int, float]:
-        """Return what each target's slots are to be multiplied with.
-
-        Args:
-            cookies: Targets of one service.
-
-        Returns:
-            By cookie, 1 for a target of usual or unknown speed.
-        """
-        means_ms = {cookie: self.mean_ms(cookie) for cookie in cookies}
-        known = [value for value in means_ms.values() if value is not None]
-        if len(known) < 2:
-            return dict.fromkeys(cookies, 1.0)
-        # The mean of speeds, not of times: one very slow target would make all
-        # others look fast.
-        usual_ms = len(known) / sum(1 / value for value in known)
-        return {
-            cookie: 1.0 if value is None else _factor(usual_ms, value)
-            for cookie, value in means_ms.items()
-        }
-
     def keep(self, cookies: typing.Collection[int]) -> None:
         """Forget all other targets."""
         for cookie in [item for item in self._answers if item not in cookies]:
             del self._answers[cookie]
 
 
+def factors(means_ms: typing.Mapping[int, float | None]) -> dict[int, float]:
+    """Return what each target's slots are to be multiplied with.
+
+    Args:
+        means_ms: Answer times of the targets of one service, None for unknown.
+
+    Returns:
+        By cookie, 1 for a target of usual or unknown speed.
+    """
+    known = [value for value in means_ms.values() if value is not None]
+    if len(known) < 2:
+        return dict.fromkeys(means_ms, 1.0)
+    # The mean of speeds, not of times: one very slow target would make all
+    # others look fast.
+    usual_ms = len(known) / sum(1 / value for value in known)
+    return {
+        cookie: 1.0 if value is None else _factor(usual_ms, value)
+        for cookie, value in means_ms.items()
+    }
+
+
 def _factor(usual_ms: float, mean_ms: float) -> float:
     return max(LOWEST, min(HIGHEST, usual_ms / mean_ms))
