--- a/eelgrasswick/cookie/entry.py
+++ b/eelgrasswick/cookie/entry.py
@@ -29,6 +29,8 @@
 
 ASK_S: typing.Final = 0.25
 CHECK_S: typing.Final = 0.1
+# Above what callers and other VMs send; longer ones are cut and then refused.
+DATAGRAM_BYTES: typing.Final = 4096
 METRICS_PATH: typing.Final = "/metrics"
 _QUIET_OUTCOMES: typing.Final = frozenset({steering.Outcome.FORWARDED})
 
@@ -97,6 +99,8 @@
         self._stop_ms: int | None = None
         self._packet_ms = 0
         self._was_ready = False
+        self._loops: list[task.LoopingCall] = []
+        self._listening: list[typing.Any] = []
 
     def start(self) -> None:
         """Open the sockets and begin."""
@@ -106,8 +110,25 @@
         self._write("started", zone=vm.zone, seeds=len(self._settings.fleet.seeds))
         self._peers.named(now_ms, self._settings.fleet.seeds)
         self._listen()
-        task.LoopingCall(self._check).start(CHECK_S)
-        task.LoopingCall(self._ask).start(ASK_S)
+        self._repeat(self._check, CHECK_S)
+        self._repeat(self._ask, ASK_S)
+
+    def _repeat(self, work: typing.Callable[[], None], every_s: float) -> None:
+        loop = task.LoopingCall(work)
+        loop.clock = self._reactor
+        loop.start(every_s)
+        self._loops.append(loop)
+
+    async def close(self) -> None:
+        """Close the sockets and end the tasks."""
+        for loop in self._loops:
+            loop.stop()
+        for port in self._listening:
+            await defer.maybeDeferred(port.stopListening)
+
+    def flush_log(self) -> None:
+        """Write the lines that wait."""
+        self._journal.flush()
 
     def reload(self, loaded: settings.Settings) -> None:
         """Take settings that have changed; addresses stay as they were."""
@@ -129,14 +150,16 @@
     def _listen(self) -> None:
         vm = self._settings.vm
         reactor = self._reactor
-        reactor.listenUDP(vm.data.port, self._data, vm.data.host, 65536)
-        reactor.listenUDP(vm.peer.port, self._peer, vm.peer.host, 65536)
         answers = transfer.ServerFactory(self._knowledge.since)
-        reactor.listenTCP(vm.peer.port, answers, interface=vm.peer.host)
         probe = web.WebFactory({self._ready_path: self._ready_page})
-        reactor.listenTCP(vm.ready.port, probe, interface=vm.ready.host)
         pages = web.WebFactory({METRICS_PATH: self._metrics_page})
-        reactor.listenTCP(vm.metrics.port, pages, interface=vm.metrics.host)
+        self._listening = [
+            reactor.listenUDP(vm.data.port, self._data, vm.data.host, DATAGRAM_BYTES),
+            reactor.listenUDP(vm.peer.port, self._peer, vm.peer.host, DATAGRAM_BYTES),
+            reactor.listenTCP(vm.peer.port, answers, interface=vm.peer.host),
+            reactor.listenTCP(vm.ready.port, probe, interface=vm.ready.host),
+            reactor.listenTCP(vm.metrics.port, pages, interface=vm.metrics.host),
+        ]
 
     def _on_data(self, raw: bytes, host: str) -> None:
         now_ms = clock.now_ms()
--- /dev/null
+++ b/tests/entry_parts.py
@@ -0,0 +1,119 @@
+"""Entry VMs on loopback sockets, with a store in memory."""
+
+import os
+import random
+import socket
+import typing
+
+from twisted.internet import defer
+from twisted.internet import reactor as default_reactor
+
+from eelgrasswick import errors
+from eelgrasswick.cookie import entry, settings, source
+from eelgrasswick.platform import entries, segments
+from tests import turning
+
+READY_PATH: typing.Final = "/ready"
+DATA_PORT: typing.Final = 18172
+_OFFSETS: typing.Final = {"ready": 1, "peer": 2, "metrics": 3}
+
+
+class MemoryStore(source.ChangeSource):
+    """A store in memory; ``down`` makes every call fail."""
+
+    def __init__(self, *rows: source.Row) -> None:
+        """Hold some rows."""
+        self.rows = {row.key: row for row in rows}
+        self.down = False
+        self.calls = 0
+        self.revision = max((row.revision for row in rows), default=0)
+
+    def write(self, row: source.Row) -> None:
+        """Write a row at its revision."""
+        self.rows[row.key] = row
+        self.revision = row.revision
+
+    async def read_all(self) -> source.Changes:
+        """Return all rows; see the base class."""
+        self._count()
+        return source.Changes(tuple(self.rows.values()), self.revision, 0)
+
+    async def changes(self, after: int, wait_ms: int) -> source.Changes:
+        """Return what changed, at once or after a short wait."""
+        self._count()
+        if self.revision == after:
+            await _sleep(0.05)
+        rows = tuple(row for row in self.rows.values() if row.revision > after)
+        return source.Changes(rows, self.revision, after)
+
+    def _count(self) -> None:
+        self.calls += 1
+        if self.down:
+            raise errors.StoreError("down")
+
+
+def _sleep(duration_s: float) -> "defer.Deferred[None]":
+    waiting: defer.Deferred[None] = defer.Deferred()
+    reactor = typing.cast(typing.Any, default_reactor)
+    reactor.callLater(duration_s, waiting.callback, None)
+    return waiting
+
+
+class RunningVm:
+    """An entry VM, and the pipe that its log goes to."""
+
+    def __init__(self, host: str, store: MemoryStore, seeds: tuple[str, ...]) -> None:
+        """Start a VM at a loopback address."""
+        self.host = host
+        text = f"[vm]\nname = vm-{host}\nzone = z1\ndata = {host}:{DATA_PORT}\n"
+        for key, offset in _OFFSETS.items():
+            text += f"{key} = {host}:{DATA_PORT + offset}\n"
+        named = ", ".join(f"{seed}:1" for seed in seeds)
+        text += f"[store]\naddress = {host}:1\n[fleet]\nseeds = {named}\n"
+        self.text = text
+        self._read, self._write = os.pipe()
+        parts = entry.Parts(segments.Codec(), store, entries.Reader(), READY_PATH)
+        self.vm = entry.EntryVm(
+            default_reactor,
+            settings.read(text),
+            parts,
+            random.Random(1),
+            self._write,
+        )
+        self.vm.start()
+
+    def log(self) -> list[str]:
+        """Return the lines written since the last call."""
+        self.vm.flush_log()
+        os.set_blocking(self._read, False)
+        try:
+            return os.read(self._read, 1_000_000).decode().splitlines()
+        except BlockingIOError:
+            return []
+
+    def get(self, key: str, path: str) -> bytes:
+        """Return the answer to a GET at one of its addresses, head and all."""
+        with socket.create_connection((self.host, DATA_PORT + _OFFSETS[key])) as made:
+            made.sendall(f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+            made.setblocking(False)
+            got = bytearray()
+            turning.until(lambda: _received(made, got), "an answer")
+            return bytes(got)
+
+    def ready(self) -> bool:
+        """Tell what the readiness probe says."""
+        return self.get("ready", READY_PATH).startswith(b"HTTP/1.1 200")
+
+    def end(self) -> None:
+        """Close its sockets and its log."""
+        turning.result(self.vm.close())
+        os.close(self._write)
+        os.close(self._read)
+
+
+def _received(made: socket.socket, got: bytearray) -> bool:
+    try:
+        got += made.recv(65536)
+    except BlockingIOError:
+        return False
+    return b"\r\n\r\n" in got
--- /dev/null
+++ b/tests/test_entry.py
@@ -0,0 +1,192 @@
+"""An entry VM on real sockets."""
+
+import socket
+import typing
+
+import pytest
+
+from eelgrasswick.cookie import settings, source
+from tests import cookie_parts, entry_parts, turning
+
+Start = typing.Callable[..., entry_parts.RunningVm]
+
+
+@pytest.fixture
+def start() -> typing.Iterator[Start]:
+    running = []
+
+    def begin(
+        host: str, store: entry_parts.MemoryStore, *seeds: str
+    ) -> entry_parts.RunningVm:
+        running.append(entry_parts.RunningVm(host, store, seeds))
+        return running[-1]
+
+    yield begin
+    for item in running:
+        item.end()
+
+
+@pytest.fixture
+def server() -> typing.Iterator[socket.socket]:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as made:
+        made.bind(("127.4.1.9", 0))
+        made.setblocking(False)
+        yield made
+
+
+@pytest.fixture
+def store(server: socket.socket) -> entry_parts.MemoryStore:
+    host, port = server.getsockname()
+    address = f"{host}:{port}"
+    return entry_parts.MemoryStore(
+        cookie_parts.config_row(1),
+        cookie_parts.target_row("i-0a", 2, address=address),
+    )
+
+
+def _await_ready(vm: entry_parts.RunningVm) -> None:
+    turning.until(vm.ready, "readiness")
+
+
+def _await_datagram(taken: socket.socket) -> bytes:
+    got: list[bytes] = []
+
+    def received() -> bool:
+        try:
+            got.append(taken.recv(2000))
+        except BlockingIOError:
+            return False
+        return True
+
+    turning.until(received, "a datagram")
+    return got[0]
+
+
+def _send(vm: entry_parts.RunningVm, datagram: bytes) -> None:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as made:
+        made.sendto(datagram, (vm.host, entry_parts.DATA_PORT))
+
+
+def test_opening_packet_reaches_the_target(
+    start: Start, store: entry_parts.MemoryStore, server: socket.socket
+) -> None:
+    vm = start("127.4.1.1", store)
+    _await_ready(vm)
+    _send(vm, cookie_parts.packet(cookie_parts.SYN))
+    assert _await_datagram(server).startswith(bytes(7) + b"\x0a")
+    line = next(item for item in vm.log() if "event=flow_placed" in item)
+    assert "flow=100.64.0.7:40001>198.18.0.1:443" in line
+    assert "target=i-0a" in line
+    assert "age_ms=" in line
+
+
+def test_starts_without_the_store_from_another_vm(
+    start: Start, store: entry_parts.MemoryStore, server: socket.socket
+) -> None:
+    """A VM is killed while the store is down, and starts again.
+
+    Its callers would be refused until the store is back if it could not ask
+    another VM. The configuration is too large for a datagram.
+    """
+    many = [("198.18.0.1", port, "desk") for port in range(443, 900)]
+    store.write(cookie_parts.config_row(3, routes=many))
+    first = start("127.4.1.1", store)
+    _await_ready(first)
+    away = entry_parts.MemoryStore()
+    away.down = True
+    second = start("127.4.1.2", away, "127.4.1.1")
+    _await_ready(second)
+    _send(second, cookie_parts.packet(cookie_parts.SYN, port=899))
+    assert _await_datagram(server)
+
+
+def test_change_goes_from_one_vm_to_another(
+    start: Start, store: entry_parts.MemoryStore
+) -> None:
+    """The store refuses one VM and serves the other.
+
+    The refused one must not go on with the old rules.
+    """
+    away = entry_parts.MemoryStore()
+    away.down = True
+    first = start("127.4.1.1", store)
+    second = start("127.4.1.2", away, "127.4.1.1")
+    _await_ready(second)
+    store.write(cookie_parts.config_row(9, version=5))
+    seen: list[str] = []
+
+    def in_force() -> bool:
+        seen.extend(second.log())
+        return any("config_in_force" in item and "version=5" in item for item in seen)
+
+    turning.until(in_force, "version 5")
+    _await_ready(first)
+
+
+def test_not_ready_without_a_store_or_peers(start: Start) -> None:
+    """A VM starts alone while the store is down.
+
+    Were it in rotation, its callers would get no answer.
+    """
+    away = entry_parts.MemoryStore()
+    away.down = True
+    vm = start("127.4.1.1", away)
+    lines: list[str] = []
+    turning.until(lambda: lines.extend(vm.log()) or "store_lost" in str(lines))
+    assert not vm.ready()
+    _send(vm, cookie_parts.packet(cookie_parts.SYN))
+    turning.until(lambda: lines.extend(vm.log()) or "flow_not_ready" in str(lines))
+
+
+def test_leaving_vm_says_so(start: Start, store: entry_parts.MemoryStore) -> None:
+    vm = start("127.4.1.1", store)
+    _await_ready(vm)
+    vm.vm.stop()
+    assert not vm.ready()
+
+
+def test_metrics(start: Start, store: entry_parts.MemoryStore) -> None:
+    vm = start("127.4.1.1", store)
+    _await_ready(vm)
+    _send(vm, b"no packet")
+    turning.until(lambda: b"packets_malformed_total 1" in vm.get("metrics", "/metrics"))
+    page = vm.get("metrics", "/metrics")
+    assert b"eelgrasswick_targets 1" in page
+    assert b"HTTP/1.1 404" in vm.get("metrics", "/other")
+
+
+def test_flood_of_bad_datagrams_is_bounded_in_the_log(
+    start: Start, store: entry_parts.MemoryStore
+) -> None:
+    """Anyone can send to the port of an entry VM.
+
+    A line for each datagram would take the time that packets need.
+    """
+    vm = start("127.4.1.1", store)
+    _await_ready(vm)
+    vm.log()
+    for _ in range(100):
+        _send(vm, b"no packet")
+    turning.until(
+        lambda: b"packets_malformed_total 100" in vm.get("metrics", "/metrics")
+    )
+    dropped = [line for line in vm.log() if "event=packet_dropped" in line]
+    assert 0 < len(dropped) <= 60
+
+
+def test_new_seeds_are_taken(start: Start, store: entry_parts.MemoryStore) -> None:
+    away = entry_parts.MemoryStore()
+    away.down = True
+    start("127.4.1.1", store)
+    alone = start("127.4.1.2", away)
+    text = alone.text.replace("seeds = ", "seeds = 127.4.1.1:1")
+    alone.vm.reload(settings.read(text))
+    _await_ready(alone)
+
+
+def test_deleted_target_is_told(start: Start, store: entry_parts.MemoryStore) -> None:
+    vm = start("127.4.1.1", store)
+    _await_ready(vm)
+    store.write(source.Row("servers/i-0a", None, 7))
+    lines: list[str] = []
+    turning.until(lambda: lines.extend(vm.log()) or "target_gone" in str(lines))
