Pass over a silent zone as one, and all silent targets even when they are many

Zones are judged as a whole after two unanswered packets, and only when every target is silent is none passed over.

--- a/eelgrasswick/cookie/entry.py
+++ b/eelgrasswick/cookie/entry.py
@@ -82,7 +82,7 @@
         )
         self._knowledge = knowledge.Knowledge()
         self._catalog = catalog.Catalog(parts.reader)
-        self._sights = sights.Sights(self._catalog)
+        self._sights = sights.Sights(vm.zone, self._catalog)
         self._steering = steering.Steering(
             vm.zone, parts.codec, self._catalog, self._sights
         )
--- a/eelgrasswick/cookie/sights.py
+++ b/eelgrasswick/cookie/sights.py
@@ -2,7 +2,6 @@
 
 import typing
 
-from eelgrasswick import health
 from eelgrasswick.cookie import (
     catalog,
     model,
@@ -17,12 +16,14 @@
 class Sights:
     """Flows, answer times and silence of all targets."""
 
-    def __init__(self, known: catalog.Catalog) -> None:
-        """Look at the targets of a catalog."""
+    def __init__(self, zone: str, known: catalog.Catalog) -> None:
+        """Look at the targets of a catalog from a zone."""
+        self._zone = zone
         self._catalog = known
         self.tracker = tracker.Tracker()
         self.speeds = speed.SpeedBook()
-        self.silence = silence.SilenceBook()
+        self._silence: silence.SilenceBook[int] = silence.SilenceBook()
+        self._zone_silence: silence.SilenceBook[str] = silence.SilenceBook()
         self.reports = reports.Reports()
         self._factors: dict[int, float] = {}
 
@@ -38,22 +39,36 @@
                 before, 0 for none; it is left out unless there is no other.
         """
         accepting = self._catalog.accepting(service)
-        suspected = [self._suspected(now_ms, item.cookie) for item in accepting]
-        usable = [
-            item
-            for item, keep in zip(accepting, health.usable(suspected), strict=True)
-            if keep
-        ]
+        usable = [item for item in accepting if not self._suspected(now_ms, item)]
+        # With all silent it is rather this VM's link, or the callers', that is
+        # broken; refusing all would make it worse.
+        usable = usable or accepting
         others = [item for item in usable if item.cookie != passed_over]
         return [self._candidate(now_ms, item) for item in others or usable]
 
+    def placed(self, now_ms: int, target: model.Target) -> None:
+        """Note that a flow was sent to a target."""
+        self._silence.tried(now_ms, target.cookie)
+        self._zone_silence.tried(now_ms, target.zone)
+
+    def answered(self, target: model.Target) -> bool:
+        """Note that a target answered; True when it was passed over before."""
+        self._zone_silence.answered(target.zone)
+        return self._silence.answered(target.cookie)
+
+    def unanswered(self, now_ms: int, target: model.Target) -> bool:
+        """Note an unanswered packet; True when it is passed over from now on."""
+        if target.zone != self._zone:
+            self._zone_silence.unanswered(now_ms, target.zone)
+        return self._silence.unanswered(now_ms, target.cookie)
+
     def tick(self, now_ms: int) -> None:
         """Bring sums and speeds up to date; forget targets that are gone."""
         self.tracker.expire(now_ms)
         self.reports.tick(now_ms)
         cookies = {item.cookie for item in self._catalog.targets}
         self.speeds.keep(cookies)
-        self.silence.keep(cookies)
+        self._silence.keep(cookies)
         self._factors = {}
         for service in {item.service for item in self._catalog.targets}:
             accepting = self._catalog.accepting(service)
@@ -73,12 +88,14 @@
             cookie,
             self.tracker.flows_on(cookie),
             int(mean_ms) if mean_ms is not None else 0,
-            self.silence.silent(cookie),
+            self._silence.silent(cookie),
         )
 
-    def _suspected(self, now_ms: int, cookie: int) -> bool:
-        witnesses = self.reports.silent_for(now_ms, cookie)
-        return self.silence.suspected(now_ms, cookie, witnesses)
+    def _suspected(self, now_ms: int, target: model.Target) -> bool:
+        witnesses = self.reports.silent_for(now_ms, target.cookie)
+        return self._silence.suspected(
+            now_ms, target.cookie, witnesses
+        ) or self._zone_silence.suspected(now_ms, target.zone, 0)
 
     def _candidate(self, now_ms: int, target: model.Target) -> placing.Candidate:
         cookie = target.cookie
--- a/eelgrasswick/cookie/silence.py
+++ b/eelgrasswick/cookie/silence.py
@@ -8,12 +8,19 @@
 
 ``ENOUGH`` 2: with a loss of 5% on the way two in a row by chance are one in 400,
 and any answer in between begins the count anew. What one VM sees may be its own
-link, so others count as witnesses of the same weight, and ``health.usable``
-keeps a VM that sees all targets silent from passing over all of them.
+link, so others count as witnesses of the same weight, and when all targets are
+silent none is passed over.
+
+A zone that is cut off makes all its targets silent at once. Found out one by
+one, each costs two callers 200 ms and more; so zones are kept in a book of
+their own, where ``ENOUGH`` packets to any targets of the zone count.
 """
 
 import typing
 
+# What silence is noted of: the cookie of a target or the name of a zone.
+Key = typing.TypeVar("Key", int, str)
+
 ENOUGH: typing.Final = 2
 # A silent target is tried with one flow each time this has passed.
 TRIAL_MS: typing.Final = 1000
@@ -28,40 +35,40 @@
         self.trial_ms = 0
 
 
-class SilenceBook:
-    """Unanswered packets in a row, by cookie."""
+class SilenceBook(typing.Generic[Key]):
+    """Unanswered packets in a row, by target or zone."""
 
     def __init__(self) -> None:
-        """Begin with every target answering."""
-        self._sights: dict[int, _Sight] = {}
+        """Begin with everyone answering."""
+        self._sights: dict[Key, _Sight] = {}
 
-    def answered(self, cookie: int) -> bool:
-        """Note that a target answered; True when it was passed over."""
-        sight = self._sights.pop(cookie, None)
+    def answered(self, key: Key) -> bool:
+        """Note an answer; True when it was passed over."""
+        sight = self._sights.pop(key, None)
         return sight is not None and sight.unanswered >= ENOUGH
 
-    def unanswered(self, now_ms: int, cookie: int) -> bool:
+    def unanswered(self, now_ms: int, key: Key) -> bool:
         """Note an unanswered packet; True when it is passed over from now on."""
-        sight = self._sights.setdefault(cookie, _Sight())
+        sight = self._sights.setdefault(key, _Sight())
         sight.unanswered += 1
         sight.last_ms = now_ms
         sight.trial_ms = now_ms
         return sight.unanswered == ENOUGH
 
-    def silent(self, cookie: int) -> bool:
-        """Tell whether this VM itself takes a target for silent."""
-        sight = self._sights.get(cookie)
+    def silent(self, key: Key) -> bool:
+        """Tell whether this VM itself takes one for silent."""
+        sight = self._sights.get(key)
         return sight is not None and sight.unanswered >= ENOUGH
 
-    def suspected(self, now_ms: int, cookie: int, witnesses: int) -> bool:
-        """Tell whether a target should get no flow now.
+    def suspected(self, now_ms: int, key: Key, witnesses: int) -> bool:
+        """Tell whether one should get no flow now.
 
         Args:
             now_ms: Present time.
-            cookie: The target.
+            key: The target or zone.
             witnesses: Other VMs that lately found it silent.
         """
-        sight = self._sights.get(cookie)
+        sight = self._sights.get(key)
         own = sight.unanswered if sight is not None else 0
         if own + witnesses < ENOUGH:
             return False
@@ -69,13 +76,13 @@
             return True
         return now_ms - sight.trial_ms < TRIAL_MS
 
-    def tried(self, now_ms: int, cookie: int) -> None:
-        """Note that a flow was placed on a target."""
-        sight = self._sights.get(cookie)
+    def tried(self, now_ms: int, key: Key) -> None:
+        """Note that a flow was placed there."""
+        sight = self._sights.get(key)
         if sight is not None and sight.unanswered >= ENOUGH:
             sight.trial_ms = now_ms
 
-    def keep(self, cookies: typing.Collection[int]) -> None:
-        """Forget all other targets."""
-        for cookie in [item for item in self._sights if item not in cookies]:
-            del self._sights[cookie]
+    def keep(self, keys: typing.Collection[Key]) -> None:
+        """Forget all others."""
+        for key in [item for item in self._sights if item not in keys]:
+            del self._sights[key]
--- a/eelgrasswick/cookie/steering.py
+++ b/eelgrasswick/cookie/steering.py
@@ -98,8 +98,9 @@
         record = self._sights.tracker.get(flow)
         again = segment.acknowledged > 0 and record is not None and not record.open
         silent = record.cookie if record is not None and again else 0
-        if silent:
-            self._sights.silence.unanswered(now_ms, silent)
+        before = self._catalog.by_cookie(silent)
+        if before is not None:
+            self._sights.unanswered(now_ms, before)
         candidates = self._sights.candidates(now_ms, service, silent)
         target = placing.choose(candidates, self._zone, draws)
         if target is None:
@@ -107,7 +108,7 @@
             return Decision(Outcome.NO_TARGET, datagram, None, None)
         cookie = target.cookie
         self._sights.tracker.placed(now_ms, flow, cookie)
-        self._sights.silence.tried(now_ms, cookie)
+        self._sights.placed(now_ms, target)
         datagram = self._codec.addressed(self._codec.marked(raw, cookie), target)
         outcome = Outcome.PLACED_AGAIN if again else Outcome.PLACED
         return Decision(outcome, datagram, target.address, target)
@@ -123,19 +124,19 @@
         if target is None:
             return Decision(Outcome.UNKNOWN_COOKIE, None, None, None)
         sight = self._sights.tracker.passed(now_ms, segment, cookie)
-        self._learn(now_ms, cookie, sight)
+        self._learn(now_ms, target, sight)
         datagram = self._codec.addressed(raw, target)
         return Decision(
             Outcome.FORWARDED, datagram, target.address, target, sight.answer_ms
         )
 
-    def _learn(self, now_ms: int, cookie: int, sight: tracker.Sight) -> None:
+    def _learn(self, now_ms: int, target: model.Target, sight: tracker.Sight) -> None:
         if sight.opened or sight.answer_ms is not None:
-            self._sights.silence.answered(cookie)
+            self._sights.answered(target)
         elif sight.repeated:
-            self._sights.silence.unanswered(now_ms, cookie)
+            self._sights.unanswered(now_ms, target)
         if sight.answer_ms is not None:
-            self._sights.speeds.answered(cookie, sight.answer_ms)
+            self._sights.speeds.answered(target.cookie, sight.answer_ms)
 
 
 def _fraction(flow: model.FlowId) -> float:
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -21,7 +21,7 @@
 
 @pytest.fixture
 def seen(known: catalog.Catalog) -> sights.Sights:
-    return sights.Sights(known)
+    return sights.Sights("z1", known)
 
 
 @pytest.fixture
@@ -62,7 +62,7 @@
     Its caller would wait in vain if that VM had to know the flow.
     """
     target = _open(steers)
-    other = steering.Steering("z2", segments.Codec(), known, sights.Sights(known))
+    other = steering.Steering("z2", segments.Codec(), known, sights.Sights("z2", known))
     raw = cookie_parts.packet(cookie_parts.ACK, cookie=target.cookie, data=b"GET")
     decision = _steer(other, 5, raw)
     assert decision.target == target
@@ -185,6 +185,41 @@
     assert first in targets
 
 
+def test_zone_that_is_cut_off_is_left_out_at_once(
+    known: catalog.Catalog, seen: sights.Sights, steers: steering.Steering
+) -> None:
+    """A zone is cut off from the others, where most targets are.
+
+    Its callers would lose 200 ms and more at each of those targets in turn.
+    """
+    rows = [
+        cookie_parts.target_row(f"i-1{digit}", 20, zone="z2") for digit in "0123456789"
+    ]
+    known.update(0, knowledge.Merge(tuple(rows), 0))
+    far = [item for item in known.accepting("desk") if item.zone == "z2"]
+    seen.unanswered(0, far[0])
+    seen.unanswered(0, far[1])
+    own = [item for item in known.accepting("desk") if item.zone == "z1"]
+    full = tuple(reports.Entry(item.cookie, 90, 0, False) for item in own)
+    seen.reports.take(0, "10.0.0.8", full)
+    seen.tick(0)
+    targets = {_open(steers, 10, port=41_000 + number) for number in range(20)}
+    assert targets == set(own)
+
+
+def test_nothing_is_left_out_when_all_are_silent(
+    known: catalog.Catalog, seen: sights.Sights
+) -> None:
+    """A VM's own link to all targets is broken for a moment.
+
+    If it refused every caller, none would come through when the link is back.
+    """
+    for target in known.accepting("desk"):
+        seen.unanswered(0, target)
+        seen.unanswered(0, target)
+    assert len(seen.candidates(10, "desk", 0)) == 3
+
+
 def test_data_sent_again_and_again_tells_of_a_silent_target(
     steers: steering.Steering,
 ) -> None:
