Reset the flows of a target that is dead beyond doubt

A silent target is probed with a TCP connection; when that fails (or its entry has been gone for two seconds) and another target of its zone has answered within the last second, its flows are reset, so that callers open new ones.

Ruled out: resets by silence alone (a slow target is silent for 200 ms too), by the entry alone (it goes after 3.6 s and lapses in outages).

--- a/eelgrasswick/cookie/catalog.py
+++ b/eelgrasswick/cookie/catalog.py
@@ -49,6 +49,16 @@
         """All targets in the store."""
         return self._by_name.values()
 
+    @property
+    def remembered(self) -> typing.Collection[int]:
+        """Cookies of all targets that packets are still sent to."""
+        return self._by_cookie.keys()
+
+    def missing(self, target: model.Target, now_ms: int) -> bool:
+        """Tell whether an entry has been gone for longer than an outage explains."""
+        at_ms = self._gone_ms.get(target.cookie)
+        return at_ms is not None and now_ms - at_ms >= LAPSE_MS
+
     def route(self, segment: model.Segment) -> model.Route | None:
         """Return the route a segment is for, if there is one."""
         if self.config is None:
--- a/eelgrasswick/cookie/codec.py
+++ b/eelgrasswick/cookie/codec.py
@@ -25,5 +25,10 @@
         """Return a caller's datagram as it is sent to a target."""
 
     @abc.abstractmethod
-    def reset(self, segment: model.Segment) -> bytes:
-        """Return the datagram that tells a caller that its flow has ended."""
+    def reset(self, flow: model.FlowId, acknowledged: int) -> bytes:
+        """Return the datagram that tells a caller that its flow has ended.
+
+        Args:
+            flow: The flow.
+            acknowledged: What its caller last acknowledged.
+        """
--- a/eelgrasswick/cookie/entry.py
+++ b/eelgrasswick/cookie/entry.py
@@ -16,6 +16,7 @@
     model,
     peers,
     ports,
+    probing,
     settings,
     sights,
     source,
@@ -174,16 +175,43 @@
         decision = self._steering.steer(now_ms, age_ms, segment, raw)
         self._send(segment, decision)
         self._account(now_ms, age_ms, segment, decision)
+        if decision.probe is not None:
+            defer.ensureDeferred(self._probe(decision.probe))
 
     def _send(self, segment: model.Segment, decision: steering.Decision) -> None:
         if decision.datagram is None:
             return
-        address = decision.address
-        if address is None:
-            caller = ".".join(map(str, segment.flow.caller_ip))
-            address = model.Address(caller, self._settings.vm.data.port)
+        address = decision.address or self._caller(segment.flow)
         self._data.send(decision.datagram, address)
 
+    def _caller(self, flow: model.FlowId) -> model.Address:
+        host = ".".join(map(str, flow.caller_ip))
+        return model.Address(host, self._settings.vm.data.port)
+
+    async def _probe(self, target: model.Target) -> None:
+        now_ms = clock.now_ms()
+        missing = self._catalog.missing(target, now_ms)
+        # The address of a target that is gone may be another's already.
+        accepted = not missing and await probing.accepts(self._reactor, target.address)
+        path_ms = self._sights.path_ms(target)
+        now_ms = clock.now_ms()
+        dead = self._sights.verdicts.probed(now_ms, target.cookie, accepted, path_ms)
+        resets = self._steering.abandon(target) if dead else []
+        for flow, datagram in resets:
+            self._data.send(datagram, self._caller(flow))
+        self._stats.counts["targets_probed"] += 1
+        self._stats.counts["flows_abandoned"] += len(resets)
+        self._write(
+            "target_dead" if dead else "target_probed",
+            target=target.name,
+            accepted=int(accepted),
+            entry_missing=int(missing),
+            path_ms=min(now_ms - path_ms, 10**6),
+            flows_reset=len(resets),
+        )
+        for flow, _ in resets:
+            self._write("flow_target_dead_reset", flow=flow, target=target.name)
+
     def _account(
         self,
         now_ms: int,
--- a/eelgrasswick/cookie/sights.py
+++ b/eelgrasswick/cookie/sights.py
@@ -4,12 +4,14 @@
 
 from eelgrasswick.cookie import (
     catalog,
+    knowledge,
     model,
     placing,
     reports,
     silence,
     speed,
     tracker,
+    verdict,
 )
 
 
@@ -25,6 +27,8 @@
         self._silence: silence.SilenceBook[int] = silence.SilenceBook()
         self._zone_silence: silence.SilenceBook[str] = silence.SilenceBook()
         self.reports = reports.Reports()
+        self.verdicts = verdict.Verdicts()
+        self._answered_ms: dict[str, int] = {}
         self._factors: dict[int, float] = {}
 
     def candidates(
@@ -51,16 +55,25 @@
         self._silence.tried(now_ms, target.cookie)
         self._zone_silence.tried(now_ms, target.zone)
 
-    def answered(self, target: model.Target) -> bool:
+    def answered(self, now_ms: int, target: model.Target) -> bool:
         """Note that a target answered; True when it was passed over before."""
+        self._answered_ms[target.zone] = now_ms
+        self.verdicts.answered(target.cookie)
         self._zone_silence.answered(target.zone)
         return self._silence.answered(target.cookie)
 
     def unanswered(self, now_ms: int, target: model.Target) -> bool:
-        """Note an unanswered packet; True when it is passed over from now on."""
+        """Note an unanswered packet; True when the target should be probed."""
         if target.zone != self._zone:
             self._zone_silence.unanswered(now_ms, target.zone)
-        return self._silence.unanswered(now_ms, target.cookie)
+        self._silence.unanswered(now_ms, target.cookie)
+        if not self._silence.silent(target.cookie):
+            return False
+        return self.verdicts.begin(now_ms, target.cookie, self.path_ms(target))
+
+    def path_ms(self, target: model.Target) -> int:
+        """Return when a target of the same zone last answered."""
+        return self._answered_ms.get(target.zone, knowledge.NEVER_MS)
 
     def tick(self, now_ms: int) -> None:
         """Bring sums and speeds up to date; forget targets that are gone."""
@@ -69,6 +82,7 @@
         cookies = {item.cookie for item in self._catalog.targets}
         self.speeds.keep(cookies)
         self._silence.keep(cookies)
+        self.verdicts.keep(self._catalog.remembered)
         self._factors = {}
         for service in {item.service for item in self._catalog.targets}:
             accepting = self._catalog.accepting(service)
--- a/eelgrasswick/cookie/steering.py
+++ b/eelgrasswick/cookie/steering.py
@@ -23,6 +23,7 @@
     NO_TARGET = "no_target_reset"
     UNKNOWN_COOKIE = "unknown_cookie"
     NOT_READY = "not_ready"
+    TARGET_DEAD = "target_dead_reset"
 
 
 class Decision(typing.NamedTuple):
@@ -35,6 +36,7 @@
         target: The target that was chosen or named, if any.
         answer_ms: How long the target took for an answer, when the packet
             tells.
+        probe: A silent target to probe, if there is one now.
     """
 
     outcome: Outcome
@@ -42,6 +44,7 @@
     address: model.Address | None
     target: model.Target | None
     answer_ms: int | None = None
+    probe: model.Target | None = None
 
 
 class Steering:
@@ -86,7 +89,7 @@
         # caller that hears nothing sends its opening packet again.
         if segment.reset or age_ms > SURE_MS:
             return Decision(Outcome.NO_ROUTE, None, None, None)
-        datagram = self._codec.reset(segment)
+        datagram = self._codec.reset(segment.flow, segment.acknowledged)
         return Decision(Outcome.NO_ROUTE_SURE, datagram, None, None)
 
     def _open(
@@ -99,19 +102,20 @@
         again = segment.acknowledged > 0 and record is not None and not record.open
         silent = record.cookie if record is not None and again else 0
         before = self._catalog.by_cookie(silent)
-        if before is not None:
-            self._sights.unanswered(now_ms, before)
+        probe = None
+        if before is not None and self._sights.unanswered(now_ms, before):
+            probe = before
         candidates = self._sights.candidates(now_ms, service, silent)
         target = placing.choose(candidates, self._zone, draws)
         if target is None:
-            datagram = self._codec.reset(segment)
+            datagram = self._codec.reset(flow, 0)
             return Decision(Outcome.NO_TARGET, datagram, None, None)
         cookie = target.cookie
         self._sights.tracker.placed(now_ms, flow, cookie)
         self._sights.placed(now_ms, target)
         datagram = self._codec.addressed(self._codec.marked(raw, cookie), target)
         outcome = Outcome.PLACED_AGAIN if again else Outcome.PLACED
-        return Decision(outcome, datagram, target.address, target)
+        return Decision(outcome, datagram, target.address, target, probe=probe)
 
     def _forward(self, now_ms: int, segment: model.Segment, raw: bytes) -> Decision:
         record = self._sights.tracker.get(segment.flow)
@@ -123,20 +127,38 @@
         target = self._catalog.by_cookie(cookie)
         if target is None:
             return Decision(Outcome.UNKNOWN_COOKIE, None, None, None)
+        if self._sights.verdicts.dead(cookie):
+            self._sights.tracker.forget(segment.flow)
+            datagram = self._codec.reset(segment.flow, segment.acknowledged)
+            return Decision(Outcome.TARGET_DEAD, datagram, None, target)
         sight = self._sights.tracker.passed(now_ms, segment, cookie)
-        self._learn(now_ms, target, sight)
+        probe = target if self._learn(now_ms, target, sight) else None
         datagram = self._codec.addressed(raw, target)
         return Decision(
-            Outcome.FORWARDED, datagram, target.address, target, sight.answer_ms
+            Outcome.FORWARDED,
+            datagram,
+            target.address,
+            target,
+            sight.answer_ms,
+            probe,
         )
 
-    def _learn(self, now_ms: int, target: model.Target, sight: tracker.Sight) -> None:
+    def abandon(self, target: model.Target) -> list[tuple[model.FlowId, bytes]]:
+        """Return a reset for each open flow of a target that is dead."""
+        flows = self._sights.tracker.open_on(target.cookie)
+        for flow, _ in flows:
+            self._sights.tracker.forget(flow)
+        return [(flow, self._codec.reset(flow, at)) for flow, at in flows]
+
+    def _learn(self, now_ms: int, target: model.Target, sight: tracker.Sight) -> bool:
+        probe = False
         if sight.opened or sight.answer_ms is not None:
-            self._sights.answered(target)
+            self._sights.answered(now_ms, target)
         elif sight.repeated:
-            self._sights.unanswered(now_ms, target)
+            probe = self._sights.unanswered(now_ms, target)
         if sight.answer_ms is not None:
             self._sights.speeds.answered(target.cookie, sight.answer_ms)
+        return probe
 
 
 def _fraction(flow: model.FlowId) -> float:
--- a/eelgrasswick/cookie/tracker.py
+++ b/eelgrasswick/cookie/tracker.py
@@ -43,9 +43,18 @@
         cookie: Its target; while it is not open, the one it was last sent to.
         open: True once the caller has used the cookie.
         placed_here: True when this VM chose the target.
+        acknowledged: What the caller last acknowledged.
     """
 
-    __slots__ = ("asked_ack", "asked_ms", "cookie", "data_end", "open", "placed_here")
+    __slots__ = (
+        "acknowledged",
+        "asked_ack",
+        "asked_ms",
+        "cookie",
+        "data_end",
+        "open",
+        "placed_here",
+    )
 
     def __init__(self, cookie: int, placed_here: bool) -> None:
         """Begin with a target."""
@@ -55,6 +64,7 @@
         self.asked_ms = 0
         self.asked_ack = 0
         self.data_end = 0
+        self.acknowledged = 0
 
 
 class Tracker:
@@ -101,11 +111,25 @@
         if not record.open:
             record.open = True
             self._move(record, cookie)
+        record.acknowledged = segment.acknowledged
         sight = Sight(opened, *_timing(now_ms, record, segment))
         if segment.ending or segment.reset:
             self._drop(segment.flow)
         return sight
 
+    def open_on(self, cookie: int) -> list[tuple[model.FlowId, int]]:
+        """Return the open flows of a target, and what their callers acknowledged."""
+        return [
+            (flow, record.acknowledged)
+            for flow, record in self._records.items()
+            if record.open and record.cookie == cookie
+        ]
+
+    def forget(self, flow: model.FlowId) -> None:
+        """Drop what is remembered of a flow that was reset."""
+        if flow in self._records:
+            self._drop(flow)
+
     def expire(self, now_ms: int) -> None:
         """Forget flows that were not seen for a while."""
         while self._records:
--- a/eelgrasswick/platform/segments.py
+++ b/eelgrasswick/platform/segments.py
@@ -66,14 +66,13 @@
         """Put the target's token in front; see the base class."""
         return target.token + datagram
 
-    def reset(self, segment: model.Segment) -> bytes:
+    def reset(self, flow: model.FlowId, acknowledged: int) -> bytes:
         """Return a reset; see the base class."""
         # On an open flow the caller takes only a reset whose position is near
         # what it last acknowledged.
-        flow = segment.flow
         return _RESET.pack(
             0,
-            segment.acknowledged,
+            acknowledged,
             0,
             0,
             0,
--- a/tests/test_segments.py
+++ b/tests/test_segments.py
@@ -33,7 +33,7 @@
 
 
 def test_reset_is_the_example(codec: segments.Codec) -> None:
-    assert codec.reset(codec.decode(EXAMPLE)) == EXAMPLE_RESET
+    assert codec.reset(codec.decode(EXAMPLE).flow, 0) == EXAMPLE_RESET
 
 
 def test_mark_changes_the_cookie_only(codec: segments.Codec) -> None:
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -235,6 +235,50 @@
     assert first not in targets
 
 
+def _crash(steers: steering.Steering, seen: sights.Sights) -> model.Target:
+    """Let a target fall silent with one flow open; return it when it is dead."""
+    first = _open(steers)
+    raw = cookie_parts.packet(cookie_parts.ACK, cookie=first.cookie, data=b"GET")
+    decision = None
+    for now_ms in (10, 210, 610):
+        neighbour = _open(steers, now_ms, port=42_000 + now_ms)
+        while neighbour == first:
+            neighbour = _open(steers, now_ms, port=43_000 + len(seen.tracker))
+        seen.answered(now_ms, neighbour)
+        decision = _steer(steers, now_ms, raw)
+    assert decision is not None
+    assert decision.probe == first
+    assert seen.verdicts.probed(700, first.cookie, False, 610)
+    return first
+
+
+def test_flows_of_a_dead_target_are_reset(
+    steers: steering.Steering, seen: sights.Sights
+) -> None:
+    """A server crashes while flows are open on it.
+
+    Their callers would wait until their time limit for each request.
+    """
+    first = _crash(steers, seen)
+    resets = steers.abandon(first)
+    assert [flow for flow, _ in resets] == [cookie_parts.flow()]
+    raw = cookie_parts.packet(
+        cookie_parts.ACK, 40_077, acknowledged=900, cookie=first.cookie, data=b"GET"
+    )
+    decision = _steer(steers, 710, raw)
+    assert decision.outcome is steering.Outcome.TARGET_DEAD
+    assert decision.address is None
+
+
+def test_target_that_answers_again_is_not_dead(
+    steers: steering.Steering, seen: sights.Sights
+) -> None:
+    first = _crash(steers, seen)
+    seen.answered(720, first)
+    raw = cookie_parts.packet(cookie_parts.ACK, cookie=first.cookie, data=b"GET")
+    assert _steer(steers, 730, raw).outcome is steering.Outcome.FORWARDED
+
+
 def test_flows_of_other_vms_count(
     steers: steering.Steering, known: catalog.Catalog, seen: sights.Sights
 ) -> None:
