--- a/eelgrasswick/cookie/verdict.py
+++ b/eelgrasswick/cookie/verdict.py
@@ -8,8 +8,8 @@
 A reset of a flow that goes on well would break it, so three things must come
 together. The target left packets of its flows unanswered (``silence``). A TCP
 connection to it fails, or its entry has been gone for longer than an outage of
-the store explains. And another target of its zone has answered lately, so that
-it is not the way there that is cut.
+the store explains. And another target of its zone answers while it is probed,
+so that it is not the way there that is cut.
 """
 
 import enum
@@ -64,8 +64,9 @@
     def probed(self, now_ms: int, cookie: int, accepted: bool, path_ms: int) -> bool:
         """Take the outcome of a probe; True when the target is dead from now on.
 
-        An answer in the meantime closes the case, and a way that has gone
-        silent meanwhile too leaves it open.
+        An answer in the meantime closes the case. Without an answer of another
+        target since the probe began, the way may have been cut just before, and
+        the case is dropped until the next unanswered packet.
         """
         case = self._cases.get(cookie)
         if case is None or case.state is not State.PROBING:
@@ -73,7 +74,7 @@
         if accepted:
             self._cases[cookie] = _Case(State.ALIVE, now_ms)
             return False
-        if now_ms - path_ms > PATH_MS:
+        if path_ms <= case.since_ms:
             del self._cases[cookie]
             return False
         self._cases[cookie] = _Case(State.DEAD, now_ms)
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -248,7 +248,7 @@
         decision = _steer(steers, now_ms, raw)
     assert decision is not None
     assert decision.probe == first
-    assert seen.verdicts.probed(700, first.cookie, False, 610)
+    assert seen.verdicts.probed(700, first.cookie, False, 650)
     return first
 
 
--- a/tests/test_verdict.py
+++ b/tests/test_verdict.py
@@ -38,6 +38,19 @@
     assert not cases.dead(8)
 
 
+def test_target_behind_a_cut_that_has_just_begun_is_not_dead(
+    cases: verdict.Verdicts,
+) -> None:
+    """A zone is cut off, and one of its servers is found silent right then.
+
+    Others of the zone answered a moment before the cut, which proves nothing.
+    Reset, the flows of a server that lives would be broken.
+    """
+    assert cases.begin(500, 7, path_ms=5)
+    assert not cases.probed(750, 7, accepted=False, path_ms=20)
+    assert not cases.dead(7)
+
+
 def test_answer_closes_the_case(cases: verdict.Verdicts) -> None:
     cases.begin(1000, 7, path_ms=900)
     cases.answered(7)
