Send a doubled opening packet to one target, and put a wrong cookie right

Both answered; the caller opened the flow at the first and named the second from then on. The VM that had placed it held it on the first; when a paused VM left rotation, another VM carried it to the second, which reset it (flow 18032>443). Copies are told from doubles by their count, and the VM that knows better writes the right cookie into what it passes on.

Ruled out: the probe of silent targets (target_probed accepted=1 throughout).

The soak itself: processes of entry VMs, targets and a store on loopback, faults by signals, proxies and the fabric from a seed, promises checked from what callers and targets saw.

--- a/eelgrasswick/cookie/steering.py
+++ b/eelgrasswick/cookie/steering.py
@@ -96,26 +96,46 @@
         self, now_ms: int, route: model.Route, segment: model.Segment, raw: bytes
     ) -> Decision:
         flow = segment.flow
-        draws = _draws(flow, segment.acknowledged)
-        service = placing.pick_service(route.shares, _fraction(flow))
+        copies = segment.acknowledged
         record = self._sights.tracker.get(flow)
-        again = segment.acknowledged > 0 and record is not None and not record.open
-        silent = record.cookie if record is not None and again else 0
-        before = self._catalog.by_cookie(silent)
-        probe = None
-        if before is not None and self._sights.unanswered(now_ms, before):
-            probe = before
-        candidates = self._sights.candidates(now_ms, service, silent)
-        target = placing.choose(candidates, self._zone, draws)
+        before = self._catalog.by_cookie(record.cookie) if record is not None else None
+        if record is None or before is None:
+            return self._place(now_ms, route, flow, raw, copies, None)
+        if record.open or copies <= record.copies:
+            # The network doubled the packet, or brought it late. At a second
+            # target the flow would be open twice.
+            return self._passed_on(Outcome.PLACED, before, raw)
+        decision = self._place(now_ms, route, flow, raw, copies, before)
+        probe = before if self._sights.unanswered(now_ms, before) else None
+        return decision._replace(probe=probe)
+
+    def _place(
+        self,
+        now_ms: int,
+        route: model.Route,
+        flow: model.FlowId,
+        raw: bytes,
+        copies: int,
+        silent: model.Target | None,
+    ) -> Decision:
+        service = placing.pick_service(route.shares, _draws(flow, 0)[0])
+        passed_over = silent.cookie if silent is not None else 0
+        candidates = self._sights.candidates(now_ms, service, passed_over)
+        target = placing.choose(candidates, self._zone, _draws(flow, copies))
         if target is None:
             datagram = self._codec.reset(flow, 0)
             return Decision(Outcome.NO_TARGET, datagram, None, None)
-        cookie = target.cookie
-        self._sights.tracker.placed(now_ms, flow, cookie)
+        self._sights.tracker.placed(now_ms, flow, target.cookie, copies)
         self._sights.placed(now_ms, target)
-        datagram = self._codec.addressed(self._codec.marked(raw, cookie), target)
-        outcome = Outcome.PLACED_AGAIN if again else Outcome.PLACED
-        return Decision(outcome, datagram, target.address, target, probe=probe)
+        outcome = Outcome.PLACED if silent is None else Outcome.PLACED_AGAIN
+        return self._passed_on(outcome, target, raw)
+
+    def _passed_on(
+        self, outcome: Outcome, target: model.Target, raw: bytes
+    ) -> Decision:
+        marked = self._codec.marked(raw, target.cookie)
+        datagram = self._codec.addressed(marked, target)
+        return Decision(outcome, datagram, target.address, target)
 
     def _forward(self, now_ms: int, segment: model.Segment, raw: bytes) -> Decision:
         record = self._sights.tracker.get(segment.flow)
@@ -123,6 +143,7 @@
         if record is not None and record.open:
             # When two targets answered copies of one opening packet, the
             # caller names the one it heard last, which does not hold the flow.
+            # The right cookie goes on, for the target to hand it back.
             cookie = record.cookie
         target = self._catalog.by_cookie(cookie)
         if target is None:
@@ -133,10 +154,11 @@
             return Decision(Outcome.TARGET_DEAD, datagram, None, target)
         sight = self._sights.tracker.passed(now_ms, segment, cookie)
         probe = target if self._learn(now_ms, target, sight) else None
-        datagram = self._codec.addressed(raw, target)
+        if cookie != segment.cookie:
+            raw = self._codec.marked(raw, cookie)
         return Decision(
             Outcome.FORWARDED,
-            datagram,
+            self._codec.addressed(raw, target),
             target.address,
             target,
             sight.answer_ms,
@@ -161,10 +183,6 @@
         return probe
 
 
-def _fraction(flow: model.FlowId) -> float:
-    return _draws(flow, 0)[0]
-
-
 def _draws(flow: model.FlowId, copies: int) -> tuple[float, float]:
     text = flow.caller_ip + flow.caller_port.to_bytes(2, "big") + flow.service_ip
     digest = hashlib.blake2b(text + bytes([copies & 0xFF]), digest_size=8).digest()
--- a/eelgrasswick/cookie/tracker.py
+++ b/eelgrasswick/cookie/tracker.py
@@ -43,6 +43,7 @@
         cookie: Its target; while it is not open, the one it was last sent to.
         open: True once the caller has used the cookie.
         placed_here: True when this VM chose the target.
+        copies: Opening packets before the one that was last placed.
         acknowledged: What the caller last acknowledged.
     """
 
@@ -51,6 +52,7 @@
         "asked_ack",
         "asked_ms",
         "cookie",
+        "copies",
         "data_end",
         "open",
         "placed_here",
@@ -61,6 +63,7 @@
         self.cookie = cookie
         self.open = False
         self.placed_here = placed_here
+        self.copies = 0
         self.asked_ms = 0
         self.asked_ack = 0
         self.data_end = 0
@@ -90,14 +93,23 @@
         """Return what is remembered of a flow."""
         return self._records.get(flow)
 
-    def placed(self, now_ms: int, flow: model.FlowId, cookie: int) -> None:
-        """Note that a flow's opening packet went to a target."""
+    def placed(self, now_ms: int, flow: model.FlowId, cookie: int, copies: int) -> None:
+        """Note that a flow's opening packet went to a target.
+
+        Args:
+            now_ms: Present time.
+            flow: The flow.
+            cookie: The target.
+            copies: How many opening packets its caller had sent before.
+        """
         record = self._records.get(flow)
         if record is None:
-            self._add(now_ms, flow, Record(cookie, True))
-            return
-        self._touch(now_ms, flow)
-        self._move(record, cookie)
+            record = Record(cookie, True)
+            self._add(now_ms, flow, record)
+        else:
+            self._touch(now_ms, flow)
+            self._move(record, cookie)
+        record.copies = copies
 
     def passed(self, now_ms: int, segment: model.Segment, cookie: int) -> Sight:
         """Note that a segment of an open flow went to a target."""
--- /dev/null
+++ b/eelgrasswick/soak/__main__.py
@@ -0,0 +1,70 @@
+"""Runs a seed, or several one after the other: ``python -m eelgrasswick.soak``."""
+
+import argparse
+import pathlib
+import shutil
+import tempfile
+import typing
+
+from twisted.internet import defer, task
+
+from eelgrasswick.soak import layout, run
+
+
+def _options() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(prog="eelgrasswick.soak", description=__doc__)
+    parser.add_argument("--seed", type=int, default=1, help="the first seed")
+    parser.add_argument("--seeds", type=int, default=1, help="how many seeds")
+    parser.add_argument("--duration-s", type=float, default=24.0)
+    parser.add_argument("--vms", type=int, default=6)
+    parser.add_argument("--targets", type=int, default=9)
+    parser.add_argument("--flows-per-s", type=float, default=15.0)
+    parser.add_argument("--faults", type=int, default=10)
+    parser.add_argument("--keep", type=pathlib.Path, help="folder for failing seeds")
+    return parser.parse_args()
+
+
+async def _play(reactor: typing.Any, options: argparse.Namespace) -> None:
+    failed = 0
+    for seed in range(options.seed, options.seed + options.seeds):
+        asked = run.Options(
+            seed,
+            options.duration_s,
+            options.vms,
+            options.targets,
+            options.flows_per_s,
+            options.faults,
+        )
+        failed += not await _one(reactor, asked, options.keep)
+    print(f"{options.seeds - failed} passed, {failed} failed")
+    if failed:
+        raise SystemExit(1)
+
+
+async def _one(
+    reactor: typing.Any, options: run.Options, keep: pathlib.Path | None
+) -> bool:
+    with layout.reserved() as block, tempfile.TemporaryDirectory() as name:
+        folder = pathlib.Path(name)
+        verdict = await run.Run(reactor, block, options, folder).play()
+        print(verdict.line, flush=True)
+        for breach in verdict.breaches:
+            print(f"  {breach.promise}: {breach.detail}: {breach.event}", flush=True)
+        if not verdict.passed and keep is not None:
+            kept = keep / f"seed-{options.seed}"
+            shutil.copytree(folder, kept, dirs_exist_ok=True)
+    return verdict.passed
+
+
+def main() -> None:
+    """Run by the command line."""
+    options = _options()
+
+    def start(reactor: typing.Any) -> "defer.Deferred[None]":
+        return defer.Deferred.fromCoroutine(_play(reactor, options))
+
+    task.react(start)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/eelgrasswick/soak/faults.py
@@ -0,0 +1,73 @@
+"""Which faults a run has and when, all drawn from its seed."""
+
+import random
+import typing
+
+QUIET_S: typing.Final = 4.0
+LAST_S: typing.Final = 4.0
+
+
+class Fault(typing.NamedTuple):
+    """A fault from outside the programs.
+
+    Attributes:
+        at_s: When it begins, in seconds from the start of the load.
+        kind: Which one; a method of ``actions.Actions`` with this name carries it out.
+        for_s: How long it lasts, where it has an end.
+        pick: From 0 to 1; says on which process or part it falls.
+        strength: From 0 to 1; says how strong it is.
+    """
+
+    at_s: float
+    kind: str
+    for_s: float
+    pick: float
+    strength: float
+
+
+KINDS: typing.Final = (
+    "vm_term",
+    "vm_kill",
+    "vm_pause",
+    "vm_hup",
+    "vms_kill_all",
+    "target_kill",
+    "target_pause",
+    "target_drain",
+    "store_silent",
+    "store_busy",
+    "store_reset",
+    "store_slow",
+    "store_refuses_some",
+    "store_forgets",
+    "link_silent",
+    "link_one_way",
+    "link_delay",
+    "link_reset",
+    "fabric_loses",
+    "fabric_doubles",
+    "fabric_reorders",
+    "route_add",
+    "route_drop",
+    "config_series",
+)
+
+
+def draw(seed: int, duration_s: float, count: int) -> list[Fault]:
+    """Return the faults of a seed, in the order of their beginning.
+
+    They come in series and overlap; the first seconds are quiet, so that the
+    run has something to compare with, and so are the last ones.
+    """
+    rng = random.Random(seed)
+    found = [
+        Fault(
+            round(rng.uniform(QUIET_S, max(QUIET_S, duration_s - LAST_S)), 2),
+            rng.choice(KINDS),
+            round(rng.uniform(0.5, 4.0), 2),
+            rng.random(),
+            rng.random(),
+        )
+        for _ in range(count)
+    ]
+    return sorted(found)
--- /dev/null
+++ b/eelgrasswick/soak/history.py
@@ -0,0 +1,235 @@
+"""What callers, targets and operators saw in a run, and what must hold of it."""
+
+import collections
+import enum
+import hashlib
+import json
+import pathlib
+import typing
+
+# The operators' bounds: seconds after which a draining target gets no new flow
+# and a changed configuration is in force everywhere, with what loopback and
+# busy machines add.
+DRAIN_S: typing.Final = 3.0
+CONFIG_S: typing.Final = 3.0
+SLACK_S: typing.Final = 0.7
+# Seconds at the end of a run without new faults, and the part of what is asked
+# in them that must be answered.
+LAST_S: typing.Final = 4.0
+SERVED: typing.Final = 0.5
+
+
+class Kind(enum.Enum):
+    """What happened."""
+
+    OPENED = "opened"
+    RAN = "ran"
+    ANSWERED = "answered"
+    RESET = "reset"
+    REFUSED = "refused"
+    LOST = "lost"
+    DRAINED = "drained"
+    ROUTE_ADDED = "route_added"
+    ROUTE_DROPPED = "route_dropped"
+    BEGUN = "begun"
+    ENDED = "ended"
+    FAULT = "fault"
+
+
+ENDS: typing.Final = frozenset({Kind.ANSWERED, Kind.LOST, Kind.RESET, Kind.REFUSED})
+
+
+class Event(typing.NamedTuple):
+    """One thing that someone saw.
+
+    Attributes:
+        at_s: Seconds on the machine's monotonic clock.
+        kind: What happened.
+        who: The target, caller or operator that saw it.
+        flow: The flow's caller port and service port, where it is about one.
+        request: Id of the request, where it is about one.
+        detail: The service, the digest of an answer, or the fault.
+        sent_s: When the caller sent what the event is about; 0 where it does
+            not matter.
+    """
+
+    at_s: float
+    kind: Kind
+    who: str
+    flow: str = ""
+    request: str = ""
+    detail: str = ""
+    sent_s: float = 0.0
+
+
+class Breach(typing.NamedTuple):
+    """A promise that a run broke.
+
+    Attributes:
+        promise: Which one.
+        event: The event that shows it.
+        detail: Why.
+    """
+
+    promise: str
+    event: Event
+    detail: str
+
+
+def answer_to(request: str, size_bytes: int) -> bytes:
+    """Return the one right answer to a request."""
+    seed = hashlib.blake2b(request.encode(), digest_size=32).digest()
+    return (seed * (size_bytes // len(seed) + 1))[:size_bytes]
+
+
+def digest(answer: bytes) -> str:
+    """Return a short digest of an answer."""
+    return hashlib.blake2b(answer, digest_size=8).hexdigest()
+
+
+def write(path: pathlib.Path, item: Event) -> None:
+    """Append an event to a file, so that it outlives a killed process."""
+    line = json.dumps([*item[:1], item.kind.value, *item[2:]])
+    with path.open("a") as file:
+        file.write(line + "\n")
+
+
+def read(path: pathlib.Path) -> list[Event]:
+    """Return the events in a file; a line that was cut by a kill is left out."""
+    events = []
+    for line in path.read_text().splitlines():
+        try:
+            at_s, kind, *rest = json.loads(line)
+        except ValueError:
+            continue
+        events.append(Event(at_s, Kind(kind), *rest))
+    return events
+
+
+def breaches(events: typing.Sequence[Event]) -> list[Breach]:
+    """Check all promises that hold at any time.
+
+    Args:
+        events: Everything that was seen, in any order.
+    """
+    ordered = sorted(events, key=lambda item: item.at_s)
+    checks = (_once, _whole, _right_service, _drained, _config, _open_flows)
+    return [breach for check in checks for breach in check(ordered)]
+
+
+def served(events: typing.Sequence[Event], end_s: float) -> float:
+    """Return the part of all requests that was answered at the end of a run.
+
+    Args:
+        events: Everything that was seen.
+        end_s: When the load ended; the seconds before and after it count.
+    """
+    last = [item for item in events if item.at_s >= end_s - LAST_S]
+    dropped = {item.flow for item in events if item.kind is Kind.ROUTE_DROPPED}
+    asked = [
+        item
+        for item in last
+        if item.kind in ENDS and item.flow.partition(">")[2] not in dropped
+    ]
+    answered = sum(item.kind is Kind.ANSWERED for item in asked)
+    return answered / len(asked) if asked else 0.0
+
+
+def recovery(events: typing.Sequence[Event], end_s: float) -> list[Breach]:
+    """Check that the fleet serves again once all faults are over."""
+    part = served(events, end_s)
+    if part >= SERVED:
+        return []
+    last = max(events, key=lambda item: item.at_s)
+    return [Breach("recovery", last, f"only {part:.2f} are answered at the end")]
+
+
+def _once(events: typing.Sequence[Event]) -> typing.Iterator[Breach]:
+    ran: dict[str, Event] = {}
+    for item in events:
+        if item.kind is not Kind.RAN:
+            continue
+        if item.request in ran:
+            yield Breach("at most once", item, f"ran before: {ran[item.request]}")
+        ran[item.request] = item
+
+
+def _whole(events: typing.Sequence[Event]) -> typing.Iterator[Breach]:
+    ran = {item.request: item for item in events if item.kind is Kind.RAN}
+    for item in events:
+        if item.kind is not Kind.ANSWERED:
+            continue
+        source = ran.get(item.request)
+        if source is None:
+            yield Breach("own answer", item, "no target ran it")
+        elif source.detail != item.detail:
+            yield Breach("whole answer", item, f"the target sent {source.detail}")
+
+
+def _right_service(events: typing.Sequence[Event]) -> typing.Iterator[Breach]:
+    services = {
+        item.flow: item.detail for item in events if item.kind is Kind.ROUTE_ADDED
+    }
+    for item in events:
+        if item.kind is Kind.OPENED:
+            port = item.flow.partition(">")[2]
+            if services.get(port) != item.detail:
+                yield Breach(
+                    "right service", item, f"the route is {services.get(port)}"
+                )
+
+
+def _drained(events: typing.Sequence[Event]) -> typing.Iterator[Breach]:
+    since_s: dict[str, float] = {}
+    for item in events:
+        if item.kind is Kind.DRAINED:
+            since_s[item.who] = item.at_s
+        elif item.kind is Kind.BEGUN:
+            since_s.pop(item.who, None)
+        elif item.kind is Kind.OPENED and item.who in since_s:
+            late_s = item.at_s - since_s[item.who]
+            if late_s > DRAIN_S + SLACK_S:
+                yield Breach("drain", item, f"{late_s:.2f} s after it said so")
+
+
+def _config(events: typing.Sequence[Event]) -> typing.Iterator[Breach]:
+    dropped_s: dict[str, float] = {}
+    added_s: dict[str, float] = {}
+    for item in events:
+        if item.kind is Kind.ROUTE_DROPPED:
+            dropped_s[item.flow] = item.at_s
+        elif item.kind is Kind.ROUTE_ADDED:
+            added_s[item.flow] = item.at_s
+            dropped_s.pop(item.flow, None)
+        port = item.flow.partition(">")[2]
+        if item.kind is Kind.OPENED and port in dropped_s:
+            late_s = item.sent_s - dropped_s[port]
+            if late_s > CONFIG_S + SLACK_S:
+                yield Breach("config", item, f"dropped {late_s:.2f} s before")
+        if item.kind is Kind.REFUSED and port in added_s and port not in dropped_s:
+            late_s = item.sent_s - added_s[port]
+            if late_s > CONFIG_S + SLACK_S:
+                yield Breach("config", item, f"added {late_s:.2f} s before")
+
+
+def _open_flows(events: typing.Sequence[Event]) -> typing.Iterator[Breach]:
+    lives: dict[str, list[tuple[float, float]]] = collections.defaultdict(list)
+    for item in events:
+        if item.kind is Kind.BEGUN:
+            lives[item.who].append((item.at_s, float("inf")))
+        elif item.kind is Kind.ENDED and lives[item.who]:
+            lives[item.who][-1] = (lives[item.who][-1][0], item.at_s)
+    opened: dict[str, Event] = {}
+    dropped = {item.flow for item in events if item.kind is Kind.ROUTE_DROPPED}
+    for item in events:
+        if item.kind is Kind.OPENED:
+            opened[item.flow] = item
+        if item.kind is not Kind.RESET or item.flow.partition(">")[2] in dropped:
+            continue
+        source = opened.get(item.flow)
+        if source is not None and _alive(lives[source.who], source.at_s, item.at_s):
+            yield Breach("open flow", item, f"its target {source.who} lives")
+
+
+def _alive(lives: list[tuple[float, float]], from_s: float, to_s: float) -> bool:
+    return any(begun <= from_s and to_s < ended for begun, ended in lives)
--- /dev/null
+++ b/eelgrasswick/soak/layout.py
@@ -0,0 +1,86 @@
+"""Names and loopback addresses of a run."""
+
+import contextlib
+import socket
+import typing
+
+from eelgrasswick import errors
+
+ZONES: typing.Final = ("z1", "z2", "z3")
+DATA_PORT: typing.Final = 20172
+READY_PORT: typing.Final = 20167
+PEER_PORT: typing.Final = 20170
+METRICS_PORT: typing.Final = 20164
+STORE_PORT: typing.Final = 20179
+TARGET_PORT: typing.Final = 20180
+RESERVED_PORT: typing.Final = 20160
+SERVICE_IP: typing.Final = "198.18.0.1"
+BLOCKS: typing.Final = range(130, 230)
+
+
+class Layout(typing.NamedTuple):
+    """Addresses of one run, all in 127.BLOCK/16.
+
+    Attributes:
+        block: Second part of all addresses.
+        vms: Number of entry VMs.
+        targets: Number of targets.
+        callers: Number of callers' addresses.
+    """
+
+    block: int
+    vms: int
+    targets: int
+    callers: int
+
+    @property
+    def store(self) -> str:
+        """Address of the store."""
+        return f"127.{self.block}.0.3:{STORE_PORT}"
+
+    def proxy(self, number: int) -> str:
+        """IP address of the proxy between a VM and the store."""
+        return f"127.{self.block}.2.{number + 1}"
+
+    def vm(self, number: int) -> str:
+        """IP address of an entry VM."""
+        return f"127.{self.block}.1.{number + 1}"
+
+    def target(self, number: int) -> str:
+        """IP address of a target."""
+        return f"127.{self.block}.3.{number + 1}"
+
+    def caller(self, number: int) -> str:
+        """IP address of a caller."""
+        return f"127.{self.block}.4.{number + 1}"
+
+    def ini(self, number: int) -> str:
+        """Return the settings of an entry VM."""
+        host = self.vm(number)
+        seeds = ", ".join(f"{self.vm(seed)}:1" for seed in range(min(3, self.vms)))
+        return (
+            f"[vm]\nname = vm{number}\nzone = {ZONES[number % len(ZONES)]}\n"
+            f"data = {host}:{DATA_PORT}\nready = {host}:{READY_PORT}\n"
+            f"peer = {host}:{PEER_PORT}\nmetrics = {host}:{METRICS_PORT}\n"
+            f"[fleet]\nseeds = {seeds}\n"
+            f"[store]\naddress = {self.proxy(number)}:{STORE_PORT}\n"
+            "[log]\nlines_per_s = 200\n"
+        )
+
+
+@contextlib.contextmanager
+def reserved() -> typing.Iterator[int]:
+    """Hold a block of loopback addresses that no other run uses.
+
+    Raises:
+        errors.SettingsInvalidError: All blocks are in use.
+    """
+    for block in BLOCKS:
+        with contextlib.closing(socket.socket()) as held:
+            try:
+                held.bind((f"127.{block}.0.1", RESERVED_PORT))
+            except OSError:
+                continue
+            yield block
+            return
+    raise errors.SettingsInvalidError("all blocks of loopback addresses are in use")
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -108,6 +108,39 @@
     assert _steer(steers, 220, raw).target == first
 
 
+def test_doubled_opening_packet_goes_to_one_target(
+    steers: steering.Steering, seen: sights.Sights
+) -> None:
+    """The network delivers an opening packet twice.
+
+    At two targets, both would answer, and the caller's packets would name the
+    one that does not hold the flow once another VM carries them.
+    """
+    for number in range(20):
+        first = _open(steers, port=44_000 + number)
+        assert _open(steers, 1, port=44_000 + number) == first
+        again = _open(steers, 200, copies=1, port=44_000 + number)
+        assert again != first
+        assert _open(steers, 201, copies=1, port=44_000 + number) == again
+        seen.answered(202, first)
+
+
+def test_wrong_cookie_of_an_open_flow_is_put_right(steers: steering.Steering) -> None:
+    """Two servers answered copies of one opening packet.
+
+    The caller's packets name the wrong one from then on. This VM knows better,
+    but the next one that carries the flow does not; the server hands back what
+    it is sent, so the right cookie reaches the caller again.
+    """
+    first = _open(steers)
+    _steer(steers, 2, cookie_parts.packet(cookie_parts.ACK, cookie=first.cookie))
+    raw = cookie_parts.packet(cookie_parts.ACK, cookie=first.cookie ^ 1, data=b"GET")
+    decision = _steer(steers, 220, raw)
+    assert decision.target == first
+    assert decision.datagram is not None
+    assert cookie_parts.cookie_of(decision.datagram) == first.cookie
+
+
 def test_unknown_route_is_reset(steers: steering.Steering) -> None:
     raw = cookie_parts.packet(cookie_parts.SYN, port=9)
     decision = _steer(steers, 0, raw)
--- a/tests/test_tracker.py
+++ b/tests/test_tracker.py
@@ -25,7 +25,7 @@
 
 
 def test_answer_time(flows: tracker.Tracker) -> None:
-    flows.placed(0, cookie_parts.flow(), 7)
+    flows.placed(0, cookie_parts.flow(), 7, 0)
     assert flows.passed(4, _segment(acknowledged=100), 7).opened
     flows.passed(5, _segment(acknowledged=100, data=b"GET"), 7)
     sight = flows.passed(35, _segment(acknowledged=2500), 7)
@@ -49,8 +49,8 @@
 
 
 def test_counts_flows_until_they_end(flows: tracker.Tracker) -> None:
-    flows.placed(0, cookie_parts.flow(1), 7)
-    flows.placed(0, cookie_parts.flow(), 7)
+    flows.placed(0, cookie_parts.flow(1), 7, 0)
+    flows.placed(0, cookie_parts.flow(), 7, 0)
     assert flows.flows_on(7) == 2
     flows.passed(1, _segment(cookie_parts.FIN | cookie_parts.ACK), 7)
     assert flows.flows_on(7) == 1
@@ -65,6 +65,6 @@
     """A flood of opening packets comes from addresses that don't exist."""
     monkeypatch.setattr(tracker, "MAX_FLOWS", 50)
     for port in range(1000):
-        flows.placed(port, cookie_parts.flow(port), port % 3)
+        flows.placed(port, cookie_parts.flow(port), port % 3, 0)
     assert len(flows) == 50
     assert sum(flows.flows_on(cookie) for cookie in range(3)) == 50
