Take waiting opening packets for one, and keep lapsed entries while the store is away again

Copies seen within 120 ms of the first count as doubles, and a VM that stood still for 400 ms drops the opening packets that waited. Only time with the store there counts.

--- a/eelgrasswick/cookie/catalog.py
+++ b/eelgrasswick/cookie/catalog.py
@@ -13,6 +13,9 @@
 # Age of knowledge from which a deletion may be due to an outage. Without one a
 # VM's knowledge is at most two seconds old.
 OUTAGE_MS: typing.Final = 2500
+# Age of knowledge up to which the store counts as there. A watch is answered
+# at least every 1.5 s, and the answer takes 0.3 s more to reach all VMs.
+PRESENT_MS: typing.Final = 1800
 # A flow may live for 60 s. So long a target that is gone is remembered, as its
 # entry may lapse while it goes on serving.
 REMEMBER_MS: typing.Final = 60_000
@@ -25,6 +28,11 @@
     fields: dict[str, str | int]
 
 
+class _Lapsed(typing.NamedTuple):
+    target: model.Target
+    left_ms: int
+
+
 class Catalog:
     """Configuration and targets, kept up from the rows that change."""
 
@@ -36,7 +44,8 @@
         self._by_cookie: dict[int, model.Target] = {}
         self._by_service: dict[str, list[model.Target]] = {}
         self._gone_ms: collections.OrderedDict[int, int] = collections.OrderedDict()
-        self._lapsed: dict[str, tuple[model.Target, int]] = {}
+        self._lapsed: dict[str, _Lapsed] = {}
+        self._tick_ms = 0
         self._seen_ms: dict[int, int] = {}
 
     @property
@@ -96,9 +105,22 @@
         self._rebuild()
         return notes
 
-    def tick(self, now_ms: int) -> None:
-        """Forget targets that are gone for long enough."""
-        lapsed = [name for name, (_, until) in self._lapsed.items() if until <= now_ms]
+    def tick(self, now_ms: int, age_ms: int) -> None:
+        """Forget targets that are gone for long enough.
+
+        Args:
+            now_ms: Present time.
+            age_ms: Age of what this VM knows. While the store is away again,
+                servers can't bring their entries back, and that time does not
+                count.
+        """
+        elapsed_ms = now_ms - self._tick_ms if age_ms <= PRESENT_MS else 0
+        self._tick_ms = now_ms
+        lapsed = []
+        for name, item in self._lapsed.items():
+            self._lapsed[name] = item._replace(left_ms=item.left_ms - elapsed_ms)
+            if self._lapsed[name].left_ms <= 0:
+                lapsed.append(name)
         for name in lapsed:
             del self._lapsed[name]
         while self._gone_ms:
@@ -162,7 +184,8 @@
         if target is not None:
             self._gone_ms[target.cookie] = now_ms
             if gap_ms > OUTAGE_MS and not target.draining:
-                self._lapsed[row.key] = (target, now_ms + LAPSE_MS)
+                self._lapsed[row.key] = _Lapsed(target, LAPSE_MS)
+                self._tick_ms = now_ms
                 fields["usable_ms"] = LAPSE_MS
         return Note("target_gone", fields)
 
@@ -170,7 +193,7 @@
         # Two targets with one cookie would get each other's packets. The elder
         # keeps the cookie; the other gets no flow, which only costs its slots.
         self._by_service = {}
-        lapsed = [target for target, _ in self._lapsed.values()]
+        lapsed = [item.target for item in self._lapsed.values()]
         present = [*self._by_name.values(), *lapsed]
         owners: dict[int, model.Target] = {}
         for target in sorted(present, key=lambda item: (item.born_ms, item.name)):
--- a/eelgrasswick/cookie/entry.py
+++ b/eelgrasswick/cookie/entry.py
@@ -32,6 +32,12 @@
 CHECK_S: typing.Final = 0.1
 # Above what callers and other VMs send; longer ones are cut and then refused.
 DATAGRAM_BYTES: typing.Final = 4096
+# A VM that did nothing for so long was suspended or stood still. Its callers
+# have sent copies by then, and the fabric has begun to leave it out.
+STALL_MS: typing.Final = 400
+# How long it then takes to read what waits in the socket: 200 KB, 2,000 packets
+# of 100 bytes, at 25 us each.
+BACKLOG_MS: typing.Final = 50
 METRICS_PATH: typing.Final = "/metrics"
 _QUIET_OUTCOMES: typing.Final = frozenset({steering.Outcome.FORWARDED})
 
@@ -99,6 +105,8 @@
         self._fetching: set[str] = set()
         self._stop_ms: int | None = None
         self._packet_ms = 0
+        self._awake_ms = clock.now_ms()
+        self._backlog_until_ms = 0
         self._was_ready = False
         self._loops: list[task.LoopingCall] = []
         self._listening: list[typing.Any] = []
@@ -163,7 +171,7 @@
         ]
 
     def _on_data(self, raw: bytes, host: str) -> None:
-        now_ms = clock.now_ms()
+        now_ms = self._wake()
         self._packet_ms = now_ms
         try:
             segment = self._codec.decode(raw)
@@ -171,6 +179,10 @@
             self._stats.counts["packets_malformed"] += 1
             self._write("packet_dropped", source=host, detail=error.detail)
             return
+        if segment.opening and now_ms < self._backlog_until_ms:
+            self._stats.counts["packets_dropped_old"] += 1
+            self._write("flow_dropped_old", flow=segment.flow)
+            return
         age_ms = self._knowledge.age_ms(now_ms)
         decision = self._steering.steer(now_ms, age_ms, segment, raw)
         self._send(segment, decision)
@@ -178,6 +190,18 @@
         if decision.probe is not None:
             defer.ensureDeferred(self._probe(decision.probe))
 
+    def _wake(self) -> int:
+        """Return the present time; notice when this VM has stood still."""
+        now_ms = clock.now_ms()
+        gap_ms = now_ms - self._awake_ms
+        self._awake_ms = now_ms
+        if gap_ms > STALL_MS:
+            # Opening packets that waited are old. Their flows may be open by
+            # now, through other VMs; placed here, they would be open twice.
+            self._backlog_until_ms = now_ms + BACKLOG_MS
+            self._write("woke", stood_still_ms=gap_ms)
+        return now_ms
+
     def _send(self, segment: model.Segment, decision: steering.Decision) -> None:
         if decision.datagram is None:
             return
@@ -292,7 +316,7 @@
     def _ask(self) -> None:
         now_ms = clock.now_ms()
         self._sights.tick(now_ms)
-        self._catalog.tick(now_ms)
+        self._catalog.tick(now_ms, self._knowledge.age_ms(now_ms))
         self._exchange.reads_store = self._storing.answers
         self._exchange.report = self._sights.report()
         requests, gone = self._exchange.ask(now_ms)
@@ -303,7 +327,7 @@
         self._peers.forget(now_ms)
 
     def _check(self) -> None:
-        now_ms = clock.now_ms()
+        now_ms = self._wake()
         self._storing.check(now_ms, self._peers.rank())
         ready = self._ready
         if ready != self._was_ready:
--- a/eelgrasswick/cookie/steering.py
+++ b/eelgrasswick/cookie/steering.py
@@ -10,6 +10,9 @@
 # added. Two seconds are within the three in which a change is to be in force
 # and above the age that a watched store leaves.
 SURE_MS: typing.Final = 2000
+# Callers send a copy 200 ms after an opening packet. One that is seen sooner
+# has waited together with the first, and does not say that it got no answer.
+COPY_MS: typing.Final = 120
 
 
 class Outcome(enum.Enum):
@@ -101,9 +104,10 @@
         before = self._catalog.by_cookie(record.cookie) if record is not None else None
         if record is None or before is None:
             return self._place(now_ms, route, flow, raw, copies, None)
-        if record.open or copies <= record.copies:
-            # The network doubled the packet, or brought it late. At a second
-            # target the flow would be open twice.
+        soon = now_ms - record.placed_ms < COPY_MS
+        if record.open or copies <= record.copies or soon:
+            # The network doubled the packet, or it waited in a queue behind the
+            # first. At a second target the flow would be open twice.
             return self._passed_on(Outcome.PLACED, before, raw)
         decision = self._place(now_ms, route, flow, raw, copies, before)
         probe = before if self._sights.unanswered(now_ms, before) else None
--- a/eelgrasswick/cookie/tracker.py
+++ b/eelgrasswick/cookie/tracker.py
@@ -44,6 +44,7 @@
         open: True once the caller has used the cookie.
         placed_here: True when this VM chose the target.
         copies: Opening packets before the one that was last placed.
+        placed_ms: When that one was placed.
         acknowledged: What the caller last acknowledged.
     """
 
@@ -56,6 +57,7 @@
         "data_end",
         "open",
         "placed_here",
+        "placed_ms",
     )
 
     def __init__(self, cookie: int, placed_here: bool) -> None:
@@ -64,6 +66,7 @@
         self.open = False
         self.placed_here = placed_here
         self.copies = 0
+        self.placed_ms = 0
         self.asked_ms = 0
         self.asked_ack = 0
         self.data_end = 0
@@ -110,6 +113,7 @@
             self._touch(now_ms, flow)
             self._move(record, cookie)
         record.copies = copies
+        record.placed_ms = now_ms
 
     def passed(self, now_ms: int, segment: model.Segment, cookie: int) -> Sight:
         """Note that a segment of an open flow went to a target."""
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -1,11 +1,12 @@
 """An entry VM on real sockets."""
 
 import socket
+import time
 import typing
 
 import pytest
 
-from eelgrasswick.cookie import settings, source
+from eelgrasswick.cookie import entry, settings, source
 from tests import cookie_parts, entry_parts, turning
 
 Start = typing.Callable[..., entry_parts.RunningVm]
@@ -138,6 +139,28 @@
     turning.until(lambda: lines.extend(vm.log()) or "flow_not_ready" in str(lines))
 
 
+def test_vm_that_stood_still_drops_old_opening_packets(
+    start: Start, store: entry_parts.MemoryStore, server: socket.socket
+) -> None:
+    """A VM is suspended, and its callers have long opened their flows elsewhere.
+
+    The opening packets that wait in its socket would open them a second time,
+    at other targets.
+    """
+    vm = start("127.4.1.1", store)
+    _await_ready(vm)
+    _send(vm, cookie_parts.packet(cookie_parts.SYN))
+    time.sleep(entry.STALL_MS / 1000 + 0.1)
+    lines: list[str] = []
+    turning.until(lambda: lines.extend(vm.log()) or "flow_dropped_old" in str(lines))
+    with pytest.raises(BlockingIOError):
+        server.recv(2000)
+    turning.until(lambda: lines.extend(vm.log()) or "event=woke" in str(lines))
+    time.sleep(entry.BACKLOG_MS / 1000)
+    _send(vm, cookie_parts.packet(cookie_parts.SYN, 40_002))
+    assert _await_datagram(server)
+
+
 def test_leaving_vm_says_so(start: Start, store: entry_parts.MemoryStore) -> None:
     vm = start("127.4.1.1", store)
     _await_ready(vm)
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -125,6 +125,19 @@
         seen.answered(202, first)
 
 
+def test_copies_that_waited_in_a_queue_go_to_one_target(
+    steers: steering.Steering,
+) -> None:
+    """A VM stood still while a caller sent its opening packet three times.
+
+    It reads all three at once. They say nothing of the target, and at three
+    targets the flow would be open three times.
+    """
+    first = _open(steers, 5000)
+    assert _open(steers, 5001, copies=1) == first
+    assert _open(steers, 5002, copies=2) == first
+
+
 def test_wrong_cookie_of_an_open_flow_is_put_right(steers: steering.Steering) -> None:
     """Two servers answered copies of one opening packet.
 
