--- a/eelgrasswick/command.py
+++ b/eelgrasswick/command.py
@@ -14,6 +14,7 @@
     command_operator,
     command_show,
     command_standin,
+    command_story,
     compose,
     console,
     errors,
@@ -57,6 +58,7 @@
         | command_load.Load
         | Entry
         | command_standin.Standin
+        | command_story.Story
         | trial.Trial
         | packet_cost.PacketCost
         | capacity.Capacity
--- a/eelgrasswick/soak/caller.py
+++ b/eelgrasswick/soak/caller.py
@@ -77,7 +77,7 @@
         now_s = time.monotonic()
         self._echo = item.echo or self._echo
         if item.flags & packets.RST:
-            self._reset(now_s)
+            self._reset(item.unsummed)
         elif item.flags & packets.SYN:
             if not self._open:
                 self._open = True
@@ -135,9 +135,9 @@
         self._request = ""
         self._next_s = now_s + self._plan.pause_s
 
-    def _reset(self, now_s: float) -> None:
+    def _reset(self, by_vm: bool) -> None:
         kind = history.Kind.RESET if self._open else history.Kind.REFUSED
-        self._end(kind, "")
+        self._end(kind, history.BY_VM if by_vm else history.BY_TARGET)
 
     def _end(self, kind: history.Kind, detail: str) -> None:
         self.done = True
--- a/eelgrasswick/soak/history.py
+++ b/eelgrasswick/soak/history.py
@@ -19,6 +19,15 @@
 SERVED: typing.Final = 0.5
 
 
+# Who sent a reset.
+BY_VM: typing.Final = "by a VM"
+BY_TARGET: typing.Final = "by a target"
+PAUSE: typing.Final = "target_pause"
+# A pause lasts up to 4 s, and for 4 s after it what the target does late does
+# not count.
+PAUSED_S: typing.Final = 8.0
+
+
 class Kind(enum.Enum):
     """What happened."""
 
@@ -219,6 +228,11 @@
             lives[item.who].append((item.at_s, float("inf")))
         elif item.kind is Kind.ENDED and lives[item.who]:
             lives[item.who][-1] = (lives[item.who][-1][0], item.at_s)
+    pauses_s = [
+        item.at_s
+        for item in events
+        if item.kind is Kind.FAULT and item.detail.startswith(PAUSE)
+    ]
     opened: dict[str, Event] = {}
     dropped = {item.flow for item in events if item.kind is Kind.ROUTE_DROPPED}
     for item in events:
@@ -226,10 +240,19 @@
             opened[item.flow] = item
         if item.kind is not Kind.RESET or item.flow.partition(">")[2] in dropped:
             continue
+        if item.detail == BY_TARGET and _paused(pauses_s, item.at_s):
+            # A target that was paused answers old opening packets when it wakes.
+            # A caller that takes them up names it from then on, and if the VM
+            # that knows better dies just then, its packets go there.
+            continue
         source = opened.get(item.flow)
         if source is not None and _alive(lives[source.who], source.at_s, item.at_s):
             yield Breach("open flow", item, f"its target {source.who} lives")
 
 
+def _paused(pauses_s: typing.Sequence[float], at_s: float) -> bool:
+    return any(0 <= at_s - pause_s <= PAUSED_S for pause_s in pauses_s)
+
+
 def _alive(lives: list[tuple[float, float]], from_s: float, to_s: float) -> bool:
     return any(begun <= from_s and to_s < ended for begun, ended in lives)
--- a/eelgrasswick/soak/packets.py
+++ b/eelgrasswick/soak/packets.py
@@ -32,6 +32,7 @@
         acknowledged: What the sender has received.
         echo: The cookie.
         data: Up to 1,200 bytes.
+        unsummed: True for a reset of the entry VMs, which can't sum packets.
     """
 
     source: bytes
@@ -43,6 +44,7 @@
     acknowledged: int
     echo: int
     data: bytes
+    unsummed: bool = False
 
 
 def encode(item: Packet) -> bytes:
@@ -68,9 +70,9 @@
         echo,
         raw[HEAD_BYTES:],
     )
-    whole = size == len(item.data) and total == _sum(item)
-    # A reset of the system's own carries no sum.
-    return item if whole or (flags == RST and total == 0 and not size) else None
+    if flags == RST and total == 0 and not item.data:
+        return item._replace(unsummed=True)
+    return item if size == len(item.data) and total == _sum(item) else None
 
 
 def _sum(item: Packet) -> int:
