Refuse nobody for want of a target before servers can be back

Within two seconds of fresh knowledge after an outage or a start such a flow is left unanswered, and the caller's copy finds a target.

--- a/eelgrasswick/cookie/catalog.py
+++ b/eelgrasswick/cookie/catalog.py
@@ -46,6 +46,7 @@
         self._gone_ms: collections.OrderedDict[int, int] = collections.OrderedDict()
         self._lapsed: dict[str, _Lapsed] = {}
         self._tick_ms = 0
+        self._unsettled_ms = 0
         self._seen_ms: dict[int, int] = {}
 
     @property
@@ -53,6 +54,11 @@
         """True when there are routes and targets to steer by."""
         return self.config is not None and bool(self._by_name)
 
+    @property
+    def settled(self) -> bool:
+        """False while servers may not be back in the store after an outage."""
+        return self._unsettled_ms <= 0
+
     @property
     def targets(self) -> typing.Collection[model.Target]:
         """All targets in the store."""
@@ -96,6 +102,9 @@
         Returns:
             What this VM believes from now on, one note for each change.
         """
+        if merge.gap_ms > OUTAGE_MS:
+            self._unsettled_ms = LAPSE_MS
+            self._tick_ms = now_ms
         notes = []
         for row in merge.rows:
             if self._reader.is_config(row.key):
@@ -116,6 +125,7 @@
         """
         elapsed_ms = now_ms - self._tick_ms if age_ms <= PRESENT_MS else 0
         self._tick_ms = now_ms
+        self._unsettled_ms = max(0, self._unsettled_ms - elapsed_ms)
         lapsed = []
         for name, item in self._lapsed.items():
             self._lapsed[name] = item._replace(left_ms=item.left_ms - elapsed_ms)
@@ -185,7 +195,6 @@
             self._gone_ms[target.cookie] = now_ms
             if gap_ms > OUTAGE_MS and not target.draining:
                 self._lapsed[row.key] = _Lapsed(target, LAPSE_MS)
-                self._tick_ms = now_ms
                 fields["usable_ms"] = LAPSE_MS
         return Note("target_gone", fields)
 
--- a/eelgrasswick/cookie/entry.py
+++ b/eelgrasswick/cookie/entry.py
@@ -38,6 +38,8 @@
 # How long it then takes to read what waits in the socket: 200 KB, 2,000 packets
 # of 100 bytes, at 25 us each.
 BACKLOG_MS: typing.Final = 50
+# Ages above this are shown as this; a VM that knows nothing has none.
+AGE_SHOWN_MS: typing.Final = 1_000_000
 METRICS_PATH: typing.Final = "/metrics"
 _QUIET_OUTCOMES: typing.Final = frozenset({steering.Outcome.FORWARDED})
 
@@ -230,7 +232,7 @@
             target=target.name,
             accepted=int(accepted),
             entry_missing=int(missing),
-            path_ms=min(now_ms - path_ms, 10**6),
+            path_ms=min(now_ms - path_ms, AGE_SHOWN_MS),
             flows_reset=len(resets),
         )
         for flow, _ in resets:
@@ -260,7 +262,7 @@
             zone=target.zone if target is not None else "-",
             on_target=self._flows_on(target),
             revision=self._knowledge.revision,
-            age_ms=age_ms,
+            age_ms=min(age_ms, AGE_SHOWN_MS),
         )
 
     def _flows_on(self, target: model.Target | None) -> int:
@@ -310,8 +312,9 @@
     def _learned(self, now_ms: int, merge: knowledge.Merge, origin: str) -> None:
         if not merge.rows:
             return
+        gap_ms = min(merge.gap_ms, AGE_SHOWN_MS)
         for note in self._catalog.update(now_ms, merge):
-            self._write(note.event, **note.fields, origin=origin, gap_ms=merge.gap_ms)
+            self._write(note.event, **note.fields, origin=origin, gap_ms=gap_ms)
 
     def _ask(self) -> None:
         now_ms = clock.now_ms()
@@ -332,7 +335,7 @@
         ready = self._ready
         if ready != self._was_ready:
             self._was_ready = ready
-            age_ms = min(self._knowledge.age_ms(now_ms), 10**6)
+            age_ms = min(self._knowledge.age_ms(now_ms), AGE_SHOWN_MS)
             self._write("ready" if ready else "not_ready", age_ms=age_ms)
         self._journal.flush()
         if self._stop_ms is not None:
@@ -361,7 +364,7 @@
             peers=len(self._peers),
             targets=len(self._catalog.targets),
             revision=self._knowledge.revision,
-            knowledge_age_ms=min(self._knowledge.age_ms(now_ms), 10**9),
+            knowledge_age_ms=min(self._knowledge.age_ms(now_ms), AGE_SHOWN_MS),
             store_calls=self._storing.calls,
         )
         return web.Page(200, self._stats.text())
--- a/eelgrasswick/cookie/steering.py
+++ b/eelgrasswick/cookie/steering.py
@@ -24,6 +24,7 @@
     NO_ROUTE = "no_route"
     NO_ROUTE_SURE = "no_route_reset"
     NO_TARGET = "no_target_reset"
+    NO_TARGET_YET = "no_target_yet"
     UNKNOWN_COOKIE = "unknown_cookie"
     NOT_READY = "not_ready"
     TARGET_DEAD = "target_dead_reset"
@@ -126,6 +127,9 @@
         passed_over = silent.cookie if silent is not None else 0
         candidates = self._sights.candidates(now_ms, service, passed_over)
         target = placing.choose(candidates, self._zone, _draws(flow, copies))
+        if target is None and not self._catalog.settled:
+            # A refusal would be final while the caller's next copy may find one.
+            return Decision(Outcome.NO_TARGET_YET, None, None, None)
         if target is None:
             datagram = self._codec.reset(flow, 0)
             return Decision(Outcome.NO_TARGET, datagram, None, None)
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -3,7 +3,7 @@
 import pytest
 
 from eelgrasswick.cookie import catalog, knowledge, model, reports, sights, steering
-from eelgrasswick.platform import segments
+from eelgrasswick.platform import entries, segments
 from tests import cookie_parts
 
 FRESH_MS = 100
@@ -195,6 +195,26 @@
     assert decision.datagram is not None
 
 
+def test_nobody_is_refused_before_servers_can_be_back() -> None:
+    """All VMs were killed while the store was down, and start as it returns.
+
+    The servers' entries have lapsed and are back within two seconds. Until then
+    a caller that is not answered sends its opening packet again; a refused one
+    gives up.
+    """
+    known = catalog.Catalog(entries.Reader())
+    known.update(0, knowledge.Merge((cookie_parts.config_row(1),), 10**9))
+    steers = steering.Steering(
+        "z1", segments.Codec(), known, sights.Sights("z1", known)
+    )
+    raw = cookie_parts.packet(cookie_parts.SYN)
+    decision = _steer(steers, 100, raw)
+    assert decision.outcome is steering.Outcome.NO_TARGET_YET
+    assert decision.datagram is None
+    known.tick(catalog.LAPSE_MS, age_ms=100)
+    assert _steer(steers, 2100, raw).outcome is steering.Outcome.NO_TARGET
+
+
 def test_unknown_cookie_is_dropped(steers: steering.Steering) -> None:
     """A packet names a target that this VM has not heard of yet.
 
