--- /dev/null
+++ b/eelgrasswick/cookie/carrying.py
@@ -0,0 +1,193 @@
+"""The task that carries callers' packets; it owns the socket they come by."""
+
+import typing
+
+from twisted.internet import defer
+
+from eelgrasswick import errors
+from eelgrasswick.cookie import (
+    catalog,
+    clock,
+    codec,
+    journal,
+    knowledge,
+    model,
+    ports,
+    probing,
+    sights,
+    stats,
+    steering,
+)
+
+# A VM that did nothing for so long was suspended or stood still. Its callers
+# have sent copies by then, and the fabric has begun to leave it out.
+STALL_MS: typing.Final = 400
+# How long it then takes to read what waits in the socket: 200 KB, 2,000 packets
+# of 100 bytes, at 25 us each.
+BACKLOG_MS: typing.Final = 50
+# Forwarding is counted; a line for each packet would take the time of packets.
+_QUIET_OUTCOMES: typing.Final = frozenset({steering.Outcome.FORWARDED})
+
+
+class Parts(typing.NamedTuple):
+    """What packets are carried by.
+
+    Attributes:
+        codec: Reads and writes the fabric's packets.
+        knowledge: Says how old the rest is.
+        catalog: Routes and targets.
+        sights: What was seen of flows and targets.
+        journal: The log.
+        stats: The counters.
+    """
+
+    codec: codec.SegmentCodec
+    knowledge: knowledge.Knowledge
+    catalog: catalog.Catalog
+    sights: sights.Sights
+    journal: journal.Journal
+    stats: stats.Stats
+
+
+class Carrier:
+    """Decides about each packet, sends what is to be sent, and accounts for it.
+
+    Attributes:
+        port: The socket, for the reactor to listen on.
+        packet_ms: When the last packet came.
+    """
+
+    def __init__(
+        self,
+        reactor: typing.Any,
+        zone: str,
+        caller_port: int,
+        parts: Parts,
+        failed: ports.Failed,
+    ) -> None:
+        """Carry packets for a VM.
+
+        Args:
+            reactor: Twisted reactor.
+            zone: Availability zone of the VM.
+            caller_port: UDP port at which callers take packets.
+            parts: What packets are carried by.
+            failed: Told of datagrams that could not be sent.
+        """
+        self.port = ports.Port(self._on_data, failed)
+        self.packet_ms = 0
+        self._reactor = reactor
+        self._caller_port = caller_port
+        self._codec = parts.codec
+        self._knowledge = parts.knowledge
+        self._catalog = parts.catalog
+        self._sights = parts.sights
+        self._journal = parts.journal
+        self._stats = parts.stats
+        self._steering = steering.Steering(
+            zone, parts.codec, parts.catalog, parts.sights
+        )
+        self._awake_ms = clock.now_ms()
+        self._backlog_until_ms = 0
+
+    def wake(self) -> int:
+        """Return the present time; notice when this VM has stood still."""
+        now_ms = clock.now_ms()
+        gap_ms = now_ms - self._awake_ms
+        self._awake_ms = now_ms
+        if gap_ms > STALL_MS:
+            # Opening packets that waited are old. Their flows may be open by
+            # now, through other VMs; placed here, they would be open twice.
+            self._backlog_until_ms = now_ms + BACKLOG_MS
+            self._write("woke", stood_still_ms=gap_ms)
+        return now_ms
+
+    def _on_data(self, raw: bytes, host: str) -> None:
+        now_ms = self.wake()
+        self.packet_ms = now_ms
+        try:
+            segment = self._codec.decode(raw)
+        except errors.PacketMalformedError as error:
+            self._stats.counts["packets_malformed"] += 1
+            self._write("packet_dropped", source=host, detail=error.detail)
+            return
+        if segment.opening and now_ms < self._backlog_until_ms:
+            self._stats.counts["packets_dropped_old"] += 1
+            self._write("flow_dropped_old", flow=segment.flow)
+            return
+        age_ms = self._knowledge.age_ms(now_ms)
+        decision = self._steering.steer(now_ms, age_ms, segment, raw)
+        self._send(segment, decision)
+        self._account(now_ms, age_ms, segment, decision)
+        if decision.probe is not None:
+            defer.ensureDeferred(self._probe(decision.probe))
+
+    def _send(self, segment: model.Segment, decision: steering.Decision) -> None:
+        if decision.datagram is None:
+            return
+        address = decision.address or self._caller(segment.flow)
+        self.port.send(decision.datagram, address)
+
+    def _caller(self, flow: model.FlowId) -> model.Address:
+        host = ".".join(map(str, flow.caller_ip))
+        return model.Address(host, self._caller_port)
+
+    def _account(
+        self,
+        now_ms: int,
+        age_ms: int,
+        segment: model.Segment,
+        decision: steering.Decision,
+    ) -> None:
+        outcome = decision.outcome
+        self._stats.counts[f"packets_{outcome.value}"] += 1
+        if decision.answer_ms is not None:
+            self._stats.observe("answer", decision.answer_ms)
+        if outcome in _QUIET_OUTCOMES:
+            return
+        target = decision.target
+        self._journal.write(
+            now_ms,
+            f"flow_{outcome.value}",
+            flow=segment.flow,
+            copy=segment.acknowledged if segment.opening else "-",
+            cookie=segment.cookie,
+            target=target.name if target is not None else "-",
+            zone=target.zone if target is not None else "-",
+            on_target=self._flows_on(target),
+            revision=self._knowledge.revision,
+            age_ms=knowledge.shown_ms(age_ms),
+        )
+
+    def _flows_on(self, target: model.Target | None) -> int:
+        if target is None:
+            return 0
+        own = self._sights.tracker.flows_on(target.cookie)
+        return own + self._sights.reports.flows_on(target.cookie)
+
+    async def _probe(self, target: model.Target) -> None:
+        now_ms = clock.now_ms()
+        missing = self._catalog.missing(target, now_ms)
+        # The address of a target that is gone may be another's already.
+        accepted = not missing and await probing.accepts(self._reactor, target.address)
+        path_ms = self._sights.path_ms(target)
+        now_ms = clock.now_ms()
+        dead = self._sights.verdicts.probed(now_ms, target.cookie, accepted, path_ms)
+        resets = self._steering.abandon(target) if dead else []
+        for flow, datagram in resets:
+            self.port.send(datagram, self._caller(flow))
+        self._stats.counts["targets_probed"] += 1
+        self._stats.counts["flows_abandoned"] += len(resets)
+        self._write(
+            "target_dead" if dead else "target_probed",
+            target=target.name,
+            accepted=int(accepted),
+            entry_missing=int(missing),
+            path_ms=knowledge.shown_ms(now_ms - path_ms),
+            flows_reset=len(resets),
+        )
+        for flow, _ in resets:
+            self._write("flow_target_dead_reset", flow=flow, target=target.name)
+
+    def _write(self, event: str, **fields: object) -> None:
+        self._journal.write(clock.now_ms(), event, **fields)
--- a/eelgrasswick/cookie/knowledge.py
+++ b/eelgrasswick/cookie/knowledge.py
@@ -16,6 +16,13 @@
 # 1,700 restarts a day needs far fewer in the seconds for which a VM is behind.
 MAX_DELETED: typing.Final = 512
 NEVER_MS: typing.Final = -1_000_000_000
+# Ages above this are shown as this; a VM that knows nothing has none.
+AGE_SHOWN_MS: typing.Final = 1_000_000
+
+
+def shown_ms(age_ms: int) -> int:
+    """Return an age as logs and metrics show it."""
+    return min(age_ms, AGE_SHOWN_MS)
 
 
 class Merge(typing.NamedTuple):
--- a/eelgrasswick/cookie/settings.py
+++ b/eelgrasswick/cookie/settings.py
@@ -98,7 +98,7 @@
     ini.Entry("store", "address", "IP:port of the store", address, None),
     ini.Entry("stop", "grace_s", "s from SIGTERM to SIGKILL", _seconds, "6"),
     ini.Entry(
-        "log", "lines_per_s", "lines of one sort per s", ini.integer(1, 1000), "10"
+        "log", "lines_per_s", "lines of one sort per s", ini.integer(1, 1000), "50"
     ),
 )
 
--- a/eelgrasswick/cookie/storing.py
+++ b/eelgrasswick/cookie/storing.py
@@ -130,6 +130,6 @@
             detail=error.detail,
             failures=self._watching.failures,
             revision=self._knowledge.revision,
-            age_ms=min(self._knowledge.age_ms(now_ms), 10**6),
+            age_ms=knowledge.shown_ms(self._knowledge.age_ms(now_ms)),
             **fields,
         )
--- /dev/null
+++ b/eelgrasswick/cookie/talking.py
@@ -0,0 +1,149 @@
+"""The task that talks to the other entry VMs; it owns the socket for that."""
+
+import random
+import typing
+
+from twisted.internet import defer
+
+from eelgrasswick import errors
+from eelgrasswick.cookie import (
+    catalog,
+    clock,
+    exchange,
+    journal,
+    knowledge,
+    model,
+    peers,
+    ports,
+    reports,
+    stats,
+    transfer,
+)
+
+
+class Parts(typing.NamedTuple):
+    """What is told to others and learned from them.
+
+    Attributes:
+        knowledge: Rows of the store.
+        catalog: Follows the rows that are new.
+        reports: Takes what others say of targets.
+        journal: The log.
+        stats: The counters.
+    """
+
+    knowledge: knowledge.Knowledge
+    catalog: catalog.Catalog
+    reports: reports.Reports
+    journal: journal.Journal
+    stats: stats.Stats
+
+
+class Talker:
+    """Asks, answers and tells; passes on what the store says.
+
+    Attributes:
+        port: The socket, for the reactor to listen on.
+        peers: The other VMs.
+    """
+
+    def __init__(
+        self,
+        reactor: typing.Any,
+        me: model.Address,
+        zone: str,
+        parts: Parts,
+        rng: random.Random,
+        failed: ports.Failed,
+    ) -> None:
+        """Talk for a VM.
+
+        Args:
+            reactor: Twisted reactor.
+            me: Its address for other VMs; all VMs use the same port.
+            zone: Its availability zone.
+            parts: What is told and learned.
+            rng: Chooses whom to ask.
+            failed: Told of datagrams that could not be sent.
+        """
+        self.port = ports.Port(self._on_peer, failed)
+        self.peers = peers.Peers(me.host, zone, rng)
+        self._reactor = reactor
+        self._peer_port = me.port
+        self._knowledge = parts.knowledge
+        self._catalog = parts.catalog
+        self._journal = parts.journal
+        self._stats = parts.stats
+        self._exchange = exchange.Exchange(
+            zone, parts.knowledge, self.peers, parts.reports, rng
+        )
+        self._fetching: set[str] = set()
+
+    def ask(self, now_ms: int, report: reports.Report, reads_store: bool) -> None:
+        """Ask the VMs that are next.
+
+        Args:
+            now_ms: Present time.
+            report: What this VM says of targets.
+            reads_store: False while the store does not answer it.
+        """
+        self._exchange.report = report
+        self._exchange.reads_store = reads_store
+        requests, gone = self._exchange.ask(now_ms)
+        for item in requests:
+            self._send_peer(item)
+        for host in gone:
+            self._write("peer_lost", peer=host, alive=len(self.peers))
+        self.peers.forget(now_ms)
+
+    def merged(self, now_ms: int, merge: knowledge.Merge, origin: str) -> None:
+        """Follow rows that are new, and tell others of them."""
+        self._learned(now_ms, merge, origin)
+        for item in self._exchange.news(now_ms, merge):
+            self._send_peer(item)
+
+    def _on_peer(self, payload: bytes, host: str) -> None:
+        now_ms = clock.now_ms()
+        try:
+            heard = self._exchange.receive(now_ms, host, payload)
+        except errors.MessageInvalidError as error:
+            self._stats.counts["peer_messages_invalid"] += 1
+            self._write("peer_message_refused", source=host, detail=error.detail)
+            return
+        for item in heard.sends:
+            self._send_peer(item)
+        if heard.joined:
+            self._write("peer_regained", peer=host, alive=len(self.peers))
+        if heard.merge is not None:
+            self._learned(now_ms, heard.merge, host)
+        if heard.fetch_from and heard.fetch_from not in self._fetching:
+            defer.ensureDeferred(self._fetch(heard.fetch_from))
+
+    async def _fetch(self, host: str) -> None:
+        self._fetching.add(host)
+        address = model.Address(host, self._peer_port)
+        try:
+            changes = await transfer.fetch(
+                self._reactor, address, self._knowledge.revision
+            )
+        except errors.EelgrasswickError as error:
+            self._stats.counts["transfers_failed"] += 1
+            self._write("transfer_failed", peer=host, kind=error.kind.value)
+            return
+        finally:
+            self._fetching.discard(host)
+        now_ms = clock.now_ms()
+        self.merged(now_ms, self._knowledge.merge(now_ms, changes), host)
+
+    def _learned(self, now_ms: int, merge: knowledge.Merge, origin: str) -> None:
+        if not merge.rows:
+            return
+        gap_ms = knowledge.shown_ms(merge.gap_ms)
+        for note in self._catalog.update(now_ms, merge):
+            self._write(note.event, **note.fields, origin=origin, gap_ms=gap_ms)
+
+    def _send_peer(self, item: exchange.Outgoing) -> None:
+        self.port.send(item.payload, model.Address(item.host, self._peer_port))
+
+    def _write(self, event: str, **fields: object) -> None:
+        self._journal.write(clock.now_ms(), event, **fields)
