--- a/eelgrasswick/cookie/entry.py
+++ b/eelgrasswick/cookie/entry.py
@@ -159,7 +159,6 @@
     def _listen(self) -> None:
         vm = self._settings.vm
         reactor = self._reactor
-        size = DATAGRAM_BYTES
         answers = transfer.ServerFactory(self._knowledge.since)
         probe = web.WebFactory({self._ready_path: self._ready_page})
         pages = web.WebFactory({METRICS_PATH: self._metrics_page})
