Sort the flat package into packages: homes, fleet, decisions, daemons, commands, emulation, trials

A newcomer met 98 modules side by side, of which the program on the users' platform loads a dozen. Files are moved and imports follow; nothing else changed.

--- a/eelgrasswick/__main__.py
+++ b/eelgrasswick/__main__.py
@@ -1,6 +1,6 @@
 """Run the command line as ``python -m eelgrasswick``."""
 
-import eelgrasswick.command
+import eelgrasswick.commands.command
 
 if __name__ == "__main__":
-    eelgrasswick.command.main()
+    eelgrasswick.commands.command.main()
--- a/eelgrasswick/change.py
+++ b/eelgrasswick/change.py
@@ -7,7 +7,15 @@
 
 import msgspec
 
-from eelgrasswick import config, errors, message, packet, retired, rule, store
+from eelgrasswick import (
+    config,
+    errors,
+    message,
+    packet,
+    rule,
+    store,
+)
+from eelgrasswick.homes import retired
 
 VACANT_MS: typing.Final = 10_000
 TRIES: typing.Final = 4
--- /dev/null
+++ b/eelgrasswick/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- a/eelgrasswick/command.py
+++ b/eelgrasswick/commands/command.py
@@ -9,18 +9,24 @@
 from twisted.internet import reactor as default_reactor
 
 from eelgrasswick import (
-    capacity,
+    compose,
+    errors,
+)
+from eelgrasswick.commands import (
     command_load,
     command_operator,
     command_show,
     command_standin,
     command_story,
-    compose,
     console,
-    errors,
+)
+from eelgrasswick.daemons import (
     log,
-    packet_cost,
     setting,
+)
+from eelgrasswick.trials import (
+    capacity,
+    packet_cost,
     trial,
 )
 
--- a/eelgrasswick/command_load.py
+++ b/eelgrasswick/commands/command_load.py
@@ -7,7 +7,13 @@
 
 import cappa
 
-from eelgrasswick import console, errors, experiment, oracle, scenario_file
+from eelgrasswick import errors
+from eelgrasswick.commands import console
+from eelgrasswick.emulation import (
+    experiment,
+    oracle,
+    scenario_file,
+)
 
 
 @cappa.command(name="load", help="measure a policy on a scenario, in virtual time")
--- a/eelgrasswick/command_operator.py
+++ b/eelgrasswick/commands/command_operator.py
@@ -11,13 +11,13 @@
 from twisted.internet import task
 
 from eelgrasswick import (
-    backoff,
     change,
-    console,
     errors,
-    gateway,
     rule,
 )
+from eelgrasswick.commands import console
+from eelgrasswick.daemons import gateway
+from eelgrasswick.decisions import backoff
 
 _WATCH_S: typing.Final = 0.5
 _NEVER_SEEN: typing.Final = -1
--- a/eelgrasswick/command_show.py
+++ b/eelgrasswick/commands/command_show.py
@@ -8,7 +8,15 @@
 import cappa
 from twisted.internet import defer, protocol
 
-from eelgrasswick import console, errors, explain, gateway, packet, store, wire
+from eelgrasswick import (
+    errors,
+    packet,
+    store,
+    wire,
+)
+from eelgrasswick.commands import console
+from eelgrasswick.daemons import gateway
+from eelgrasswick.homes import explain
 
 ANSWER_S: typing.Final = 1.0
 TRIES: typing.Final = 3
--- a/eelgrasswick/command_standin.py
+++ b/eelgrasswick/commands/command_standin.py
@@ -9,7 +9,12 @@
 from twisted.internet import reactor as default_reactor
 from twisted.internet import task
 
-from eelgrasswick import console, emulator, packet, rule
+from eelgrasswick import (
+    packet,
+    rule,
+)
+from eelgrasswick.commands import console
+from eelgrasswick.emulation import emulator
 
 
 @cappa.command(name="platform", help="stand-in for the platform's store")
--- a/eelgrasswick/command_story.py
+++ b/eelgrasswick/commands/command_story.py
@@ -6,7 +6,8 @@
 
 import cappa
 
-from eelgrasswick import console, story
+from eelgrasswick import story
+from eelgrasswick.commands import console
 
 
 @cappa.command(name="story", help="tell a flow's story from the logs of entry VMs")
--- a/eelgrasswick/console.py
+++ b/eelgrasswick/commands/console.py
@@ -9,7 +9,8 @@
 import cappa
 from twisted.internet import defer, task
 
-from eelgrasswick import errors, setting
+from eelgrasswick import errors
+from eelgrasswick.daemons import setting
 
 STORE_TIMEOUT_MS: typing.Final = 3000
 USAGE_EXIT_CODE: typing.Final = 1
--- a/eelgrasswick/compose.py
+++ b/eelgrasswick/compose.py
@@ -4,16 +4,16 @@
 import time
 import typing
 
-from eelgrasswick import (
+from eelgrasswick import packet
+from eelgrasswick.daemons import (
     daemon,
-    engine,
     gateway,
-    member,
-    packet,
-    placement,
     setting,
     tls,
 )
+from eelgrasswick.decisions import placement
+from eelgrasswick.fleet import member
+from eelgrasswick.homes import engine
 
 
 def entry_engine(settings: setting.Settings, rng: random.Random) -> engine.Engine:
--- a/eelgrasswick/config.py
+++ b/eelgrasswick/config.py
@@ -8,7 +8,13 @@
 
 import msgspec
 
-from eelgrasswick import errors, packet, rule, service, target
+from eelgrasswick import (
+    errors,
+    packet,
+    rule,
+    service,
+    target,
+)
 
 MAX_VALUE_BYTES: typing.Final = 1_000_000
 _MAX_TEXT_BYTES: typing.Final = 16_000_000
--- /dev/null
+++ b/eelgrasswick/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, links, settings and logs around an engine."""
--- a/eelgrasswick/daemon.py
+++ b/eelgrasswick/daemons/daemon.py
@@ -12,19 +12,21 @@
 from twisted.internet import error, protocol, task
 
 from eelgrasswick import (
-    engine,
     errors,
+    message,
+    packet,
+    store,
+)
+from eelgrasswick.daemons import (
     link,
     link_pool,
     log,
-    message,
     metric,
-    packet,
     setting,
-    store,
     tls,
     watcher,
 )
+from eelgrasswick.homes import engine
 
 IDLE_CHECK_S: typing.Final = 10.0
 TRACE_FRAMES: typing.Final = 4
--- a/eelgrasswick/gateway.py
+++ b/eelgrasswick/daemons/gateway.py
@@ -10,7 +10,11 @@
 from twisted.internet import defer, error
 from twisted.web import client as web_client
 
-from eelgrasswick import _body, errors, store
+from eelgrasswick import (
+    errors,
+    store,
+)
+from eelgrasswick.daemons import _body
 
 _FAILURES: typing.Final = (
     error.ConnectError,
--- a/eelgrasswick/link.py
+++ b/eelgrasswick/daemons/link.py
@@ -15,7 +15,8 @@
 from twisted.python import failure
 from websockets import frames, http11, server
 
-from eelgrasswick import tls, wire
+from eelgrasswick import wire
+from eelgrasswick.daemons import tls
 
 HANDSHAKE_S: typing.Final = 5.0
 SILENT_S: typing.Final = 120.0
--- a/eelgrasswick/link_pool.py
+++ b/eelgrasswick/daemons/link_pool.py
@@ -8,7 +8,11 @@
 from twisted.python import failure
 from websockets import client, exceptions, http11, uri
 
-from eelgrasswick import link, packet, tls
+from eelgrasswick import packet
+from eelgrasswick.daemons import (
+    link,
+    tls,
+)
 
 MAX_QUEUED: typing.Final = 256
 IDLE_S: typing.Final = 60.0
--- a/eelgrasswick/log.py
+++ b/eelgrasswick/daemons/log.py
@@ -5,7 +5,10 @@
 import eliot
 from twisted import logger
 
-from eelgrasswick import log_line, message
+from eelgrasswick import (
+    log_line,
+    message,
+)
 
 _HIDDEN: typing.Final = frozenset(
     {"timestamp", "task_uuid", "task_level", "message_type"}
--- a/eelgrasswick/metric.py
+++ b/eelgrasswick/daemons/metric.py
@@ -6,7 +6,8 @@
 from opentelemetry.sdk import metrics, resources
 from opentelemetry.sdk.metrics import export
 
-from eelgrasswick import engine, message
+from eelgrasswick import message
+from eelgrasswick.homes import engine
 
 PREFIX: typing.Final = "eelgrasswick."
 
--- a/eelgrasswick/setting.py
+++ b/eelgrasswick/daemons/setting.py
@@ -5,7 +5,10 @@
 import re
 import typing
 
-from eelgrasswick import ini, packet
+from eelgrasswick import (
+    ini,
+    packet,
+)
 
 
 class VmSettings(typing.NamedTuple):
--- a/eelgrasswick/tls.py
+++ b/eelgrasswick/daemons/tls.py
@@ -7,7 +7,8 @@
 from OpenSSL import crypto
 from twisted.internet import ssl
 
-from eelgrasswick import errors, setting
+from eelgrasswick import errors
+from eelgrasswick.daemons import setting
 
 
 class Identity(typing.NamedTuple):
--- a/eelgrasswick/watcher.py
+++ b/eelgrasswick/daemons/watcher.py
@@ -8,7 +8,15 @@
 import eliot
 from twisted.internet import defer, task
 
-from eelgrasswick import backoff, change, config, errors, member, message, store
+from eelgrasswick import (
+    change,
+    config,
+    errors,
+    message,
+    store,
+)
+from eelgrasswick.decisions import backoff
+from eelgrasswick.fleet import member
 
 LEASE_S: typing.Final = 15
 WATCH_MS: typing.Final = 2000
--- /dev/null
+++ b/eelgrasswick/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions under load, without network, clock or randomness."""
--- a/eelgrasswick/admission.py
+++ b/eelgrasswick/decisions/admission.py
@@ -9,7 +9,10 @@
 
 import typing
 
-from eelgrasswick import errors, service
+from eelgrasswick import (
+    errors,
+    service,
+)
 
 BASE_RETRY_MS: typing.Final = 1000
 SPREAD: typing.Final = 1.0
--- a/eelgrasswick/choice.py
+++ b/eelgrasswick/decisions/choice.py
@@ -7,16 +7,16 @@
 
 import typing
 
-from eelgrasswick import (
+from eelgrasswick import target
+from eelgrasswick.decisions import (
     concurrency,
     placement,
     ramp,
     retry,
     shift,
     strength,
-    target,
-    work,
 )
+from eelgrasswick.emulation import work
 
 
 class Sight(typing.NamedTuple):
--- a/eelgrasswick/selector.py
+++ b/eelgrasswick/decisions/selector.py
@@ -7,15 +7,19 @@
 import typing
 
 from eelgrasswick import (
-    books,
-    choice,
-    epoch,
-    health,
     packet,
-    placement,
     service,
     target,
 )
+from eelgrasswick.decisions import (
+    choice,
+    health,
+    placement,
+)
+from eelgrasswick.homes import (
+    books,
+    epoch,
+)
 
 LEARN_MS: typing.Final = 500
 
--- a/eelgrasswick/strength.py
+++ b/eelgrasswick/decisions/strength.py
@@ -20,7 +20,8 @@
 import statistics
 import typing
 
-from eelgrasswick import shift, target
+from eelgrasswick import target
+from eelgrasswick.decisions import shift
 
 SAMPLES: typing.Final = 16
 KEEP_MS: typing.Final = 10_000
--- a/eelgrasswick/waiting.py
+++ b/eelgrasswick/decisions/waiting.py
@@ -17,7 +17,8 @@
 import math
 import typing
 
-from eelgrasswick import admission, errors
+from eelgrasswick import errors
+from eelgrasswick.decisions import admission
 
 PROMISED: typing.Final = 0.5
 LAST_RETRY_MS: typing.Final = 30_000
--- a/eelgrasswick/baseline.py
+++ b/eelgrasswick/emulation/baseline.py
@@ -6,7 +6,8 @@
 
 import typing
 
-from eelgrasswick import placement, target
+from eelgrasswick import target
+from eelgrasswick.decisions import placement
 
 
 class WeightedHash(placement.Placement):
--- a/eelgrasswick/caller_model.py
+++ b/eelgrasswick/emulation/caller_model.py
@@ -8,10 +8,15 @@
 import random
 import typing
 
-from eelgrasswick import model, outcome, packet, scenario
+from eelgrasswick import packet
+from eelgrasswick.emulation import (
+    model,
+    outcome,
+    scenario,
+)
 
 if typing.TYPE_CHECKING:
-    from eelgrasswick import experiment
+    from eelgrasswick.emulation import experiment
 
 HOP_MS: typing.Final = 1.0
 SYN_MS: typing.Final = (1000, 3000)
--- a/eelgrasswick/emulated_caller.py
+++ b/eelgrasswick/emulation/emulated_caller.py
@@ -6,7 +6,11 @@
 
 import msgspec
 
-from eelgrasswick import emulated_stream, emulated_target, packet
+from eelgrasswick import packet
+from eelgrasswick.emulation import (
+    emulated_stream,
+    emulated_target,
+)
 
 GIVE_UP_MS: typing.Final = 20_000
 DATAGRAM_RETRY_MS: typing.Final = 400
--- a/eelgrasswick/emulated_platform.py
+++ b/eelgrasswick/emulation/emulated_platform.py
@@ -12,7 +12,10 @@
 from twisted.internet import defer, task
 from twisted.web import resource, server
 
-from eelgrasswick import errors, store
+from eelgrasswick import (
+    errors,
+    store,
+)
 
 
 class Faults(typing.NamedTuple):
--- a/eelgrasswick/emulated_target.py
+++ b/eelgrasswick/emulation/emulated_target.py
@@ -11,7 +11,8 @@
 
 import msgspec
 
-from eelgrasswick import emulated_stream, packet
+from eelgrasswick import packet
+from eelgrasswick.emulation import emulated_stream
 
 
 class Request(typing.NamedTuple):
--- a/eelgrasswick/emulator.py
+++ b/eelgrasswick/emulation/emulator.py
@@ -10,15 +10,17 @@
 from twisted.web import server
 
 from eelgrasswick import (
-    emulated_caller,
-    emulated_platform,
-    emulated_target,
     errors,
-    gateway,
     packet,
     rule,
     store,
 )
+from eelgrasswick.daemons import gateway
+from eelgrasswick.emulation import (
+    emulated_caller,
+    emulated_platform,
+    emulated_target,
+)
 
 TICK_S: typing.Final = 0.01
 POLL_S: typing.Final = 0.3
--- a/eelgrasswick/experiment.py
+++ b/eelgrasswick/emulation/experiment.py
@@ -9,19 +9,21 @@
 import typing
 
 from eelgrasswick import (
-    caller_model,
     config,
     errors,
     message,
-    model,
     node,
-    oracle,
-    outcome,
     packet,
     rule,
-    scenario,
     wire,
 )
+from eelgrasswick.emulation import (
+    caller_model,
+    model,
+    oracle,
+    outcome,
+    scenario,
+)
 
 START_MS: typing.Final = 1_800_000_000_000
 TICK_MS: typing.Final = 50
--- a/eelgrasswick/model.py
+++ b/eelgrasswick/emulation/model.py
@@ -8,7 +8,8 @@
 import collections
 import typing
 
-from eelgrasswick import ramp, scenario
+from eelgrasswick.decisions import ramp
+from eelgrasswick.emulation import scenario
 
 Done = typing.Callable[[float, "Request"], None]
 
--- a/eelgrasswick/oracle.py
+++ b/eelgrasswick/emulation/oracle.py
@@ -3,7 +3,13 @@
 import math
 import typing
 
-from eelgrasswick import baseline, model, placement, target, work
+from eelgrasswick import target
+from eelgrasswick.decisions import placement
+from eelgrasswick.emulation import (
+    baseline,
+    model,
+    work,
+)
 
 REPORT_MS: typing.Final = 1000
 
--- a/eelgrasswick/outcome.py
+++ b/eelgrasswick/emulation/outcome.py
@@ -6,7 +6,10 @@
 
 from hdrh import histogram
 
-from eelgrasswick import model, scenario
+from eelgrasswick.emulation import (
+    model,
+    scenario,
+)
 
 _UNITS_PER_MS: typing.Final = 100
 _HIGHEST: typing.Final = 100 * 60_000
--- a/eelgrasswick/scenario_file.py
+++ b/eelgrasswick/emulation/scenario_file.py
@@ -7,7 +7,8 @@
 import enum
 import typing
 
-from eelgrasswick import errors, scenario
+from eelgrasswick import errors
+from eelgrasswick.emulation import scenario
 
 Kind = typing.TypeVar("Kind", bound=enum.Enum)
 
--- a/eelgrasswick/virtual_fleet.py
+++ b/eelgrasswick/emulation/virtual_fleet.py
@@ -17,18 +17,20 @@
 
 from eelgrasswick import (
     config,
-    emulated_platform,
-    engine,
-    member,
-    membership,
     message,
     packet,
-    peer,
-    placement,
     store,
-    watcher,
     wire,
 )
+from eelgrasswick.daemons import watcher
+from eelgrasswick.decisions import placement
+from eelgrasswick.emulation import emulated_platform
+from eelgrasswick.fleet import (
+    member,
+    membership,
+    peer,
+)
+from eelgrasswick.homes import engine
 
 START_MS: typing.Final = 1_800_000_000_000
 DELAY_MS: typing.Final = 0.5
--- a/eelgrasswick/keeper.py
+++ b/eelgrasswick/fleet/keeper.py
@@ -8,7 +8,17 @@
 
 import typing
 
-from eelgrasswick import config, errors, member, message, peer, rendezvous, wire
+from eelgrasswick import (
+    config,
+    errors,
+    message,
+    wire,
+)
+from eelgrasswick.fleet import (
+    member,
+    peer,
+)
+from eelgrasswick.homes import rendezvous
 
 WATCHERS: typing.Final = 2
 WANT_MS: typing.Final = 250
--- a/eelgrasswick/membership.py
+++ b/eelgrasswick/fleet/membership.py
@@ -10,15 +10,17 @@
 import typing
 
 from eelgrasswick import (
+    message,
+    packet,
+    wire,
+)
+from eelgrasswick.fleet import (
     contact,
     gossip,
     member,
-    message,
-    packet,
     peer,
     probe,
     stranger,
-    wire,
 )
 
 PERIOD_MS: typing.Final = 200
--- a/eelgrasswick/peer.py
+++ b/eelgrasswick/fleet/peer.py
@@ -3,7 +3,12 @@
 import socket
 import typing
 
-from eelgrasswick import member, message, packet, wire
+from eelgrasswick import (
+    message,
+    packet,
+    wire,
+)
+from eelgrasswick.fleet import member
 
 _DATA: typing.Final = (wire.Forward, wire.Relay)
 
--- a/eelgrasswick/stranger.py
+++ b/eelgrasswick/fleet/stranger.py
@@ -6,7 +6,11 @@
 
 import typing
 
-from eelgrasswick import member, packet, peer
+from eelgrasswick import packet
+from eelgrasswick.fleet import (
+    member,
+    peer,
+)
 
 FORGET_MS: typing.Final = 3_600_000
 
--- /dev/null
+++ b/eelgrasswick/homes/__init__.py
@@ -0,0 +1,1 @@
+"""Carrying flows through homes: what a VM decides for packets without cookies."""
--- a/eelgrasswick/books.py
+++ b/eelgrasswick/homes/books.py
@@ -2,7 +2,18 @@
 
 import typing
 
-from eelgrasswick import epoch, flow, health, hint, load, message, peer, replica
+from eelgrasswick import message
+from eelgrasswick.decisions import (
+    health,
+    load,
+)
+from eelgrasswick.fleet import peer
+from eelgrasswick.homes import (
+    epoch,
+    flow,
+    hint,
+    replica,
+)
 
 
 class Books(typing.NamedTuple):
--- a/eelgrasswick/emptiness.py
+++ b/eelgrasswick/homes/emptiness.py
@@ -7,7 +7,12 @@
 
 import typing
 
-from eelgrasswick import books, member, message, target
+from eelgrasswick import (
+    message,
+    target,
+)
+from eelgrasswick.fleet import member
+from eelgrasswick.homes import books
 
 SURE_MS: typing.Final = 10_000
 
--- a/eelgrasswick/engine.py
+++ b/eelgrasswick/homes/engine.py
@@ -8,30 +8,36 @@
 import typing
 
 from eelgrasswick import (
-    books,
     config,
+    errors,
+    message,
+    packet,
+    target,
+    wire,
+)
+from eelgrasswick.decisions import (
+    health,
+    load,
+    placement,
+)
+from eelgrasswick.fleet import (
+    keeper,
+    member,
+    membership,
+    peer,
+)
+from eelgrasswick.homes import (
+    books,
     emptiness,
     epoch,
-    errors,
     explain,
     flow,
-    health,
     hint,
     home,
-    keeper,
-    load,
-    member,
-    membership,
-    message,
     opener,
-    packet,
-    peer,
-    placement,
     rehome,
     replica,
     switch,
-    target,
-    wire,
 )
 
 TICK_MS: typing.Final = 50
--- a/eelgrasswick/epoch.py
+++ b/eelgrasswick/homes/epoch.py
@@ -10,7 +10,14 @@
 import collections
 import typing
 
-from eelgrasswick import config, member, packet, rendezvous, service, target
+from eelgrasswick import (
+    config,
+    packet,
+    service,
+    target,
+)
+from eelgrasswick.fleet import member
+from eelgrasswick.homes import rendezvous
 
 _SLOT_MASK: typing.Final = 0xFFF
 MAX_EARLIER: typing.Final = 6
--- a/eelgrasswick/explain.py
+++ b/eelgrasswick/homes/explain.py
@@ -8,7 +8,17 @@
 import ipaddress
 import typing
 
-from eelgrasswick import books, keeper, membership, packet, service, target, wire
+from eelgrasswick import (
+    packet,
+    service,
+    target,
+    wire,
+)
+from eelgrasswick.fleet import (
+    keeper,
+    membership,
+)
+from eelgrasswick.homes import books
 
 NONE: typing.Final = "none"
 _PROTOCOLS: typing.Final = {"tcp": packet.Protocol.TCP, "udp": packet.Protocol.UDP}
--- a/eelgrasswick/flow.py
+++ b/eelgrasswick/homes/flow.py
@@ -4,7 +4,11 @@
 import enum
 import typing
 
-from eelgrasswick import _wheel, packet, target
+from eelgrasswick import (
+    packet,
+    target,
+)
+from eelgrasswick.homes import _wheel
 
 LINGER_MS: typing.Final = 25_000
 _SEQUENCES: typing.Final = 2**32
--- a/eelgrasswick/guess.py
+++ b/eelgrasswick/homes/guess.py
@@ -7,7 +7,16 @@
 
 import typing
 
-from eelgrasswick import books, flow, message, packet, service, target
+from eelgrasswick import (
+    message,
+    packet,
+    service,
+    target,
+)
+from eelgrasswick.homes import (
+    books,
+    flow,
+)
 
 MAX_CANDIDATES: typing.Final = 16
 _COUNT: typing.Final = message.Counter
--- a/eelgrasswick/hint.py
+++ b/eelgrasswick/homes/hint.py
@@ -2,7 +2,11 @@
 
 import typing
 
-from eelgrasswick import _wheel, packet, target
+from eelgrasswick import (
+    packet,
+    target,
+)
+from eelgrasswick.homes import _wheel
 
 
 class Hint(typing.NamedTuple):
--- a/eelgrasswick/home.py
+++ b/eelgrasswick/homes/home.py
@@ -3,15 +3,17 @@
 import typing
 
 from eelgrasswick import (
+    message,
+    packet,
+    service,
+    target,
+)
+from eelgrasswick.homes import (
     books,
     flow,
     guess,
     inquiry,
-    message,
     opener,
-    packet,
-    service,
-    target,
 )
 
 _COUNT: typing.Final = message.Counter
--- a/eelgrasswick/inquiry.py
+++ b/eelgrasswick/homes/inquiry.py
@@ -8,7 +8,12 @@
 
 import typing
 
-from eelgrasswick import _wheel, packet, peer, wire
+from eelgrasswick import (
+    packet,
+    wire,
+)
+from eelgrasswick.fleet import peer
+from eelgrasswick.homes import _wheel
 
 ANSWER_MS: typing.Final = 60
 MAX_FLOWS: typing.Final = 4096
--- a/eelgrasswick/opener.py
+++ b/eelgrasswick/homes/opener.py
@@ -5,21 +5,25 @@
 import typing
 
 from eelgrasswick import (
-    admission,
-    books,
     errors,
-    flow,
-    health,
     message,
     packet,
-    pending,
-    placement,
-    rendezvous,
-    selector,
     service,
     target,
+)
+from eelgrasswick.decisions import (
+    admission,
+    health,
+    placement,
+    selector,
     waiting,
 )
+from eelgrasswick.homes import (
+    books,
+    flow,
+    pending,
+    rendezvous,
+)
 
 _COUNT: typing.Final = message.Counter
 _DAY_MS: typing.Final = 86_400_000
--- a/eelgrasswick/pending.py
+++ b/eelgrasswick/homes/pending.py
@@ -7,7 +7,15 @@
 
 import typing
 
-from eelgrasswick import admission, books, packet, service, waiting
+from eelgrasswick import (
+    packet,
+    service,
+)
+from eelgrasswick.decisions import (
+    admission,
+    waiting,
+)
+from eelgrasswick.homes import books
 
 
 class Held(typing.NamedTuple):
--- a/eelgrasswick/rehome.py
+++ b/eelgrasswick/homes/rehome.py
@@ -2,7 +2,14 @@
 
 import typing
 
-from eelgrasswick import books, flow, packet, target
+from eelgrasswick import (
+    packet,
+    target,
+)
+from eelgrasswick.homes import (
+    books,
+    flow,
+)
 
 SLICE: typing.Final = 1000
 
--- a/eelgrasswick/replica.py
+++ b/eelgrasswick/homes/replica.py
@@ -7,7 +7,14 @@
 
 import typing
 
-from eelgrasswick import hint, message, packet, peer, target, wire
+from eelgrasswick import (
+    message,
+    packet,
+    target,
+    wire,
+)
+from eelgrasswick.fleet import peer
+from eelgrasswick.homes import hint
 
 KEEP_MS: typing.Final = 3_600_000
 KEEP_FLOWS: typing.Final = 500_000
--- a/eelgrasswick/retired.py
+++ b/eelgrasswick/homes/retired.py
@@ -2,7 +2,10 @@
 
 import typing
 
-from eelgrasswick import config, rule
+from eelgrasswick import (
+    config,
+    rule,
+)
 
 RETIRED_LINES: typing.Final = 2000
 REUSED_ADDRESSES: typing.Final = 2000
--- a/eelgrasswick/switch.py
+++ b/eelgrasswick/homes/switch.py
@@ -9,16 +9,18 @@
 import typing
 
 from eelgrasswick import (
-    books,
-    epoch,
     errors,
-    home,
     message,
     packet,
     service,
     target,
     wire,
 )
+from eelgrasswick.homes import (
+    books,
+    epoch,
+    home,
+)
 
 MAX_HOPS: typing.Final = 3
 NO_SERVICE_RETRY_MS: typing.Final = 60_000
--- a/eelgrasswick/message.py
+++ b/eelgrasswick/message.py
@@ -7,7 +7,8 @@
 import enum
 import typing
 
-from eelgrasswick import member, packet
+from eelgrasswick import packet
+from eelgrasswick.fleet import member
 
 
 class FabricDatagram(typing.NamedTuple):
--- a/eelgrasswick/node.py
+++ b/eelgrasswick/node.py
@@ -7,24 +7,30 @@
 import typing
 
 from eelgrasswick import (
-    books,
     config,
+    message,
+    packet,
+    wire,
+)
+from eelgrasswick.decisions import (
+    health,
+    load,
+    placement,
+)
+from eelgrasswick.emulation import scenario
+from eelgrasswick.fleet import (
+    member,
+    peer,
+)
+from eelgrasswick.homes import (
+    books,
     epoch,
     flow,
-    health,
     hint,
     home,
-    load,
-    member,
-    message,
     opener,
-    packet,
-    peer,
-    placement,
     replica,
-    scenario,
     switch,
-    wire,
 )
 
 _WINDOW_MS: typing.Final = 5000
--- a/eelgrasswick/platform/__main__.py
+++ b/eelgrasswick/platform/__main__.py
@@ -9,7 +9,10 @@
 
 from twisted.internet import epollreactor, task
 
-from eelgrasswick import errors, ini
+from eelgrasswick import (
+    errors,
+    ini,
+)
 from eelgrasswick.cookie import entry, settings
 from eelgrasswick.platform import entries, segments, store
 
--- a/eelgrasswick/rule.py
+++ b/eelgrasswick/rule.py
@@ -12,7 +12,12 @@
 import functools
 import typing
 
-from eelgrasswick import _line, errors, packet, service
+from eelgrasswick import (
+    _line,
+    errors,
+    packet,
+    service,
+)
 
 MAX_WAIT_MS: typing.Final = 900
 MIN_IDLE_S: typing.Final = 30
--- a/eelgrasswick/service.py
+++ b/eelgrasswick/service.py
@@ -3,7 +3,10 @@
 import datetime
 import typing
 
-from eelgrasswick import packet, target
+from eelgrasswick import (
+    packet,
+    target,
+)
 
 
 class Limit(typing.NamedTuple):
--- /dev/null
+++ b/eelgrasswick/trials/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements that run as commands."""
--- a/eelgrasswick/capacity.py
+++ b/eelgrasswick/trials/capacity.py
@@ -5,7 +5,11 @@
 
 import cappa
 
-from eelgrasswick import capacity_slope, capacity_table, trial
+from eelgrasswick.trials import (
+    capacity_slope,
+    capacity_table,
+    trial,
+)
 
 DEFAULT_FLEETS: typing.Final = (4, 8, 16, 32, 64)
 DEFAULT_LINES: typing.Final = (1000, 4000, 16_000, 27_100)
--- a/eelgrasswick/capacity_slope.py
+++ b/eelgrasswick/trials/capacity_slope.py
@@ -11,18 +11,20 @@
 
 from eelgrasswick import (
     config,
-    epoch,
-    flow,
-    hint,
-    load,
-    member,
     message,
     packet,
-    packet_path,
     target,
-    virtual_fleet,
     wire,
 )
+from eelgrasswick.decisions import load
+from eelgrasswick.emulation import virtual_fleet
+from eelgrasswick.fleet import member
+from eelgrasswick.homes import (
+    epoch,
+    flow,
+    hint,
+)
+from eelgrasswick.trials import packet_path
 
 ZONES: typing.Final = ("z1", "z2", "z3", "z4", "z5")
 READY_MS: typing.Final = 60_000.0
--- a/eelgrasswick/capacity_table.py
+++ b/eelgrasswick/trials/capacity_table.py
@@ -2,7 +2,11 @@
 
 import typing
 
-from eelgrasswick import epoch, gossip, keeper
+from eelgrasswick.fleet import (
+    gossip,
+    keeper,
+)
+from eelgrasswick.homes import epoch
 
 DAY_S: typing.Final = 86_400.0
 NEWS_PER_RESTART: typing.Final = 5
--- a/eelgrasswick/packet_cost.py
+++ b/eelgrasswick/trials/packet_cost.py
@@ -16,12 +16,14 @@
 from eelgrasswick import (
     message,
     packet,
+    wire,
+)
+from eelgrasswick.emulation import virtual_fleet
+from eelgrasswick.fleet import peer
+from eelgrasswick.trials import (
     packet_path,
     packet_socket,
-    peer,
     trial,
-    virtual_fleet,
-    wire,
 )
 
 READY_MS: typing.Final = 10_000.0
--- a/eelgrasswick/packet_path.py
+++ b/eelgrasswick/trials/packet_path.py
@@ -3,7 +3,11 @@
 import enum
 import typing
 
-from eelgrasswick import epoch, packet, service
+from eelgrasswick import (
+    packet,
+    service,
+)
+from eelgrasswick.homes import epoch
 
 FLOWS: typing.Final = 600
 REQUEST_BYTES: typing.Final = 200
--- a/eelgrasswick/packet_socket.py
+++ b/eelgrasswick/trials/packet_socket.py
@@ -12,18 +12,22 @@
 from eelgrasswick import (
     compose,
     config,
-    daemon,
-    emulated_platform,
-    engine,
-    member,
     message,
     packet,
-    packet_path,
-    setting,
     store,
-    virtual_fleet,
     wire,
 )
+from eelgrasswick.daemons import (
+    daemon,
+    setting,
+)
+from eelgrasswick.emulation import (
+    emulated_platform,
+    virtual_fleet,
+)
+from eelgrasswick.fleet import member
+from eelgrasswick.homes import engine
+from eelgrasswick.trials import packet_path
 
 ROUNDS: typing.Final = 10
 BATCH: typing.Final = 50
--- a/eelgrasswick/trial.py
+++ b/eelgrasswick/trials/trial.py
@@ -6,8 +6,8 @@
 
 import cappa
 
-from eelgrasswick import (
-    placement,
+from eelgrasswick.decisions import placement
+from eelgrasswick.trials import (
     trial_engine,
     trial_load,
     trial_placement,
--- a/eelgrasswick/trial_engine.py
+++ b/eelgrasswick/trials/trial_engine.py
@@ -11,10 +11,12 @@
 from eelgrasswick import (
     message,
     packet,
-    placement,
+)
+from eelgrasswick.decisions import placement
+from eelgrasswick.emulation import virtual_fleet
+from eelgrasswick.trials import (
     trial_load,
     trial_placement,
-    virtual_fleet,
 )
 
 READY_MS: typing.Final = 20_000.0
--- a/eelgrasswick/trial_load.py
+++ b/eelgrasswick/trials/trial_load.py
@@ -10,7 +10,8 @@
 import random
 import typing
 
-from eelgrasswick import packet, placement
+from eelgrasswick import packet
+from eelgrasswick.decisions import placement
 
 LONG_SHARE: typing.Final = 0.2
 SHORT_MEDIAN_MS: typing.Final = 300.0
--- a/eelgrasswick/trial_placement.py
+++ b/eelgrasswick/trials/trial_placement.py
@@ -12,16 +12,20 @@
 
 from eelgrasswick import (
     config,
-    epoch,
-    member,
-    placement,
-    replica,
     service,
     target,
+    wire,
+)
+from eelgrasswick.decisions import placement
+from eelgrasswick.emulation import virtual_fleet
+from eelgrasswick.fleet import member
+from eelgrasswick.homes import (
+    epoch,
+    replica,
+)
+from eelgrasswick.trials import (
     trial_counts,
     trial_load,
-    virtual_fleet,
-    wire,
 )
 
 ZONES: typing.Final = ("z1", "z2", "z3")
--- a/eelgrasswick/trial_spread.py
+++ b/eelgrasswick/trials/trial_spread.py
@@ -8,7 +8,8 @@
 
 import typing
 
-from eelgrasswick import virtual_fleet, wire
+from eelgrasswick import wire
+from eelgrasswick.emulation import virtual_fleet
 
 CHANGES: typing.Final = 5
 SETTLE_MS: typing.Final = 3000.0
--- a/eelgrasswick/wire.py
+++ b/eelgrasswick/wire.py
@@ -9,7 +9,11 @@
 import cbor2
 import msgspec
 
-from eelgrasswick import errors, member, packet
+from eelgrasswick import (
+    errors,
+    packet,
+)
+from eelgrasswick.fleet import member
 
 MAX_LINK_BYTES: typing.Final = 2_000_000
 
--- a/tests/control_steps.py
+++ b/tests/control_steps.py
@@ -5,7 +5,14 @@
 import pytest
 import pytest_bdd
 
-from eelgrasswick import change, config, emulated_platform, message, store, wire
+from eelgrasswick import (
+    change,
+    config,
+    message,
+    store,
+    wire,
+)
+from eelgrasswick.emulation import emulated_platform
 from tests import fleet, fleet_view, world
 
 ZONES = fleet.ZONES
--- a/tests/flow_steps.py
+++ b/tests/flow_steps.py
@@ -5,7 +5,11 @@
 import pytest
 import pytest_bdd
 
-from eelgrasswick import epoch, packet, service
+from eelgrasswick import (
+    packet,
+    service,
+)
+from eelgrasswick.homes import epoch
 from tests import fleet, world
 
 UDP_RULES = """\
--- a/tests/operators.py
+++ b/tests/operators.py
@@ -5,7 +5,12 @@
 
 from twisted.internet import defer, task
 
-from eelgrasswick import change, errors, history_config, store
+from eelgrasswick import (
+    change,
+    errors,
+    history_config,
+    store,
+)
 from tests import control_steps, world
 
 KIND = history_config.Kind
--- a/tests/reach.py
+++ b/tests/reach.py
@@ -2,7 +2,11 @@
 
 import typing
 
-from eelgrasswick import emulated_platform, errors, store
+from eelgrasswick import (
+    errors,
+    store,
+)
+from eelgrasswick.emulation import emulated_platform
 
 PLATFORM = "platform"
 
--- a/tests/recorder.py
+++ b/tests/recorder.py
@@ -4,7 +4,14 @@
 
 import msgspec
 
-from eelgrasswick import emulated_caller, emulated_target, history, packet
+from eelgrasswick import (
+    history,
+    packet,
+)
+from eelgrasswick.emulation import (
+    emulated_caller,
+    emulated_target,
+)
 
 # A caller sends far fewer bytes on a flow than this.
 _SPAN = 2**16
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -2,7 +2,11 @@
 
 import pytest
 
-from eelgrasswick import capacity, capacity_slope, capacity_table
+from eelgrasswick.trials import (
+    capacity,
+    capacity_slope,
+    capacity_table,
+)
 
 ONES = [1.0] * len(capacity_table.Slopes._fields)
 
--- a/tests/test_change.py
+++ b/tests/test_change.py
@@ -3,7 +3,14 @@
 import pytest
 from twisted.internet import defer
 
-from eelgrasswick import change, config, emulated_platform, errors, retired, store
+from eelgrasswick import (
+    change,
+    config,
+    errors,
+    store,
+)
+from eelgrasswick.emulation import emulated_platform
+from eelgrasswick.homes import retired
 from tests import world
 
 
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -8,7 +8,13 @@
 
 import pytest
 
-from eelgrasswick import change, command_operator, emulated_platform, errors, store
+from eelgrasswick import (
+    change,
+    errors,
+    store,
+)
+from eelgrasswick.commands import command_operator
+from eelgrasswick.emulation import emulated_platform
 from tests import world
 
 LOOK_MS = world.START_MS
--- a/tests/test_concurrency.py
+++ b/tests/test_concurrency.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from eelgrasswick import concurrency
+from eelgrasswick.decisions import concurrency
 
 TARGET = "d1"
 
--- a/tests/test_daemon_trust.py
+++ b/tests/test_daemon_trust.py
@@ -8,13 +8,15 @@
 
 from eelgrasswick import (
     compose,
-    daemon,
-    emulated_platform,
-    engine,
     message,
     packet,
+)
+from eelgrasswick.daemons import (
+    daemon,
     setting,
 )
+from eelgrasswick.emulation import emulated_platform
+from eelgrasswick.homes import engine
 
 SETTINGS = """\
 [vm]
--- a/tests/test_emptiness.py
+++ b/tests/test_emptiness.py
@@ -2,7 +2,12 @@
 
 import msgspec
 
-from eelgrasswick import change, emptiness, emulated_platform, store
+from eelgrasswick import (
+    change,
+    store,
+)
+from eelgrasswick.emulation import emulated_platform
+from eelgrasswick.homes import emptiness
 from tests import world
 
 
--- a/tests/test_epoch_follow.py
+++ b/tests/test_epoch_follow.py
@@ -3,7 +3,11 @@
 import hypothesis
 from hypothesis import strategies
 
-from eelgrasswick import config, epoch, member, packet_path, virtual_fleet
+from eelgrasswick import config
+from eelgrasswick.emulation import virtual_fleet
+from eelgrasswick.fleet import member
+from eelgrasswick.homes import epoch
+from eelgrasswick.trials import packet_path
 
 ZONES = ("z1", "z2", "z3")
 CONFIG = config.Config(virtual_fleet.document(1, virtual_fleet.rules_text(1, 6, ZONES)))
--- a/tests/test_epoch_share.py
+++ b/tests/test_epoch_share.py
@@ -1,6 +1,9 @@
 """A VM's part of the fleet-wide limits."""
 
-from eelgrasswick import config, epoch, member, virtual_fleet
+from eelgrasswick import config
+from eelgrasswick.emulation import virtual_fleet
+from eelgrasswick.fleet import member
+from eelgrasswick.homes import epoch
 
 
 def made(*sizes: int) -> epoch.Epoch:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -3,7 +3,11 @@
 import pytest
 from hypothesis import given, strategies
 
-from eelgrasswick import explain, packet, wire
+from eelgrasswick import (
+    packet,
+    wire,
+)
+from eelgrasswick.homes import explain
 from tests import world
 
 CALLER = packet.address("10.9.0.1:4000")
--- a/tests/test_feature_configuration.py
+++ b/tests/test_feature_configuration.py
@@ -5,7 +5,12 @@
 import pytest
 import pytest_bdd
 
-from eelgrasswick import change, errors, member, store
+from eelgrasswick import (
+    change,
+    errors,
+    store,
+)
+from eelgrasswick.fleet import member
 from tests import control_steps, fleet_view
 
 # The platform is down or slow, answers with an old copy, or is restored from
--- a/tests/test_feature_drain.py
+++ b/tests/test_feature_drain.py
@@ -2,7 +2,8 @@
 
 import pytest_bdd
 
-from eelgrasswick import change, flow
+from eelgrasswick import change
+from eelgrasswick.homes import flow
 from tests import control_steps
 
 # An operator drains a target for repair, or removes its line. A VM that hears
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -10,7 +10,12 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from eelgrasswick import change, config, history_config, store
+from eelgrasswick import (
+    change,
+    config,
+    history_config,
+    store,
+)
 from tests import control_steps, fleet_view, operators, world
 
 ZONES = control_steps.ZONES
--- a/tests/test_gateway_answers.py
+++ b/tests/test_gateway_answers.py
@@ -11,14 +11,16 @@
 from twisted.web import server
 
 from eelgrasswick import (
-    _body,
     config,
-    emulated_platform,
     errors,
-    gateway,
     store,
     wire,
 )
+from eelgrasswick.daemons import (
+    _body,
+    gateway,
+)
+from eelgrasswick.emulation import emulated_platform
 from tests import test_link
 
 KINDS = (
--- a/tests/test_gateway_watch.py
+++ b/tests/test_gateway_watch.py
@@ -6,7 +6,12 @@
 from treq import client, testing
 from twisted.internet import defer, task
 
-from eelgrasswick import emulated_platform, errors, gateway, store
+from eelgrasswick import (
+    errors,
+    store,
+)
+from eelgrasswick.daemons import gateway
+from eelgrasswick.emulation import emulated_platform
 
 
 class Carried:
--- a/tests/test_history_config.py
+++ b/tests/test_history_config.py
@@ -2,7 +2,12 @@
 
 import pytest
 
-from eelgrasswick import change, emulated_platform, history_config, store
+from eelgrasswick import (
+    change,
+    history_config,
+    store,
+)
+from eelgrasswick.emulation import emulated_platform
 from tests import operators
 
 KIND = history_config.Kind
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -4,7 +4,16 @@
 
 import pytest
 
-from eelgrasswick import config, keeper, member, message, peer, wire
+from eelgrasswick import (
+    config,
+    message,
+    wire,
+)
+from eelgrasswick.fleet import (
+    keeper,
+    member,
+    peer,
+)
 
 NOW_MS = 1_800_000_000_000
 
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -12,7 +12,16 @@
 from twisted.internet import reactor as default_reactor
 from twisted.internet.testing import StringTransport
 
-from eelgrasswick import errors, link, link_pool, packet, setting, tls
+from eelgrasswick import (
+    errors,
+    packet,
+)
+from eelgrasswick.daemons import (
+    link,
+    link_pool,
+    setting,
+    tls,
+)
 
 HOST = "127.4.9.1"
 NETWORK = ipaddress.IPv4Network("127.4.9.0/24")
--- a/tests/test_load_scenarios.py
+++ b/tests/test_load_scenarios.py
@@ -5,7 +5,12 @@
 
 import pytest
 
-from eelgrasswick import errors, experiment, outcome, scenario_file
+from eelgrasswick import errors
+from eelgrasswick.emulation import (
+    experiment,
+    outcome,
+    scenario_file,
+)
 
 FOLDER = pathlib.Path(__file__).parent.parent / "scenarios"
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -5,7 +5,17 @@
 
 import pytest
 
-from eelgrasswick import member, membership, message, packet, peer, stranger, wire
+from eelgrasswick import (
+    message,
+    packet,
+    wire,
+)
+from eelgrasswick.fleet import (
+    member,
+    membership,
+    peer,
+    stranger,
+)
 from tests import world
 
 START_MS = world.START_MS
--- a/tests/test_mixed_faults.py
+++ b/tests/test_mixed_faults.py
@@ -6,7 +6,7 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from eelgrasswick import emulated_caller
+from eelgrasswick.emulation import emulated_caller
 from tests import flow_steps, world
 
 MIN_VMS = 5
--- a/tests/test_opener.py
+++ b/tests/test_opener.py
@@ -4,7 +4,12 @@
 
 import pytest
 
-from eelgrasswick import message, packet, service, wire
+from eelgrasswick import (
+    message,
+    packet,
+    service,
+    wire,
+)
 from tests import world
 
 
--- a/tests/test_packet.py
+++ b/tests/test_packet.py
@@ -5,7 +5,10 @@
 import pytest
 from hypothesis import given, strategies
 
-from eelgrasswick import errors, packet
+from eelgrasswick import (
+    errors,
+    packet,
+)
 
 CALLER = packet.address("10.9.0.1:4000")
 SERVICE = packet.address("10.1.0.1:443")
--- a/tests/test_packet_cost.py
+++ b/tests/test_packet_cost.py
@@ -2,7 +2,11 @@
 
 import pytest
 
-from eelgrasswick import message, packet_cost, packet_path
+from eelgrasswick import message
+from eelgrasswick.trials import (
+    packet_cost,
+    packet_path,
+)
 
 
 @pytest.fixture
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -5,7 +5,15 @@
 
 import pytest
 
-from eelgrasswick import errors, message, metric, rule, setting
+from eelgrasswick import (
+    errors,
+    message,
+    rule,
+)
+from eelgrasswick.daemons import (
+    metric,
+    setting,
+)
 
 ROOT = pathlib.Path(__file__).parent.parent
 MAX_KNOWN_RED = 3
@@ -80,7 +88,7 @@
         r"(?:message\.log\(|message_type=|_log_guess\()\s*\"([a-z_]+)\""
     )
     logged = set()
-    for path in (ROOT / "eelgrasswick").glob("*.py"):
+    for path in (ROOT / "eelgrasswick").rglob("*.py"):
         logged.update(pattern.findall(path.read_text()))
     assert logged
     missing = [name for name in sorted(logged) if f"`{name}`" not in operating]
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -5,7 +5,15 @@
 import hypothesis
 from hypothesis import strategies
 
-from eelgrasswick import packet, placement, shift, target, work
+from eelgrasswick import (
+    packet,
+    target,
+)
+from eelgrasswick.decisions import (
+    placement,
+    shift,
+)
+from eelgrasswick.emulation import work
 
 
 def make_target(name: str, weight: float = 1.0, zone: str = "z1") -> target.Target:
--- a/tests/test_rule.py
+++ b/tests/test_rule.py
@@ -3,7 +3,10 @@
 import pytest
 from hypothesis import given, strategies
 
-from eelgrasswick import errors, rule
+from eelgrasswick import (
+    errors,
+    rule,
+)
 
 
 def test_example_has_no_faults(rules_text: str) -> None:
--- a/tests/test_setting.py
+++ b/tests/test_setting.py
@@ -8,15 +8,15 @@
 from hypothesis import given, strategies
 
 from eelgrasswick import (
-    engine,
     errors,
-    member,
     message,
     packet,
-    placement,
-    setting,
     wire,
 )
+from eelgrasswick.daemons import setting
+from eelgrasswick.decisions import placement
+from eelgrasswick.fleet import member
+from eelgrasswick.homes import engine
 from tests import fleet
 
 ME = member.Member(
--- a/tests/test_strength.py
+++ b/tests/test_strength.py
@@ -2,7 +2,14 @@
 
 import typing
 
-from eelgrasswick import concurrency, health, ramp, retry, strength, work
+from eelgrasswick.decisions import (
+    concurrency,
+    health,
+    ramp,
+    retry,
+    strength,
+)
+from eelgrasswick.emulation import work
 from tests import test_placement
 
 TARGETS: typing.Final = [test_placement.make_target(name) for name in "abcd"]
--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -2,7 +2,12 @@
 
 import pytest
 
-from eelgrasswick import trial_engine, trial_load, trial_placement, trial_spread
+from eelgrasswick.trials import (
+    trial_engine,
+    trial_load,
+    trial_placement,
+    trial_spread,
+)
 
 
 @pytest.fixture
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -3,7 +3,11 @@
 import hypothesis
 from hypothesis import strategies
 
-from eelgrasswick import admission, errors, waiting
+from eelgrasswick import errors
+from eelgrasswick.decisions import (
+    admission,
+    waiting,
+)
 
 WAIT_MS = 300
 
--- a/tests/test_watcher.py
+++ b/tests/test_watcher.py
@@ -9,11 +9,11 @@
 from eelgrasswick import (
     change,
     config,
-    emulated_platform,
     message,
     store,
-    watcher,
 )
+from eelgrasswick.daemons import watcher
+from eelgrasswick.emulation import emulated_platform
 
 
 class Watched:
--- a/tests/world.py
+++ b/tests/world.py
@@ -15,20 +15,24 @@
 from eelgrasswick import (
     change,
     config,
-    emulated_caller,
-    emulated_platform,
-    emulated_target,
-    engine,
     history,
-    member,
     message,
     packet,
-    peer,
-    placement,
     rule,
     store,
-    watcher,
 )
+from eelgrasswick.daemons import watcher
+from eelgrasswick.decisions import placement
+from eelgrasswick.emulation import (
+    emulated_caller,
+    emulated_platform,
+    emulated_target,
+)
+from eelgrasswick.fleet import (
+    member,
+    peer,
+)
+from eelgrasswick.homes import engine
 from tests import reach, recorder
 
 START_MS = 1_800_000_000_000
