--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,9 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test check format clean
+SOAK_ARGS ?= --seed 1
+
+.PHONY: demo test check format soak clean
 
 $(STAMP): pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -18,6 +20,9 @@
 test: $(STAMP)
 	$(BIN)/python -m pytest $(PYTEST_ARGS)
 
+soak: $(STAMP)
+	$(BIN)/python -m eelgrasswick.soak $(SOAK_ARGS)
+
 check: $(STAMP)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- a/eelgrasswick/daemons/metric.py
+++ b/eelgrasswick/daemons/metric.py
@@ -68,8 +68,8 @@
         return observe
 
     def _observe_open(self, options: api.CallbackOptions) -> list[api.Observation]:
-        counts = self._engine.books.flows.open_by_service
+        counts = self._engine.tables.flows.open_by_service
         return [api.Observation(sum(counts.values()))]
 
     def _observe_hints(self, options: api.CallbackOptions) -> list[api.Observation]:
-        return [api.Observation(len(self._engine.books.hints))]
+        return [api.Observation(len(self._engine.tables.hints))]
--- a/eelgrasswick/decisions/selector.py
+++ b/eelgrasswick/decisions/selector.py
@@ -17,8 +17,8 @@
     placement,
 )
 from eelgrasswick.homes import (
-    books,
     epoch,
+    tables,
 )
 
 LEARN_MS: typing.Final = 500
@@ -31,7 +31,7 @@
         chooser: What the home has learned, and its policy.
     """
 
-    def __init__(self, shared: books.Books, policy: placement.Placement) -> None:
+    def __init__(self, shared: tables.Tables, policy: placement.Placement) -> None:
         """Choose by a policy."""
         self.chooser = choice.Chooser(policy)
         self._books = shared
--- a/eelgrasswick/emulation/caller_model.py
+++ b/eelgrasswick/emulation/caller_model.py
@@ -5,18 +5,12 @@
 Refused, it returns when the refusal says, as often as the scenario allows.
 """
 
+import abc
 import random
 import typing
 
 from eelgrasswick import packet
-from eelgrasswick.emulation import (
-    model,
-    outcome,
-    scenario,
-)
-
-if typing.TYPE_CHECKING:
-    from eelgrasswick.emulation import experiment
+from eelgrasswick.emulation import model, oracle, outcome, scenario
 
 HOP_MS: typing.Final = 1.0
 SYN_MS: typing.Final = (1000, 3000)
@@ -42,10 +36,42 @@
         self.target = ""
 
 
+class Surroundings(abc.ABC):
+    """What callers need of the run that they are part of.
+
+    Attributes:
+        now_ms: Present time of the run.
+        scenario: What is played.
+        tally: Counts what callers get.
+        targets: By name.
+        truth: Takes what each target really got.
+    """
+
+    now_ms: float
+    scenario: scenario.Scenario
+    tally: outcome.Tally
+    targets: dict[str, model.Target]
+    truth: oracle.Truth
+
+    @abc.abstractmethod
+    def later(
+        self, delay_ms: float, call: typing.Callable[..., None], *arguments: typing.Any
+    ) -> None:
+        """Call something after a delay."""
+
+    @abc.abstractmethod
+    def request(self, item: packet.Packet, key: packet.FlowKey) -> bool:
+        """Bring a caller's packet to the flow's home; False when it is lost."""
+
+    @abc.abstractmethod
+    def answer(self, item: packet.Packet, key: packet.FlowKey, name: str) -> bool:
+        """Bring a target's packet to the flow's home; False when it is lost."""
+
+
 class Callers:
     """All callers of a run."""
 
-    def __init__(self, run: "experiment.Experiment", seed: int) -> None:
+    def __init__(self, run: Surroundings, seed: int) -> None:
         """Call into one run, at times that follow from a seed."""
         self._run = run
         self._load = run.scenario.load
--- a/eelgrasswick/emulation/experiment.py
+++ b/eelgrasswick/emulation/experiment.py
@@ -34,7 +34,7 @@
 _SERVICE: typing.Final = packet.Address(bytes((10, 1, 0, 1)), 443)
 
 
-class Experiment:
+class Experiment(caller_model.Surroundings):
     """One run of one scenario under one policy.
 
     Attributes:
@@ -119,7 +119,7 @@
     def home_of(self, key: packet.FlowKey) -> node.Node | None:
         """Return the home of a flow in the view of some VM; None if it is dead."""
         entry = self.nodes[self.rng.choice(self._spread)]
-        current = entry.books.epochs.current
+        current = entry.tables.epochs.current
         if not entry.alive or current is None:
             return None
         name = current.locate(key, current.config.services["desk"]).home
@@ -188,7 +188,7 @@
     def _reported(
         self, receiver: node.Node, sender: str, report: wire.LoadReport
     ) -> None:
-        receiver.books.loads.take(self.clock_ms, sender, report)
+        receiver.tables.loads.take(self.clock_ms, sender, report)
 
     def _advance(self, item: node.Node) -> None:
         if not item.alive:
@@ -199,7 +199,7 @@
             if other is item or (other.alive and not (other.cut or item.cut))
         ]
         item.peers.learn([other.me for other in self.nodes.values()])
-        item.books.epochs.advance(self.clock_ms, node.view(self._config, seen))
+        item.tables.epochs.advance(self.clock_ms, node.view(self._config, seen))
 
     # Events.
 
--- a/eelgrasswick/fleet/membership.py
+++ b/eelgrasswick/fleet/membership.py
@@ -20,7 +20,7 @@
     member,
     peer,
     probe,
-    stranger,
+    unheard,
 )
 
 PERIOD_MS: typing.Final = 200
@@ -29,7 +29,7 @@
 RETRY_GONE_MS: typing.Final = 1000
 VIA_COUNT: typing.Final = 2
 LEAVE_MS: typing.Final = 4000
-STRANGER_COUNT: typing.Final = 3
+UNHEARD_COUNT: typing.Final = 3
 
 
 _DOUBTED: typing.Final = member.GONE | {member.MemberState.SUSPECT}
@@ -60,7 +60,7 @@
         self.sequences: dict[str, int] = {}
         self.changed = True
         self.sequence = 0
-        self._strangers = stranger.Strangers(seeds)
+        self._unheard = unheard.UnheardVms(seeds)
         self._peers = peers
         self._outbox = outbox
         self._rng = rng
@@ -91,7 +91,7 @@
         It lags both ways, so it only names VMs that are worth a ping; what a
         VM is, its own heartbeats say.
         """
-        self._strangers.list(members)
+        self._unheard.list(members)
 
     def leave(self, now_ms: int) -> None:
         """Begin to leave; the VM gives up its homes and stays for a while."""
@@ -114,8 +114,8 @@
             self._ping_next(now_ms)
         if now_ms >= self._retry_ms:
             self._retry_ms = now_ms + RETRY_GONE_MS
-            self._ping_strangers()
-            for name in self._strangers.outdated(now_ms):
+            self._ping_unheard()
+            for name in self._unheard.outdated(now_ms):
                 self._forget(name)
 
     def ping(self, now_ms: int, source: packet.Address, item: wire.Ping) -> None:
@@ -204,9 +204,9 @@
         self.others[news.name] = news
         self._news.add(news.name)
         if news.gone:
-            self._strangers.gone(now_ms, news.name)
+            self._unheard.gone(now_ms, news.name)
         else:
-            self._strangers.back(news.name)
+            self._unheard.back(news.name)
             self._holders[peer.address_of(news)] = news.name
         if news.state is member.MemberState.SUSPECT:
             self._suspects.setdefault(news.name, now_ms + SUSPECT_MS)
@@ -326,19 +326,19 @@
         self._rng.shuffle(self._round)
         return self._round.pop() if self._round else None
 
-    def _ping_strangers(self) -> None:
+    def _ping_unheard(self) -> None:
         here = [self.me, *self.others.values()]
         known = {peer.address_of(item) for item in here if not item.gone}
-        found = self._strangers.addresses(self.others)
+        found = self._unheard.addresses(self.others)
         strange = sorted(found.keys() - known)
-        for address in self._rng.sample(strange, min(STRANGER_COUNT, len(strange))):
+        for address in self._rng.sample(strange, min(UNHEARD_COUNT, len(strange))):
             self._send_ping(self._probes.take_number(), address, found[address])
 
     def _forget(self, name: str) -> None:
         place = peer.address_of(self.others.pop(name))
         if self._holders.get(place) == name:
             del self._holders[place]
-        self._strangers.back(name)
+        self._unheard.back(name)
         self.sequences.pop(name, None)
         self._news.discard(name)
         self.changed = True
--- a/eelgrasswick/fleet/stranger.py
+++ b/eelgrasswick/fleet/unheard.py
@@ -15,7 +15,7 @@
 FORGET_MS: typing.Final = 3_600_000
 
 
-class Strangers:
+class UnheardVms:
     """Seeds, VMs the platform lists, and VMs that are gone."""
 
     def __init__(self, seeds: typing.Iterable[packet.Address]) -> None:
--- a/eelgrasswick/homes/_wheel.py
+++ b/eelgrasswick/homes/_wheel.py
@@ -8,7 +8,7 @@
 
 
 class Wheel(typing.Generic[Key]):
-    """Yields keys whose bucket is over; the owner checks the exact deadline.
+    """Delegations keys whose bucket is over; the owner checks the exact deadline.
 
     Adding and taking cost a constant time per key, so hundreds of thousands of
     open flows need no sweep over the whole table.
--- a/eelgrasswick/homes/emptiness.py
+++ b/eelgrasswick/homes/emptiness.py
@@ -12,7 +12,7 @@
     target,
 )
 from eelgrasswick.fleet import member
-from eelgrasswick.homes import books
+from eelgrasswick.homes import tables
 
 SURE_MS: typing.Final = 10_000
 
@@ -29,7 +29,7 @@
 class EmptyTargets:
     """Follows the targets that take no new flow."""
 
-    def __init__(self, shared: books.Books) -> None:
+    def __init__(self, shared: tables.Tables) -> None:
         """Follow the targets of the configuration in force."""
         self._books = shared
         self._leaving: dict[str, _Leaving] = {}
--- a/eelgrasswick/homes/engine.py
+++ b/eelgrasswick/homes/engine.py
@@ -1,7 +1,7 @@
 """The engine of an entry VM: fed (now, event), it returns actions.
 
 It has no socket, clock or random source of its own, so that a test can drive
-many engines in virtual time. The parts share state through ``books.Books``.
+many engines in virtual time. The parts share state through ``tables.Tables``.
 """
 
 import random
@@ -27,7 +27,6 @@
     peer,
 )
 from eelgrasswick.homes import (
-    books,
     emptiness,
     epoch,
     explain,
@@ -38,6 +37,7 @@
     rehome,
     replica,
     switch,
+    tables,
 )
 
 TICK_MS: typing.Final = 50
@@ -75,7 +75,7 @@
         self.peers = peer.Peers(self.outbox)
         self.membership = membership.Membership(me, seeds, self.peers, self.outbox, rng)
         self.keeper = keeper.Keeper(me.name, self.peers, self.outbox)
-        self.books = books.Books(
+        self.tables = tables.Tables(
             epoch.EpochLog(EPOCH_WINDOW_MS),
             flow.FlowTable(),
             hint.HintTable(HINT_TTL_MS, HINT_CAPACITY),
@@ -85,13 +85,13 @@
             self.peers,
             self.outbox,
         )
-        self.opener = opener.Opener(me.name, self.books, policy)
-        self.home = home.Home(me.name, self.books, self.opener)
-        self.switch = switch.Switch(me.name, codec, self.books, self.home)
-        self.rehomer = rehome.Rehomer(me.name, self.books)
-        self._explainer = explain.Explainer(self.books, self.keeper, self.membership)
+        self.opener = opener.Opener(me.name, self.tables, policy)
+        self.home = home.Home(me.name, self.tables, self.opener)
+        self.switch = switch.Switch(me.name, codec, self.tables, self.home)
+        self.rehomer = rehome.Rehomer(me.name, self.tables)
+        self._explainer = explain.Explainer(self.tables, self.keeper, self.membership)
         self._report_ms = 0
-        self._emptiness = emptiness.EmptyTargets(self.books)
+        self._emptiness = emptiness.EmptyTargets(self.tables)
         self._discard_until_ms = 0
 
     def feed(self, now_ms: int, event: message.Event) -> list[message.Action]:
@@ -138,9 +138,9 @@
             # The others took this VM for dead and keep its flows. Its own
             # records may name targets of flows that ended, whose ports now
             # carry other flows; a packet sent by them would be lost or reset.
-            self.books.flows.clear()
-            self.books.hints.clear()
-            self.books.replicator.clear()
+            self.tables.flows.clear()
+            self.tables.hints.clear()
+            self.tables.replicator.clear()
             self.home.clear()
         self._follow(now_ms)
 
@@ -189,7 +189,7 @@
 
     def _heard(self, now_ms: int, item: wire.Ping | wire.Ack) -> None:
         self.keeper.heard(now_ms, item.sender.name, item.sequence)
-        self.books.epochs.heard(item.sequence)
+        self.tables.epochs.heard(item.sequence)
 
     def _stranger(
         self, now_ms: int, source: packet.Address, item: wire.PeerMessage
@@ -213,12 +213,12 @@
                     self._keep(now_ms, item)
             case wire.Forget():
                 for packed in item.flows:
-                    self.books.replicator.kept.forget(wire.flow_key(packed))
+                    self.tables.replicator.kept.forget(wire.flow_key(packed))
             case wire.Handover():
                 if not self._outdated(now_ms):
                     self._handover(now_ms, item)
             case wire.LoadReport():
-                self.books.loads.take(now_ms, sender, item)
+                self.tables.loads.take(now_ms, sender, item)
             case wire.ConfigOffer():
                 self.keeper.offer(now_ms, item.value, sender)
             case wire.ConfigWant():
@@ -242,10 +242,10 @@
             known = self._target(entry.target)
             if known is not None:
                 key = wire.flow_key(entry.flow)
-                self.books.replicator.kept.learn(now_ms, key, known)
+                self.tables.replicator.kept.learn(now_ms, key, known)
 
     def _handover(self, now_ms: int, item: wire.Handover) -> None:
-        current = self.books.epochs.current
+        current = self.tables.epochs.current
         if current is None:
             return
         for entry in item.entries:
@@ -256,12 +256,12 @@
             )
             if known is None or owner is None or known.service != owner.name:
                 continue
-            record = self.books.flows.get(key)
+            record = self.tables.flows.get(key)
             if record is None or record.origin is flow.Origin.GUESSED:
                 self.home.learn(now_ms, key, owner, known)
 
     def _target(self, name: str) -> target.Target | None:
-        current = self.books.epochs.current
+        current = self.tables.epochs.current
         return current.config.targets.get(name) if current is not None else None
 
     # Time, and what follows from changes.
@@ -276,17 +276,17 @@
         )
         self.home.tick(now_ms)
         self.rehomer.step(now_ms)
-        self.books.replicator.flush()
-        self.books.hints.expire(now_ms)
-        self.books.replicator.kept.expire(now_ms)
-        self.books.loads.expire(now_ms)
+        self.tables.replicator.flush()
+        self.tables.hints.expire(now_ms)
+        self.tables.replicator.kept.expire(now_ms)
+        self.tables.loads.expire(now_ms)
         self._expire_flows(now_ms)
         self._report_load(now_ms)
         if self.membership.left:
             self.outbox.put(message.Stopped())
 
     def _expire_flows(self, now_ms: int) -> None:
-        for item in self.books.flows.expire(now_ms):
+        for item in self.tables.flows.expire(now_ms):
             if item.record.counts:
                 self.outbox.count(message.Counter.FLOWS_EXPIRED)
 
@@ -296,7 +296,7 @@
         self._report_ms = now_ms + LOAD_REPORT_MS
         serving = [item.name for item in self.membership.others.values() if item.serves]
         self._emptiness.check(now_ms, self.membership.me, self.keeper.watching, serving)
-        counts = self.books.flows.open_by_target
+        counts = self.tables.flows.open_by_target
         recent = self.opener.chooser.work.recent_tenths(now_ms)
         report = load.report(counts, recent)
         for name in serving:
@@ -316,15 +316,15 @@
             self.membership.announce(ANNOUNCE_COUNT)
 
     def _begin_epoch(self, now_ms: int, current: config.Config) -> None:
-        before = self.books.epochs.current
+        before = self.tables.epochs.current
         members = [item for item in self.membership.members if item.serves]
         if before is None:
-            self.books.epochs.advance(now_ms, epoch.Epoch(current, members))
+            self.tables.epochs.advance(now_ms, epoch.Epoch(current, members))
             return
         if before.config is current and before.same_members(members):
             return
-        self.books.epochs.advance(now_ms, epoch.Epoch(current, members))
-        self.home.take_back()
+        self.tables.epochs.advance(now_ms, epoch.Epoch(current, members))
+        self.home.reclaim()
         self._note_return(now_ms, before, members)
         if before.config is not current:
             self._revise(before.config, current)
@@ -341,7 +341,7 @@
         # side's view had been in force here too.
         back = [item for item in members if item.name not in before.members]
         if back:
-            self.books.epochs.note(now_ms, epoch.Epoch(before.config, back))
+            self.tables.epochs.note(now_ms, epoch.Epoch(before.config, back))
 
     def _revise(self, before: config.Config, after: config.Config) -> None:
         changed = {
@@ -351,21 +351,21 @@
         }
         if not changed:
             return
-        self.books.hints.revise(self._present)
-        self.books.replicator.kept.revise(self._present)
-        for key, record in self.books.flows.items():
+        self.tables.hints.revise(self._present)
+        self.tables.replicator.kept.revise(self._present)
+        for key, record in self.tables.flows.items():
             if record.target.name not in changed:
                 continue
             present = self._present(record.target)
             if present is None:
                 # The target is gone for good, or its address serves another
                 # service now. No packet of the flow may go there any more.
-                self.books.flows.remove(key)
+                self.tables.flows.remove(key)
                 self.outbox.count(message.Counter.FLOWS_DROPPED)
                 name = record.target.name
                 self.outbox.put(message.log("flow_dropped", flow=str(key), target=name))
             else:
-                self.books.flows.move(key, record, present)
+                self.tables.flows.move(key, record, present)
 
     def _present(self, item: target.Target) -> target.Target | None:
         present = self._target(item.name)
--- a/eelgrasswick/homes/explain.py
+++ b/eelgrasswick/homes/explain.py
@@ -18,7 +18,7 @@
     keeper,
     membership,
 )
-from eelgrasswick.homes import books
+from eelgrasswick.homes import tables
 
 NONE: typing.Final = "none"
 _PROTOCOLS: typing.Final = {"tcp": packet.Protocol.TCP, "udp": packet.Protocol.UDP}
@@ -48,7 +48,7 @@
     """Collects what one VM knows of a flow or a target."""
 
     def __init__(
-        self, shared: books.Books, kept: keeper.Keeper, fleet: membership.Membership
+        self, shared: tables.Tables, kept: keeper.Keeper, fleet: membership.Membership
     ) -> None:
         """Read from the parts of an engine; nothing is changed."""
         self._books = shared
--- a/eelgrasswick/homes/flow.py
+++ b/eelgrasswick/homes/flow.py
@@ -42,7 +42,7 @@
         seen_ms: When a packet of it last came by.
         idle_ms: Silence after which it is forgotten.
         first: The packet that opened it, until the target has answered.
-        greeting: Sequence number of the target's SYN-ACK, until the caller has
+        syn_ack_sequence: Sequence number of the target's SYN-ACK, until the caller has
             acknowledged it.
         refuted: Names of targets that are known not to hold the flow.
         caller_done: The caller has sent its FIN.
@@ -52,7 +52,7 @@
     __slots__ = (
         "caller_done",
         "first",
-        "greeting",
+        "syn_ack_sequence",
         "idle_ms",
         "opened_ms",
         "origin",
@@ -79,7 +79,7 @@
         self.seen_ms = now_ms
         self.idle_ms = idle_ms
         self.first: packet.Packet | None = None
-        self.greeting: int | None = None
+        self.syn_ack_sequence: int | None = None
         self.refuted: frozenset[str] = frozenset()
         self.caller_done = False
         self.target_done = False
@@ -109,9 +109,9 @@
             True when the packet does not acknowledge the SYN-ACK that this
             target has sent.
         """
-        if self.greeting is None or item.resets:
+        if self.syn_ack_sequence is None or item.resets:
             return False
-        ahead = item.acknowledgement - self.greeting - 1
+        ahead = item.acknowledgement - self.syn_ack_sequence - 1
         return ahead % _SEQUENCES >= _WINDOW
 
     @property
--- a/eelgrasswick/homes/guess.py
+++ b/eelgrasswick/homes/guess.py
@@ -14,8 +14,8 @@
     target,
 )
 from eelgrasswick.homes import (
-    books,
     flow,
+    tables,
 )
 
 MAX_CANDIDATES: typing.Final = 16
@@ -26,7 +26,7 @@
 class Guesser:
     """Finds targets of flows that nobody could name."""
 
-    def __init__(self, name: str, shared: books.Books) -> None:
+    def __init__(self, name: str, shared: tables.Tables) -> None:
         """Guess as the VM ``name``."""
         self._name = name
         self._books = shared
@@ -69,7 +69,7 @@
         # answers one of them. The other would reset the caller's packets, and
         # passed on as valid that reset would break an open flow. So the home
         # whose target the caller did not answer takes the flow for unknown.
-        record.greeting = None
+        record.syn_ack_sequence = None
         record.origin = flow.Origin.GUESSED
         record.first = item
         self._books.outbox.count(_COUNT.FLOWS_GUESSED)
--- a/eelgrasswick/homes/home.py
+++ b/eelgrasswick/homes/home.py
@@ -9,11 +9,11 @@
     target,
 )
 from eelgrasswick.homes import (
-    books,
     flow,
     guess,
     inquiry,
     opener,
+    tables,
 )
 
 _COUNT: typing.Final = message.Counter
@@ -26,14 +26,16 @@
     as the caller's clock gives it.
     """
 
-    def __init__(self, name: str, shared: books.Books, opening: opener.Opener) -> None:
+    def __init__(
+        self, name: str, shared: tables.Tables, opening: opener.Opener
+    ) -> None:
         """Decide as the VM ``name``; new flows go through ``opening``."""
         self._name = name
         self._books = shared
         self._opener = opening
         self._inquiries = inquiry.Inquiries(shared.peers)
         self._guesser = guess.Guesser(name, shared)
-        self._yields = inquiry.Yields()
+        self._delegated = inquiry.Delegations()
 
     def request(
         self,
@@ -83,7 +85,7 @@
         if settled is not None:
             self._settle(now_ms, settled)
 
-    def leave_to(self, now_ms: int, key: packet.FlowKey, asker: str) -> bool:
+    def delegate_to(self, now_ms: int, key: packet.FlowKey, asker: str) -> bool:
         """Leave a flow that is unknown here to the VM that asks for it.
 
         Args:
@@ -97,21 +99,21 @@
         if self._inquiries.asks(key) and self._name < asker:
             return False
         self._inquiries.cancel(key)
-        self._yields.add(now_ms, key, asker)
+        self._delegated.add(now_ms, key, asker)
         return True
 
-    def left_to(self, now_ms: int, key: packet.FlowKey) -> str | None:
+    def delegate_of(self, now_ms: int, key: packet.FlowKey) -> str | None:
         """Return the VM to which this one has left a flow, if it is there."""
-        name = self._yields.get(now_ms, key)
+        name = self._delegated.get(now_ms, key)
         if name is None or self._books.flows.get(key) is not None:
             return None
         return name if self._books.peers.reachable(name) else None
 
-    def take_back(self) -> None:
+    def reclaim(self) -> None:
         """End all leave given to other VMs, because homes may have changed."""
         # Left to a VM that is no longer the home, a flow's packets would go to
         # and fro between the two until each of its callers gives up.
-        self._yields.clear()
+        self._delegated.clear()
 
     def clear(self) -> None:
         """Drop the packets that wait for answers of former homes."""
@@ -121,7 +123,7 @@
         """Settle inquiries that got no answer and note silent targets."""
         for settled in self._inquiries.overdue(now_ms):
             self._settle(now_ms, settled)
-        self._yields.expire(now_ms)
+        self._delegated.expire(now_ms)
         self._opener.tick(now_ms)
 
     # Packets of callers.
@@ -134,7 +136,7 @@
         record: flow.Record,
     ) -> None:
         record.seen_ms = now_ms
-        record.greeting = None
+        record.syn_ack_sequence = None
         if record.state is flow.State.OPENING:
             # The caller has met a target whose SYN-ACK took its way over
             # another VM, which has or had other views. Most likely it is this
@@ -345,7 +347,7 @@
         record.seen_ms = now_ms
         if item.flags & packet.Flags.SYN:
             record.first = None
-            record.greeting = item.sequence
+            record.syn_ack_sequence = item.sequence
             if record.state is flow.State.OPENING:
                 record.state = flow.State.OPEN
                 self._opener.answered(now_ms, record)
--- a/eelgrasswick/homes/inquiry.py
+++ b/eelgrasswick/homes/inquiry.py
@@ -18,8 +18,8 @@
 ANSWER_MS: typing.Final = 60
 MAX_FLOWS: typing.Final = 4096
 MAX_PACKETS: typing.Final = 8
-YIELD_MS: typing.Final = 10_000
-MAX_YIELDS: typing.Final = 100_000
+DELEGATION_MS: typing.Final = 10_000
+MAX_DELEGATIONS: typing.Final = 100_000
 
 
 class Settled(typing.NamedTuple):
@@ -38,12 +38,12 @@
     certain: bool
 
 
-class _Yield(typing.NamedTuple):
+class _Delegation(typing.NamedTuple):
     name: str
     until_ms: int
 
 
-class Yields:
+class Delegations:
     """Flows that this VM has left to another one, which asked for them.
 
     A VM that answers "not known" must not place the flow afterwards: it may
@@ -53,30 +53,30 @@
 
     def __init__(self) -> None:
         """Start with no flow left to another VM."""
-        self._yields: dict[packet.FlowKey, _Yield] = {}
+        self._delegated: dict[packet.FlowKey, _Delegation] = {}
         self._wheel: _wheel.Wheel[packet.FlowKey] = _wheel.Wheel()
 
     def add(self, now_ms: int, key: packet.FlowKey, name: str) -> None:
         """Leave a flow to the VM ``name`` for a while."""
-        if len(self._yields) < MAX_YIELDS:
-            self._yields[key] = _Yield(name, now_ms + YIELD_MS)
-            self._wheel.add(key, now_ms + YIELD_MS)
+        if len(self._delegated) < MAX_DELEGATIONS:
+            self._delegated[key] = _Delegation(name, now_ms + DELEGATION_MS)
+            self._wheel.add(key, now_ms + DELEGATION_MS)
 
     def get(self, now_ms: int, key: packet.FlowKey) -> str | None:
         """Return the VM to which a flow is left."""
-        found = self._yields.get(key)
+        found = self._delegated.get(key)
         return found.name if found is not None and found.until_ms > now_ms else None
 
     def clear(self) -> None:
         """Leave no flow to another VM any more."""
-        self._yields.clear()
+        self._delegated.clear()
 
     def expire(self, now_ms: int) -> None:
         """Drop what is over."""
         for key in self._wheel.due(now_ms):
-            found = self._yields.get(key)
+            found = self._delegated.get(key)
             if found is not None and found.until_ms <= now_ms:
-                del self._yields[key]
+                del self._delegated[key]
 
 
 class _Open:
--- a/eelgrasswick/homes/opener.py
+++ b/eelgrasswick/homes/opener.py
@@ -19,10 +19,10 @@
     waiting,
 )
 from eelgrasswick.homes import (
-    books,
     flow,
     pending,
     rendezvous,
+    tables,
 )
 
 _COUNT: typing.Final = message.Counter
@@ -42,7 +42,7 @@
     """Decides about flows that begin at this home."""
 
     def __init__(
-        self, name: str, shared: books.Books, policy: placement.Placement
+        self, name: str, shared: tables.Tables, policy: placement.Placement
     ) -> None:
         """Decide as the VM ``name`` with a placement policy."""
         self._name = name
--- a/eelgrasswick/homes/pending.py
+++ b/eelgrasswick/homes/pending.py
@@ -15,7 +15,7 @@
     admission,
     waiting,
 )
-from eelgrasswick.homes import books
+from eelgrasswick.homes import tables
 
 
 class Held(typing.NamedTuple):
@@ -31,7 +31,7 @@
 class Pending:
     """One queue for each service that has waiting flows or had some lately."""
 
-    def __init__(self, name: str, shared: books.Books) -> None:
+    def __init__(self, name: str, shared: tables.Tables) -> None:
         """Keep queues as the VM ``name``."""
         self._name = name
         self._books = shared
--- a/eelgrasswick/homes/rehome.py
+++ b/eelgrasswick/homes/rehome.py
@@ -7,8 +7,8 @@
     target,
 )
 from eelgrasswick.homes import (
-    books,
     flow,
+    tables,
 )
 
 SLICE: typing.Final = 1000
@@ -23,7 +23,7 @@
     for it when the new home asks.
     """
 
-    def __init__(self, name: str, shared: books.Books) -> None:
+    def __init__(self, name: str, shared: tables.Tables) -> None:
         """Work as the VM ``name``."""
         self._name = name
         self._books = shared
--- a/eelgrasswick/homes/switch.py
+++ b/eelgrasswick/homes/switch.py
@@ -17,9 +17,9 @@
     wire,
 )
 from eelgrasswick.homes import (
-    books,
     epoch,
     home,
+    tables,
 )
 
 MAX_HOPS: typing.Final = 3
@@ -34,7 +34,7 @@
         self,
         name: str,
         codec: packet.PacketCodec,
-        shared: books.Books,
+        shared: tables.Tables,
         decider: home.Home,
     ) -> None:
         """Switch packets as the VM ``name``."""
@@ -78,7 +78,7 @@
         key = wire.flow_key(event.flow)
         self._home.cancel(key)
         known = self._known(now_ms, key)
-        if known is None and not self._home.leave_to(now_ms, key, sender):
+        if known is None and not self._home.delegate_to(now_ms, key, sender):
             return
         name = known.name if known is not None else ""
         self._books.peers.send(sender, wire.Tell(event.flow, name))
@@ -139,7 +139,7 @@
         home_name = current.locate(key, owner).home
         if home_name != self._name:
             return home_name
-        return self._home.left_to(now_ms, key) or home_name
+        return self._home.delegate_of(now_ms, key) or home_name
 
     def _direct(self, now_ms: int, item: packet.Packet, key: packet.FlowKey) -> bool:
         if self._books.flows.get(key) is not None:
--- a/eelgrasswick/homes/books.py
+++ b/eelgrasswick/homes/tables.py
@@ -16,7 +16,7 @@
 )
 
 
-class Books(typing.NamedTuple):
+class Tables(typing.NamedTuple):
     """The state that the parts of one VM's data path share."""
 
     epochs: epoch.EpochLog
--- a/eelgrasswick/node.py
+++ b/eelgrasswick/node.py
@@ -23,7 +23,6 @@
     peer,
 )
 from eelgrasswick.homes import (
-    books,
     epoch,
     flow,
     hint,
@@ -31,6 +30,7 @@
     opener,
     replica,
     switch,
+    tables,
 )
 
 _WINDOW_MS: typing.Final = 5000
@@ -74,7 +74,7 @@
         )
         self.outbox = message.Outbox()
         self.peers = peer.Peers(self.outbox)
-        self.books = books.Books(
+        self.tables = tables.Tables(
             epoch.EpochLog(_WINDOW_MS),
             flow.FlowTable(),
             hint.HintTable(_HINT_MS, _HINTS),
@@ -84,22 +84,22 @@
             self.peers,
             self.outbox,
         )
-        self.opener = opener.Opener(vm.name, self.books, policy)
-        self.home = home.Home(vm.name, self.books, self.opener)
-        self._switch = switch.Switch(vm.name, packet.FouCodec(), self.books, self.home)
+        self.opener = opener.Opener(vm.name, self.tables, policy)
+        self.home = home.Home(vm.name, self.tables, self.opener)
+        self._switch = switch.Switch(vm.name, packet.FouCodec(), self.tables, self.home)
 
     def tick(self, now_ms: int) -> list[message.Action]:
         """Let time pass."""
         self.home.tick(now_ms)
-        self.books.replicator.flush()
-        self.books.loads.expire(now_ms)
-        self.books.flows.expire(now_ms)
+        self.tables.replicator.flush()
+        self.tables.loads.expire(now_ms)
+        self.tables.flows.expire(now_ms)
         return self.outbox.take()
 
     def report(self, now_ms: int) -> wire.LoadReport:
         """Return what this home tells the others once a second."""
         recent = self.opener.chooser.work.recent_tenths(now_ms)
-        return load.report(self.books.flows.open_by_target, recent)
+        return load.report(self.tables.flows.open_by_target, recent)
 
     def peer(self, now_ms: int, sender: str, payload: bytes) -> list[message.Action]:
         """Take an inquiry about a flow, or the answer to one."""
--- a/eelgrasswick/trials/capacity_slope.py
+++ b/eelgrasswick/trials/capacity_slope.py
@@ -136,7 +136,7 @@
         assert current is not None
         for number, item in enumerate(current.targets.values()):
             key = packet_path.flow(index * 64 + number, item.endpoint)
-            vm.engine.books.flows.add(key, _record(item, round(fleet.now_ms)))
+            vm.engine.tables.flows.add(key, _record(item, round(fleet.now_ms)))
 
 
 def _record(item: target.Target, now_ms: int) -> flow.Record:
@@ -279,7 +279,7 @@
     fleet.put_rules(virtual_fleet.document(1, text))
     fleet.run_until(fleet.ready, READY_MS)
     runs = fleet.vms[0].engine
-    current = runs.books.epochs.current
+    current = runs.tables.epochs.current
     assert current is not None
     owner = current.config.services["s0"]
     now_ms = round(fleet.now_ms)
@@ -287,8 +287,8 @@
         key = packet_path.flow(number, owner.address)
         place = current.locate(key, owner)
         if place.home == fleet.vms[0].me.name and place.default is not None:
-            runs.books.flows.add(key, _record(place.default, now_ms))
-    flows = len(runs.books.flows)
+            runs.tables.flows.add(key, _record(place.default, now_ms))
+    flows = len(runs.tables.flows)
     before_ns = time.thread_time_ns()
     runs.rehomer.start()
     for _ in range(flows // 1000 + 1):
@@ -318,7 +318,7 @@
     # At a fleet at rest no former epoch is asked, and the owners of the slots
     # are worked out as the flows come.
     vm = fleet.vms[0]
-    current = vm.engine.books.epochs.current
+    current = vm.engine.tables.epochs.current
     assert current is not None
     paths = packet_path.build(current, current.config.services["s0"], vm.me.name, "")
     opening = next(item for item in paths if item.name == "open_at_home")
--- a/eelgrasswick/trials/packet_cost.py
+++ b/eelgrasswick/trials/packet_cost.py
@@ -111,7 +111,7 @@
 
     def paths(self) -> list[packet_path.Path]:
         """Return the paths through the measured engine."""
-        current = self._vm.engine.books.epochs.current
+        current = self._vm.engine.tables.epochs.current
         assert current is not None
         owner = current.config.services["s0"]
         return packet_path.build(current, owner, self._vm.me.name, self._other.me.name)
--- a/eelgrasswick/trials/packet_socket.py
+++ b/eelgrasswick/trials/packet_socket.py
@@ -88,7 +88,7 @@
         self._greet()
         self._await(lambda: len(self._epoch.members) == 2)
         self._settle()
-        current = self._engine.books.epochs.current
+        current = self._engine.tables.epochs.current
         assert current is not None
         self._targets = {
             item.endpoint: _socket(item.endpoint)
@@ -97,7 +97,7 @@
 
     @property
     def _epoch(self) -> typing.Any:
-        return self._engine.books.epochs.current
+        return self._engine.tables.epochs.current
 
     def paths(self) -> list[packet_path.Path]:
         """Return the paths through the daemon."""
--- a/eelgrasswick/trials/trial_engine.py
+++ b/eelgrasswick/trials/trial_engine.py
@@ -135,8 +135,8 @@
         self._fleet.run(span_ms)
         after = self._fleet.traffic()
         cpu_ns = sum(vm.cpu_ns for vm in self._fleet.vms) - cpu_before_ns
-        records = sum(len(vm.engine.books.flows) for vm in self._fleet.vms)
-        hints = sum(len(vm.engine.books.hints) for vm in self._fleet.vms)
+        records = sum(len(vm.engine.tables.flows) for vm in self._fleet.vms)
+        hints = sum(len(vm.engine.tables.hints) for vm in self._fleet.vms)
         handled = self._handed + self._total(message.Counter.PACKETS_FORWARDED)
         passes = handled / self._handed
         calls = self._calls.values()
--- a/eelgrasswick/trials/trial_placement.py
+++ b/eelgrasswick/trials/trial_placement.py
@@ -164,7 +164,7 @@
     def place(self, bounded: bool) -> Outcome:
         """Place all flows; each home knows the others' counts of a second ago."""
         policy = placement.BoundedHash()
-        books = trial_counts.Counts(-trial_load.LONG_MAX_MS)
+        tables = trial_counts.Counts(-trial_load.LONG_MAX_MS)
         closing: list[tuple[float, str, str]] = []
         placed = []
         samples = []
@@ -173,21 +173,21 @@
         for item in self.flows:
             while closing and closing[0][0] <= item.at_ms:
                 _, home, name = heapq.heappop(closing)
-                books.add(home, name, -1)
-            books.refresh(item.at_ms)
+                tables.add(home, name, -1)
+            tables.refresh(item.at_ms)
             if item.at_ms >= sample_ms:
                 sample_ms = item.at_ms + _SAMPLE_MS
-                samples.append(_imbalance(books.all, owner.targets))
+                samples.append(_imbalance(tables.all, owner.targets))
             place = self.epoch.locate(item.key, owner)
             assert place.default is not None and place.home is not None
             chosen = place.default
             if bounded:
                 loads = [
-                    _target_load(one, books.seen(place.home, one.name))
+                    _target_load(one, tables.seen(place.home, one.name))
                     for one in self.epoch.ranked(item.key, owner)
                 ]
                 chosen = policy.choose(loads, self.load.factor) or chosen
-            books.add(place.home, chosen.name, 1)
+            tables.add(place.home, chosen.name, 1)
             heapq.heappush(closing, (item.until_ms, place.home, chosen.name))
             placed.append(Placed(item, chosen.name, place.default.name, place.home))
         return Outcome(placed, sum(samples) / len(samples))
--- a/tests/flow_steps.py
+++ b/tests/flow_steps.py
@@ -51,7 +51,7 @@
     ) -> int:
         """Return a port of caller 0 whose flow belongs where a test needs it."""
         vm = next(item for item in self.world.vms.values() if item.alive)
-        current = vm.engine.books.epochs.current
+        current = vm.engine.tables.epochs.current
         assert current is not None
         owner = current.config.services[name]
         for port in range(start, start + 4000):
--- a/tests/test_datagram.py
+++ b/tests/test_datagram.py
@@ -38,7 +38,7 @@
     # is still the home of some flows, with another target for them than their
     # new home, which may have started the first copy of a check-in already.
     behind = lossy.world.vms["vm2"].engine
-    old = behind.books.epochs.current
+    old = behind.tables.epochs.current
     assert old is not None
     service = old.config.services["ratio"]
     behind.keeper.offer = lambda *_: None  # type: ignore[method-assign]
@@ -59,7 +59,7 @@
     # A home starts a check-in and dies with its record. If the rules change at
     # the same time, the next home has another target for the repeated copy.
     service = lossy.world.config().services["ratio"]
-    current = lossy.world.vms["vm2"].engine.books.epochs.current
+    current = lossy.world.vms["vm2"].engine.tables.epochs.current
     assert current is not None
     for port in range(2000, 5000):
         if current.locate(flow_steps.flow_key(service, port), service).home == "vm2":
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -28,7 +28,7 @@
     made.call("desk", parts=100, every_ms=100)
     made.run(500)
     for vm in made.vms.values():
-        for key, _ in vm.engine.books.flows.items():
+        for key, _ in vm.engine.tables.flows.items():
             return key
     raise AssertionError("no flow is open")
 
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -167,7 +167,7 @@
     def _homes_exist(self) -> None:
         names = {vm.me.name for vm in fleet_view.running(self.world)}
         for vm in fleet_view.running(self.world):
-            current = vm.engine.books.epochs.current
+            current = vm.engine.tables.epochs.current
             assert current is not None
             assert set(current.members) == names
 
--- a/tests/test_kept.py
+++ b/tests/test_kept.py
@@ -13,11 +13,11 @@
     port = bench.port("desk", lambda place: place.home == "vm2")
     bench.edit(bench.text + flow_steps.DRAINS)
     bench.world.run(6000)
-    books = bench.world.vms["vm2"].engine.books
-    assert books.epochs.current is not None
-    config = books.epochs.current.config
+    tables = bench.world.vms["vm2"].engine.tables
+    assert tables.epochs.current is not None
+    config = tables.epochs.current.config
     key = flow_steps.flow_key(config.services["desk"], port)
-    books.replicator.kept.learn(bench.world.now_ms, key, config.targets["d6"])
+    tables.replicator.kept.learn(bench.world.now_ms, key, config.targets["d6"])
     bench.world.call("desk", caller=0, port=port)
     bench.world.run(5000)
     assert bench.world.ends() == {"whole": 1}
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -128,13 +128,13 @@
     # A process outside the fleet finds the link port. Served, it could keep
     # connections open until the VM has no descriptors left.
     site = open_site(heard)
-    stranger = socket.create_connection(
+    outsider = socket.create_connection(
         (HOST, site.receiver.address.port), LIMIT_S, ("127.4.8.1", 0)
     )
     spin(lambda: bool(heard.faults))
     assert heard.faults[0].host == "127.4.8.1"
     assert not heard.faults[0].known
-    stranger.close()
+    outsider.close()
     close_site(site)
 
 
--- a/tests/test_opener.py
+++ b/tests/test_opener.py
@@ -71,7 +71,7 @@
         slow_world.now_ms, packet.FouCodec().decode(reset), key, owner(vm)
     )
     assert not vm.engine.opener.holds(packet.FouCodec().decode(reset), key)
-    assert vm.engine.books.flows.get(key) is None
+    assert vm.engine.tables.flows.get(key) is None
     assert vm.engine.outbox.counts[message.Counter.FLOWS_PLACED] == placed
 
 
@@ -89,7 +89,7 @@
         for item in vm.engine.outbox.take()
         if isinstance(item, message.Log) and str(key) in str(item.fields)
     ]
-    assert vm.engine.books.flows.get(key) is None
+    assert vm.engine.tables.flows.get(key) is None
     assert not logs
 
 
@@ -111,6 +111,6 @@
 
 
 def owner(vm: world.Vm) -> service.Service:
-    current = vm.engine.books.epochs.current
+    current = vm.engine.tables.epochs.current
     assert current is not None
     return current.config.services["desk"]
--- a/tests/test_pause.py
+++ b/tests/test_pause.py
@@ -28,7 +28,7 @@
     bench.world.pause("vm2", 30_000)
     bench.world.run(29_999)
     vm = bench.world.vms["vm2"].engine
-    before = len(vm.books.flows)
+    before = len(vm.tables.flows)
     bench.world.run(60)
     assert before > 0
-    assert len(vm.books.flows) == 0
+    assert len(vm.tables.flows) == 0
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -149,9 +149,9 @@
     target = ("show", "--target", "d1", "--vm", f"{run.nodes[0].ip}:6081")
     by_vm = run.command(*target, *source)
     assert "takes new flows by its weight" in by_vm.stdout
-    stranger = run.command(*target, "--from", f"127.{run.block}.7.1")
-    assert stranger.returncode == 6
-    assert "vm_silent" in stranger.stderr
+    outsider = run.command(*target, "--from", f"127.{run.block}.7.1")
+    assert outsider.returncode == 6
+    assert "vm_silent" in outsider.stderr
     assert run.command("show", "--flow", "what").returncode == 1
 
 
@@ -179,7 +179,7 @@
 
 
 def test_garbage_at_every_port_is_counted_and_survived(run: fleet.Fleet) -> None:
-    # Corrupt datagrams and strangers' connections reach a VM. Were it to end,
+    # Corrupt datagrams and outsiders' connections reach a VM. Were it to end,
     # the flows that it is the home of would stand still.
     node = run.nodes[0]
     garbage = [b"", b"\x45", b"\xff" * 200, b"\x60" + b"\0" * 60, b"\x45" + b"\0" * 19]
@@ -202,7 +202,7 @@
     until(lambda: counted(run, "vm1", "packets_malformed") >= 4, "malformed")
     until(lambda: counted(run, "vm1", "packets_unsupported") >= 1, "unsupported")
     until(lambda: counted(run, "vm1", "messages_invalid") >= 5, "invalid")
-    until(lambda: counted(run, "vm1", "packets_unknown_sender") >= 1, "stranger")
+    until(lambda: counted(run, "vm1", "packets_unknown_sender") >= 1, "outsider")
     assert run.lines("vm1", "link_refused")
     assert run.running["vm1"].poll() is None
 
