--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 # Runs from a fresh checkout with Python 3.11, make and a package registry.
 PYTHON ?= python3
 PYTEST_ARGS ?=
+# Tests run in so many processes; each reserves its own loopback addresses.
+WORKERS ?= 4
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
@@ -18,7 +20,7 @@
 	$(BIN)/python -m tests.whole_path
 
 test: $(STAMP)
-	$(BIN)/python -m pytest $(PYTEST_ARGS)
+	$(BIN)/python -m pytest -n $(WORKERS) $(PYTEST_ARGS)
 
 soak: $(STAMP)
 	$(BIN)/python -m eelgrasswick.soak $(SOAK_ARGS)
