--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,91 @@
+"""The other entry VMs."""
+
+import random
+
+import pytest
+
+from eelgrasswick.cookie import peers, reports
+
+
+@pytest.fixture
+def others() -> peers.Peers:
+    made = peers.Peers("10.0.0.1", "z1", random.Random(1))
+    for number in range(2, 8):
+        made.heard(1, f"10.0.0.{number}", f"z{number % 3 + 1}", True)
+    return made
+
+
+def test_vm_that_leaves_two_requests_unanswered_is_gone(others: peers.Peers) -> None:
+    """A VM was killed. Counted on, it would watch the store for its zone."""
+    assert not others.asked("10.0.0.3")
+    assert others.asked("10.0.0.3")
+    assert len(others) == 5
+    assert others.heard(10, "10.0.0.3", "z1", True)
+    assert len(others) == 6
+
+
+def test_one_vm_of_a_zone_is_first() -> None:
+    """Two VMs of a zone that both took themselves for the first would both call."""
+    hosts = [f"10.0.0.{number}" for number in range(1, 9)]
+    ranks = []
+    for host in hosts:
+        made = peers.Peers(host, "z1", random.Random(1))
+        for other in hosts:
+            if other != host:
+                made.heard(1, other, "z1", True)
+        ranks.append(made.rank())
+    assert sorted(ranks) == list(range(8))
+
+
+def test_vm_that_the_store_refuses_is_not_first(others: peers.Peers) -> None:
+    """The store turns the first VM of a zone away and serves the others."""
+    for number in range(2, 8):
+        others.heard(1, f"10.0.0.{number}", "z1", False)
+    assert others.rank() == 0
+
+
+def test_all_are_asked_in_turn(others: peers.Peers) -> None:
+    asked = {host for _ in range(12) for host in others.next_hosts()}
+    assert len(asked) == 6
+
+
+def test_unknown_vms_are_asked_first(others: peers.Peers) -> None:
+    others.named(5, ["10.0.0.50", "10.0.0.1"])
+    assert "10.0.0.50" in others.next_hosts()
+    assert "10.0.0.1" not in {host for _ in range(20) for host in others.next_hosts()}
+
+
+def test_news_go_to_the_own_zone_and_to_others(others: peers.Peers) -> None:
+    told = others.spread(1)
+    zones = {int(host.rpartition(".")[2]) % 3 for host in told}
+    assert len(told) == 2
+    assert len(zones) == 2
+
+
+def test_vms_that_were_not_heard_for_long_are_forgotten(others: peers.Peers) -> None:
+    others.heard(peers.FORGET_MS, "10.0.0.2", "z1", True)
+    others.forget(peers.FORGET_MS + 1)
+    assert len(others) == 1
+
+
+def test_reports_of_all_vms_are_summed() -> None:
+    book = reports.Reports()
+    book.take(0, "a", (reports.Entry(7, 3, 20, False),))
+    book.take(0, "b", (reports.Entry(7, 4, 30, True),))
+    book.tick(10)
+    assert book.flows_on(7) == 7
+    assert list(book.answers_ms(7)) == [20, 30]
+    assert book.silent_for(10, 7) == 1
+    assert book.silent_for(reports.SILENT_MS + 1, 7) == 0
+
+
+def test_report_of_a_vm_that_is_gone_does_not_count() -> None:
+    """A VM was killed; its flows pass other VMs now and are counted there."""
+    book = reports.Reports()
+    book.take(0, "a", (reports.Entry(7, 3, 20, False),))
+    book.forget("a")
+    book.tick(10)
+    assert book.flows_on(7) == 0
+    book.take(0, "b", (reports.Entry(7, 3, 20, False),))
+    book.tick(reports.KEEP_MS + 1)
+    assert book.flows_on(7) == 0
