--- a/eelgrasswick/cookie/entry.py
+++ b/eelgrasswick/cookie/entry.py
@@ -7,19 +7,19 @@
 
 from eelgrasswick import errors
 from eelgrasswick.cookie import (
-    carrying,
     catalog,
     clock,
     codec,
-    journal,
+    event_log,
+    forwarding,
+    gossip,
     knowledge,
+    observations,
     settings,
-    sights,
     source,
     stats,
     stopping,
-    storing,
-    talking,
+    store_watch,
     transfer,
     web,
 )
@@ -72,42 +72,42 @@
         self._ready_path = parts.ready_path
         self._stats = stats.Stats()
         vm = loaded.vm
-        self._journal = journal.Journal(
+        self._log = event_log.EventLog(
             descriptor, vm.name, loaded.log.lines_per_s, self._stats
         )
         self._knowledge = knowledge.Knowledge()
         self._catalog = catalog.Catalog(parts.reader)
-        self._sights = sights.Sights(vm.zone, self._catalog)
-        self._carrier = carrying.Carrier(
+        self._observations = observations.Observations(vm.zone, self._catalog)
+        self._forwarder = forwarding.Forwarder(
             reactor, vm.zone, vm.data.port, self._carried_by(parts), self._on_unsent
         )
-        self._talker = talking.Talker(
+        self._gossip = gossip.Gossip(
             reactor, vm.peer, vm.zone, self._told(), rng, self._on_unsent
         )
-        self._storing = storing.Storing(
-            parts.source, self._knowledge, self._talker.merged, self._journal, rng
+        self._store_watch = store_watch.StoreWatch(
+            parts.source, self._knowledge, self._gossip.merged, self._log, rng
         )
         self._stop_ms: int | None = None
         self._was_ready = False
         self._loops: list[task.LoopingCall] = []
         self._listening: list[typing.Any] = []
 
-    def _carried_by(self, parts: Parts) -> carrying.Parts:
-        return carrying.Parts(
+    def _carried_by(self, parts: Parts) -> forwarding.Parts:
+        return forwarding.Parts(
             parts.codec,
             self._knowledge,
             self._catalog,
-            self._sights,
-            self._journal,
+            self._observations,
+            self._log,
             self._stats,
         )
 
-    def _told(self) -> talking.Parts:
-        return talking.Parts(
+    def _told(self) -> gossip.Parts:
+        return gossip.Parts(
             self._knowledge,
             self._catalog,
-            self._sights.reports,
-            self._journal,
+            self._observations.reports,
+            self._log,
             self._stats,
         )
 
@@ -115,9 +115,9 @@
         """Open the sockets and begin."""
         vm = self._settings.vm
         now_ms = clock.now_ms()
-        self._journal.take_twisted(clock.now_ms)
+        self._log.take_twisted(clock.now_ms)
         self._write("started", zone=vm.zone, seeds=len(self._settings.fleet.seeds))
-        self._talker.peers.named(now_ms, self._settings.fleet.seeds)
+        self._gossip.peers.named(now_ms, self._settings.fleet.seeds)
         self._listen()
         self._repeat(self._check, CHECK_S)
         self._repeat(self._ask, ASK_S)
@@ -137,12 +137,12 @@
 
     def flush_log(self) -> None:
         """Write the lines that wait."""
-        self._journal.flush()
+        self._log.flush()
 
     def reload(self, loaded: settings.Settings) -> None:
         """Take settings that have changed; addresses stay as they were."""
         self._settings = loaded
-        self._talker.peers.named(clock.now_ms(), loaded.fleet.seeds)
+        self._gossip.peers.named(clock.now_ms(), loaded.fleet.seeds)
         self._write("settings_reloaded", seeds=len(loaded.fleet.seeds))
 
     def refuse_settings(self, error: errors.EelgrasswickError) -> None:
@@ -154,7 +154,7 @@
         """Begin to leave: take no new flows, carry on until they are gone."""
         if self._stop_ms is None:
             self._stop_ms = clock.now_ms()
-            self._write("stopping", flows=len(self._sights.tracker))
+            self._write("stopping", flows=len(self._observations.tracker))
 
     def _listen(self) -> None:
         vm = self._settings.vm
@@ -164,10 +164,10 @@
         pages = web.WebFactory({METRICS_PATH: self._metrics_page})
         self._listening = [
             reactor.listenUDP(
-                vm.data.port, self._carrier.port, vm.data.host, DATAGRAM_BYTES
+                vm.data.port, self._forwarder.port, vm.data.host, DATAGRAM_BYTES
             ),
             reactor.listenUDP(
-                vm.peer.port, self._talker.port, vm.peer.host, DATAGRAM_BYTES
+                vm.peer.port, self._gossip.port, vm.peer.host, DATAGRAM_BYTES
             ),
             reactor.listenTCP(vm.peer.port, answers, interface=vm.peer.host),
             reactor.listenTCP(vm.ready.port, probe, interface=vm.ready.host),
@@ -176,27 +176,27 @@
 
     def _ask(self) -> None:
         now_ms = clock.now_ms()
-        self._sights.tick(now_ms)
+        self._observations.tick(now_ms)
         self._catalog.tick(now_ms, self._knowledge.age_ms(now_ms))
-        self._talker.ask(now_ms, self._sights.report(), self._storing.answers)
+        self._gossip.ask(now_ms, self._observations.report(), self._store_watch.answers)
 
     def _check(self) -> None:
-        now_ms = self._carrier.wake()
-        self._storing.check(now_ms, self._talker.peers.rank())
+        now_ms = self._forwarder.wake()
+        self._store_watch.check(now_ms, self._gossip.peers.rank())
         ready = self._ready
         if ready != self._was_ready:
             self._was_ready = ready
             age_ms = knowledge.shown_ms(self._knowledge.age_ms(now_ms))
             self._write("ready" if ready else "not_ready", age_ms=age_ms)
-        self._journal.flush()
+        self._log.flush()
         if self._stop_ms is not None:
             self._end_if_done(now_ms, self._stop_ms)
 
     def _end_if_done(self, now_ms: int, asked_ms: int) -> None:
         grace_ms = int(self._settings.stop.grace_s * 1000)
-        if stopping.may_end(now_ms, asked_ms, self._carrier.packet_ms, grace_ms):
+        if stopping.may_end(now_ms, asked_ms, self._forwarder.packet_ms, grace_ms):
             self._write("stopped", after_ms=now_ms - asked_ms)
-            self._journal.flush()
+            self._log.flush()
             self._reactor.stop()
 
     @property
@@ -211,12 +211,12 @@
     def _metrics_page(self) -> web.Page:
         now_ms = clock.now_ms()
         self._stats.gauges.update(
-            flows=len(self._sights.tracker),
-            peers=len(self._talker.peers),
+            flows=len(self._observations.tracker),
+            peers=len(self._gossip.peers),
             targets=len(self._catalog.targets),
             revision=self._knowledge.revision,
             knowledge_age_ms=knowledge.shown_ms(self._knowledge.age_ms(now_ms)),
-            store_calls=self._storing.calls,
+            store_calls=self._store_watch.calls,
         )
         return web.Page(200, self._stats.text())
 
@@ -225,4 +225,4 @@
         self._write("datagram_unsent", to=host, detail=str(failure))
 
     def _write(self, event: str, **fields: object) -> None:
-        self._journal.write(clock.now_ms(), event, **fields)
+        self._log.write(clock.now_ms(), event, **fields)
--- a/eelgrasswick/cookie/journal.py
+++ b/eelgrasswick/cookie/event_log.py
@@ -15,7 +15,7 @@
 TRACE_CHARACTERS: typing.Final = 600
 
 
-class Journal:
+class EventLog:
     """Writes lines to a file descriptor that must not block."""
 
     def __init__(
--- a/eelgrasswick/cookie/carrying.py
+++ b/eelgrasswick/cookie/forwarding.py
@@ -9,12 +9,12 @@
     catalog,
     clock,
     codec,
-    journal,
+    event_log,
     knowledge,
     model,
+    observations,
     ports,
     probing,
-    sights,
     stats,
     steering,
 )
@@ -36,20 +36,20 @@
         codec: Reads and writes the fabric's packets.
         knowledge: Says how old the rest is.
         catalog: Routes and targets.
-        sights: What was seen of flows and targets.
-        journal: The log.
+        observations: What was seen of flows and targets.
+        log: The log.
         stats: The counters.
     """
 
     codec: codec.SegmentCodec
     knowledge: knowledge.Knowledge
     catalog: catalog.Catalog
-    sights: sights.Sights
-    journal: journal.Journal
+    observations: observations.Observations
+    log: event_log.EventLog
     stats: stats.Stats
 
 
-class Carrier:
+class Forwarder:
     """Decides about each packet, sends what is to be sent, and accounts for it.
 
     Attributes:
@@ -81,11 +81,11 @@
         self._codec = parts.codec
         self._knowledge = parts.knowledge
         self._catalog = parts.catalog
-        self._sights = parts.sights
-        self._journal = parts.journal
+        self._observations = parts.observations
+        self._log = parts.log
         self._stats = parts.stats
         self._steering = steering.Steering(
-            zone, parts.codec, parts.catalog, parts.sights
+            zone, parts.codec, parts.catalog, parts.observations
         )
         self._awake_ms = clock.now_ms()
         self._backlog_until_ms = 0
@@ -146,7 +146,7 @@
         if outcome in _QUIET_OUTCOMES:
             return
         target = decision.target
-        self._journal.write(
+        self._log.write(
             now_ms,
             f"flow_{outcome.value}",
             flow=segment.flow,
@@ -162,17 +162,19 @@
     def _flows_on(self, target: model.Target | None) -> int:
         if target is None:
             return 0
-        own = self._sights.tracker.flows_on(target.cookie)
-        return own + self._sights.reports.flows_on(target.cookie)
+        own = self._observations.tracker.flows_on(target.cookie)
+        return own + self._observations.reports.flows_on(target.cookie)
 
     async def _probe(self, target: model.Target) -> None:
         now_ms = clock.now_ms()
         missing = self._catalog.missing(target, now_ms)
         # The address of a target that is gone may be another's already.
         accepted = not missing and await probing.accepts(self._reactor, target.address)
-        path_ms = self._sights.path_ms(target)
+        path_ms = self._observations.path_ms(target)
         now_ms = clock.now_ms()
-        dead = self._sights.verdicts.probed(now_ms, target.cookie, accepted, path_ms)
+        dead = self._observations.liveness.probed(
+            now_ms, target.cookie, accepted, path_ms
+        )
         resets = self._steering.abandon(target) if dead else []
         for flow, datagram in resets:
             self.port.send(datagram, self._caller(flow))
@@ -190,4 +192,4 @@
             self._write("flow_target_dead_reset", flow=flow, target=target.name)
 
     def _write(self, event: str, **fields: object) -> None:
-        self._journal.write(clock.now_ms(), event, **fields)
+        self._log.write(clock.now_ms(), event, **fields)
--- a/eelgrasswick/cookie/talking.py
+++ b/eelgrasswick/cookie/gossip.py
@@ -9,8 +9,8 @@
 from eelgrasswick.cookie import (
     catalog,
     clock,
+    event_log,
     exchange,
-    journal,
     knowledge,
     model,
     peers,
@@ -28,18 +28,18 @@
         knowledge: Rows of the store.
         catalog: Follows the rows that are new.
         reports: Takes what others say of targets.
-        journal: The log.
+        log: The log.
         stats: The counters.
     """
 
     knowledge: knowledge.Knowledge
     catalog: catalog.Catalog
     reports: reports.Reports
-    journal: journal.Journal
+    log: event_log.EventLog
     stats: stats.Stats
 
 
-class Talker:
+class Gossip:
     """Asks, answers and tells; passes on what the store says.
 
     Attributes:
@@ -72,7 +72,7 @@
         self._peer_port = me.port
         self._knowledge = parts.knowledge
         self._catalog = parts.catalog
-        self._journal = parts.journal
+        self._log = parts.log
         self._stats = parts.stats
         self._exchange = exchange.Exchange(
             zone, parts.knowledge, self.peers, parts.reports, rng
@@ -146,4 +146,4 @@
         self.port.send(item.payload, model.Address(item.host, self._peer_port))
 
     def _write(self, event: str, **fields: object) -> None:
-        self._journal.write(clock.now_ms(), event, **fields)
+        self._log.write(clock.now_ms(), event, **fields)
--- a/eelgrasswick/cookie/verdict.py
+++ b/eelgrasswick/cookie/liveness.py
@@ -30,20 +30,20 @@
     DEAD = "dead"
 
 
-class _Case(typing.NamedTuple):
+class _Check(typing.NamedTuple):
     state: State
     since_ms: int
 
 
-class Verdicts:
-    """Cases of silent targets, by cookie."""
+class Liveness:
+    """Checks of silent targets, by cookie."""
 
     def __init__(self) -> None:
-        """Begin without cases."""
-        self._cases: dict[int, _Case] = {}
+        """Begin without checks."""
+        self._checks: dict[int, _Check] = {}
 
     def begin(self, now_ms: int, cookie: int, path_ms: int) -> bool:
-        """Take up the case of a silent target; True when to probe it now.
+        """Take up the check of a silent target; True when to probe it now.
 
         Args:
             now_ms: Present time.
@@ -52,44 +52,44 @@
         """
         if now_ms - path_ms > PATH_MS:
             return False
-        case = self._cases.get(cookie)
-        alive = case is not None and case.state is State.ALIVE
-        if case is not None and not alive:
+        check = self._checks.get(cookie)
+        alive = check is not None and check.state is State.ALIVE
+        if check is not None and not alive:
             return False
-        if case is not None and now_ms - case.since_ms < AGAIN_MS:
+        if check is not None and now_ms - check.since_ms < AGAIN_MS:
             return False
-        self._cases[cookie] = _Case(State.PROBING, now_ms)
+        self._checks[cookie] = _Check(State.PROBING, now_ms)
         return True
 
     def probed(self, now_ms: int, cookie: int, accepted: bool, path_ms: int) -> bool:
         """Take the outcome of a probe; True when the target is dead from now on.
 
-        An answer in the meantime closes the case. Without an answer of another
+        An answer in the meantime closes the check. Without an answer of another
         target since the probe began, the way may have been cut just before, and
-        the case is dropped until the next unanswered packet.
+        the check is dropped until the next unanswered packet.
         """
-        case = self._cases.get(cookie)
-        if case is None or case.state is not State.PROBING:
+        check = self._checks.get(cookie)
+        if check is None or check.state is not State.PROBING:
             return False
         if accepted:
-            self._cases[cookie] = _Case(State.ALIVE, now_ms)
+            self._checks[cookie] = _Check(State.ALIVE, now_ms)
             return False
-        if path_ms <= case.since_ms:
-            del self._cases[cookie]
+        if path_ms <= check.since_ms:
+            del self._checks[cookie]
             return False
-        self._cases[cookie] = _Case(State.DEAD, now_ms)
+        self._checks[cookie] = _Check(State.DEAD, now_ms)
         return True
 
     def dead(self, cookie: int) -> bool:
         """Tell whether flows of a target are to be reset."""
-        case = self._cases.get(cookie)
-        return case is not None and case.state is State.DEAD
+        check = self._checks.get(cookie)
+        return check is not None and check.state is State.DEAD
 
     def answered(self, cookie: int) -> None:
-        """Close the case of a target that answered."""
-        self._cases.pop(cookie, None)
+        """Close the check of a target that answered."""
+        self._checks.pop(cookie, None)
 
     def keep(self, cookies: typing.Collection[int]) -> None:
         """Forget all other targets."""
-        for cookie in [item for item in self._cases if item not in cookies]:
-            del self._cases[cookie]
+        for cookie in [item for item in self._checks if item not in cookies]:
+            del self._checks[cookie]
--- a/eelgrasswick/cookie/sights.py
+++ b/eelgrasswick/cookie/observations.py
@@ -5,17 +5,17 @@
 from eelgrasswick.cookie import (
     catalog,
     knowledge,
+    liveness,
     model,
     placing,
     reports,
     silence,
     speed,
     tracker,
-    verdict,
 )
 
 
-class Sights:
+class Observations:
     """Flows, answer times and silence of all targets."""
 
     def __init__(self, zone: str, known: catalog.Catalog) -> None:
@@ -27,7 +27,7 @@
         self._silence: silence.SilenceBook[int] = silence.SilenceBook()
         self._zone_silence: silence.SilenceBook[str] = silence.SilenceBook()
         self.reports = reports.Reports()
-        self.verdicts = verdict.Verdicts()
+        self.liveness = liveness.Liveness()
         self._answered_ms: dict[str, int] = {}
         self._factors: dict[int, float] = {}
 
@@ -58,7 +58,7 @@
     def answered(self, now_ms: int, target: model.Target) -> bool:
         """Note that a target answered; True when it was passed over before."""
         self._answered_ms[target.zone] = now_ms
-        self.verdicts.answered(target.cookie)
+        self.liveness.answered(target.cookie)
         self._zone_silence.answered(target.zone)
         return self._silence.answered(target.cookie)
 
@@ -69,7 +69,7 @@
         self._silence.unanswered(now_ms, target.cookie)
         # A VM of a large fleet has one flow on a target, and a second sign takes
         # 400 ms more; asking for a connection costs little and decides.
-        return self.verdicts.begin(now_ms, target.cookie, self.path_ms(target))
+        return self.liveness.begin(now_ms, target.cookie, self.path_ms(target))
 
     def path_ms(self, target: model.Target) -> int:
         """Return when a target of the same zone last answered."""
@@ -82,7 +82,7 @@
         cookies = {item.cookie for item in self._catalog.targets}
         self.speeds.keep(cookies)
         self._silence.keep(cookies)
-        self.verdicts.keep(self._catalog.remembered)
+        self.liveness.keep(self._catalog.remembered)
         self._factors = {}
         for service in {item.service for item in self._catalog.targets}:
             accepting = self._catalog.accepting(service)
--- a/eelgrasswick/cookie/silence.py
+++ b/eelgrasswick/cookie/silence.py
@@ -40,16 +40,16 @@
 
     def __init__(self) -> None:
         """Begin with everyone answering."""
-        self._sights: dict[Key, _Sight] = {}
+        self._observations: dict[Key, _Sight] = {}
 
     def answered(self, key: Key) -> bool:
         """Note an answer; True when it was passed over."""
-        sight = self._sights.pop(key, None)
+        sight = self._observations.pop(key, None)
         return sight is not None and sight.unanswered >= ENOUGH
 
     def unanswered(self, now_ms: int, key: Key) -> bool:
         """Note an unanswered packet; True when it is passed over from now on."""
-        sight = self._sights.setdefault(key, _Sight())
+        sight = self._observations.setdefault(key, _Sight())
         sight.unanswered += 1
         sight.last_ms = now_ms
         sight.trial_ms = now_ms
@@ -57,7 +57,7 @@
 
     def silent(self, key: Key) -> bool:
         """Tell whether this VM itself takes one for silent."""
-        sight = self._sights.get(key)
+        sight = self._observations.get(key)
         return sight is not None and sight.unanswered >= ENOUGH
 
     def suspected(self, now_ms: int, key: Key, witnesses: int) -> bool:
@@ -68,7 +68,7 @@
             key: The target or zone.
             witnesses: Other VMs that lately found it silent.
         """
-        sight = self._sights.get(key)
+        sight = self._observations.get(key)
         own = sight.unanswered if sight is not None else 0
         if own + witnesses < ENOUGH:
             return False
@@ -78,11 +78,11 @@
 
     def tried(self, now_ms: int, key: Key) -> None:
         """Note that a flow was placed there."""
-        sight = self._sights.get(key)
+        sight = self._observations.get(key)
         if sight is not None and sight.unanswered >= ENOUGH:
             sight.trial_ms = now_ms
 
     def keep(self, keys: typing.Collection[Key]) -> None:
         """Forget all others."""
-        for key in [item for item in self._sights if item not in keys]:
-            del self._sights[key]
+        for key in [item for item in self._observations if item not in keys]:
+            del self._observations[key]
--- a/eelgrasswick/cookie/steering.py
+++ b/eelgrasswick/cookie/steering.py
@@ -4,7 +4,7 @@
 import hashlib
 import typing
 
-from eelgrasswick.cookie import catalog, codec, model, placing, sights, tracker
+from eelgrasswick.cookie import catalog, codec, model, observations, placing, tracker
 
 # While knowledge is older, a route that is not known may be one that was just
 # added. Two seconds are within the three in which a change is to be in force
@@ -59,13 +59,13 @@
         zone: str,
         wire: codec.SegmentCodec,
         known: catalog.Catalog,
-        seen: sights.Sights,
+        seen: observations.Observations,
     ) -> None:
         """Steer for a VM of a zone."""
         self._zone = zone
         self._codec = wire
         self._catalog = known
-        self._sights = seen
+        self._observations = seen
 
     def steer(
         self, now_ms: int, age_ms: int, segment: model.Segment, raw: bytes
@@ -104,7 +104,7 @@
     ) -> Decision:
         flow = segment.flow
         copies = segment.acknowledged
-        record = self._sights.tracker.get(flow)
+        record = self._observations.tracker.get(flow)
         before = self._catalog.by_cookie(record.cookie) if record is not None else None
         if record is None or before is None:
             return self._place(now_ms, route, flow, raw, copies, None)
@@ -114,7 +114,7 @@
             # first. At a second target the flow would be open twice.
             return self._passed_on(Outcome.PLACED, before, raw)
         decision = self._place(now_ms, route, flow, raw, copies, before)
-        probe = before if self._sights.unanswered(now_ms, before) else None
+        probe = before if self._observations.unanswered(now_ms, before) else None
         return decision._replace(probe=probe)
 
     def _place(
@@ -128,7 +128,7 @@
     ) -> Decision:
         service = placing.pick_service(route.shares, _draws(flow, 0)[0])
         passed_over = silent.cookie if silent is not None else 0
-        candidates = self._sights.candidates(now_ms, service, passed_over)
+        candidates = self._observations.candidates(now_ms, service, passed_over)
         target = placing.choose(candidates, self._zone, _draws(flow, copies))
         if target is None and not self._catalog.settled:
             # A refusal would be final while the caller's next copy may find one.
@@ -136,8 +136,8 @@
         if target is None:
             datagram = self._codec.reset(flow, 0)
             return Decision(Outcome.NO_TARGET, datagram, None, None)
-        self._sights.tracker.placed(now_ms, flow, target.cookie, copies)
-        self._sights.placed(now_ms, target)
+        self._observations.tracker.placed(now_ms, flow, target.cookie, copies)
+        self._observations.placed(now_ms, target)
         outcome = Outcome.PLACED if silent is None else Outcome.PLACED_AGAIN
         return self._passed_on(outcome, target, raw)
 
@@ -149,7 +149,7 @@
         return Decision(outcome, datagram, target.address, target)
 
     def _forward(self, now_ms: int, segment: model.Segment, raw: bytes) -> Decision:
-        record = self._sights.tracker.get(segment.flow)
+        record = self._observations.tracker.get(segment.flow)
         cookie = segment.cookie
         if record is not None and record.open:
             # When two targets answered copies of one opening packet, the
@@ -159,11 +159,11 @@
         target = self._catalog.by_cookie(cookie)
         if target is None:
             return Decision(Outcome.UNKNOWN_COOKIE, None, None, None)
-        if self._sights.verdicts.dead(cookie):
-            self._sights.tracker.forget(segment.flow)
+        if self._observations.liveness.dead(cookie):
+            self._observations.tracker.forget(segment.flow)
             datagram = self._codec.reset(segment.flow, segment.acknowledged)
             return Decision(Outcome.TARGET_DEAD, datagram, None, target)
-        sight = self._sights.tracker.passed(now_ms, segment, cookie)
+        sight = self._observations.tracker.passed(now_ms, segment, cookie)
         probe = target if self._learn(now_ms, target, sight) else None
         if cookie != segment.cookie:
             raw = self._codec.marked(raw, cookie)
@@ -178,19 +178,19 @@
 
     def abandon(self, target: model.Target) -> list[tuple[model.FlowId, bytes]]:
         """Return a reset for each open flow of a target that is dead."""
-        flows = self._sights.tracker.open_on(target.cookie)
+        flows = self._observations.tracker.open_on(target.cookie)
         for flow, _ in flows:
-            self._sights.tracker.forget(flow)
+            self._observations.tracker.forget(flow)
         return [(flow, self._codec.reset(flow, at)) for flow, at in flows]
 
     def _learn(self, now_ms: int, target: model.Target, sight: tracker.Sight) -> bool:
         probe = False
         if sight.opened or sight.answer_ms is not None:
-            self._sights.answered(now_ms, target)
+            self._observations.answered(now_ms, target)
         elif sight.repeated:
-            probe = self._sights.unanswered(now_ms, target)
+            probe = self._observations.unanswered(now_ms, target)
         if sight.answer_ms is not None:
-            self._sights.speeds.answered(target.cookie, sight.answer_ms)
+            self._observations.speeds.answered(target.cookie, sight.answer_ms)
         return probe
 
 
--- a/eelgrasswick/cookie/storing.py
+++ b/eelgrasswick/cookie/store_watch.py
@@ -6,13 +6,13 @@
 from twisted.internet import defer
 
 from eelgrasswick import errors
-from eelgrasswick.cookie import clock, journal, knowledge, source, watching
+from eelgrasswick.cookie import clock, event_log, knowledge, source, watch_policy
 
 Merged = typing.Callable[[int, knowledge.Merge, str], None]
 _ORIGIN: typing.Final = "store"
 
 
-class Storing:
+class StoreWatch:
     """One call to the store at a time, and what it brings."""
 
     def __init__(
@@ -20,7 +20,7 @@
         calls: source.ChangeSource,
         known: knowledge.Knowledge,
         merged: Merged,
-        log: journal.Journal,
+        log: event_log.EventLog,
         rng: random.Random,
     ) -> None:
         """Merge what the store says into some knowledge.
@@ -38,7 +38,7 @@
         self._merged = merged
         self._log = log
         self._rng = rng
-        self._watching = watching.Watching()
+        self._policy = watch_policy.WatchPolicy()
         self._busy = False
         self._listing = True
         self._rank = 0
@@ -46,7 +46,7 @@
     @property
     def answers(self) -> bool:
         """False while the store does not answer this VM."""
-        return self._watching.failures < 2
+        return self._policy.failures < 2
 
     def check(self, now_ms: int, rank: int) -> None:
         """Call the store if it is this VM's turn.
@@ -57,7 +57,7 @@
         """
         self._rank = rank
         age_ms = self._knowledge.age_ms(now_ms)
-        if self._busy or not self._watching.due(now_ms, age_ms, rank):
+        if self._busy or not self._policy.due(now_ms, age_ms, rank):
             return
         self._busy = True
         defer.ensureDeferred(self._call(now_ms))
@@ -86,7 +86,7 @@
     async def _watched(self) -> None:
         asked_ms = clock.now_ms()
         before = self._knowledge.revision
-        changes = await self._source.changes(before, watching.WAIT_MS)
+        changes = await self._source.changes(before, watch_policy.WAIT_MS)
         if not changes.rows and changes.revision > before:
             # The store has gone on without telling what changed. Taken over,
             # its revision would hide those changes for good.
@@ -94,7 +94,7 @@
             return
         self._take(changes)
         # With nothing to tell, the store has waited all the while.
-        waited_ms = 0 if changes.rows else watching.WAIT_MS
+        waited_ms = 0 if changes.rows else watch_policy.WAIT_MS
         self._knowledge.confirm(changes.revision, asked_ms + waited_ms)
 
     def _take(self, changes: source.Changes) -> None:
@@ -104,19 +104,19 @@
 
     def _answered(self, asked_ms: int) -> None:
         now_ms = clock.now_ms()
-        if self._watching.failures:
+        if self._policy.failures:
             self._log.write(
                 now_ms,
                 "store_regained",
-                failures=self._watching.failures,
+                failures=self._policy.failures,
                 answer_ms=now_ms - asked_ms,
                 revision=self._knowledge.revision,
             )
-        self._watching.answered(now_ms, self._rank)
+        self._policy.answered(now_ms, self._rank)
 
     def _failed(self, error: errors.EelgrasswickError) -> None:
         now_ms = clock.now_ms()
-        wait_ms = self._watching.failed(now_ms, self._rank, self._rng.random())
+        wait_ms = self._policy.failed(now_ms, self._rank, self._rng.random())
         self._note("store_lost", error, retry_ms=wait_ms)
 
     def _note(
@@ -128,7 +128,7 @@
             event,
             kind=error.kind.value,
             detail=error.detail,
-            failures=self._watching.failures,
+            failures=self._policy.failures,
             revision=self._knowledge.revision,
             age_ms=knowledge.shown_ms(self._knowledge.age_ms(now_ms)),
             **fields,
--- a/eelgrasswick/cookie/watching.py
+++ b/eelgrasswick/cookie/watch_policy.py
@@ -36,7 +36,7 @@
 OTHERS_RETRY_MS: typing.Final = 2500
 
 
-class Watching:
+class WatchPolicy:
     """One VM's turn to call the store."""
 
     def __init__(self) -> None:
--- a/eelgrasswick/emulation/cookie_load.py
+++ b/eelgrasswick/emulation/cookie_load.py
@@ -1,6 +1,6 @@
 """Loads on flows that name their target, in virtual time.
 
-Real steering, with its placement, silence, verdicts and reports, is driven by
+Real steering, with its placement, silence, liveness and reports, is driven by
 callers and targets that are models: a caller opens a long flow, asks, pauses and
 asks again; a target has slots, a speed and a short queue. A seed decides all
 random choices, so one load can be played under two settings and compared.
@@ -16,7 +16,7 @@
     codec,
     knowledge,
     model,
-    sights,
+    observations,
     source,
     steering,
 )
@@ -163,7 +163,7 @@
         self._targets = [_Target(n, item) for n, item in enumerate(load.servers)]
         self._by_cookie: dict[int, _Target] = {}
         self._codec = wire
-        self._vms: list[tuple[str, steering.Steering, sights.Sights]] = []
+        self._vms: list[tuple[str, steering.Steering, observations.Observations]] = []
         for zone in ZONES * vms_per_zone:
             self._add_vm(zone, rows, reader)
         self._times_ms: list[int] = []
@@ -190,7 +190,7 @@
     ) -> None:
         known = catalog.Catalog(reader)
         known.update(0, knowledge.Merge(tuple(rows), 0))
-        seen = sights.Sights(zone, known)
+        seen = observations.Observations(zone, known)
         names = [row.key.rpartition("/")[2] for row in rows[1:]]
         for target in known.targets:
             self._by_cookie[target.cookie] = self._targets[names.index(target.name)]
@@ -366,7 +366,7 @@
 
     def _probed(
         self,
-        seen: sights.Sights,
+        seen: observations.Observations,
         made: steering.Steering,
         zone: str,
         target: model.Target,
@@ -374,7 +374,7 @@
         found = self._by_cookie[target.cookie]
         accepted = not found.dark and not self._apart(zone, found.server.zone)
         path_ms = seen.path_ms(target)
-        if seen.verdicts.probed(self._now_ms, target.cookie, accepted, path_ms):
+        if seen.liveness.probed(self._now_ms, target.cookie, accepted, path_ms):
             made.abandon(target)
 
     def _reached(self, flow: _Flow, decision: steering.Decision) -> _Target | None:
--- a/tests/test_cookie_load.py
+++ b/tests/test_cookie_load.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from eelgrasswick.cookie import placing, sights, speed
+from eelgrasswick.cookie import observations, placing, speed
 from eelgrasswick.emulation import cookie_load
 from eelgrasswick.platform import entries, segments
 from tests import cookie_parts
@@ -81,7 +81,7 @@
     """
     dark = tuple(Trouble(5000, "dark", number, 12_000) for number in (0, 3))
     noticed = _play(_load(troubles=dark))
-    monkeypatch.setattr(sights.Sights, "unanswered", lambda *_: False)
+    monkeypatch.setattr(observations.Observations, "unanswered", lambda *_: False)
     unnoticed = _play(_load(troubles=dark))
     assert noticed.served > 0.998
     assert noticed.served > unnoticed.served + 0.005
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from eelgrasswick.cookie import carrying, settings, source
+from eelgrasswick.cookie import forwarding, settings, source
 from tests import cookie_parts, entry_parts, turning
 
 Start = typing.Callable[..., entry_parts.RunningVm]
@@ -150,13 +150,13 @@
     vm = start("127.4.1.1", store)
     _await_ready(vm)
     _send(vm, cookie_parts.packet(cookie_parts.SYN))
-    time.sleep(carrying.STALL_MS / 1000 + 0.1)
+    time.sleep(forwarding.STALL_MS / 1000 + 0.1)
     lines: list[str] = []
     turning.until(lambda: lines.extend(vm.log()) or "flow_dropped_old" in str(lines))
     with pytest.raises(BlockingIOError):
         server.recv(2000)
     turning.until(lambda: lines.extend(vm.log()) or "event=woke" in str(lines))
-    time.sleep(carrying.BACKLOG_MS / 1000)
+    time.sleep(forwarding.BACKLOG_MS / 1000)
     _send(vm, cookie_parts.packet(cookie_parts.SYN, 40_002))
     assert _await_datagram(server)
 
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -14,7 +14,7 @@
     peers,
     reports,
     source,
-    watching,
+    watch_policy,
 )
 
 STEP_MS: typing.Final = 50
@@ -157,9 +157,9 @@
     for _ in range(12):
         for vm in watchers:
             vm.knowledge.confirm(1, talk.now_ms)
-        talk.run(watching.WAIT_MS + watching.GAP_MS)
+        talk.run(watch_policy.WAIT_MS + watch_policy.GAP_MS)
         oldest_ms.append(talk.oldest_ms())
-    assert max(oldest_ms[2:]) < watching.STALE_MS
+    assert max(oldest_ms[2:]) < watch_policy.STALE_MS
 
 
 def test_vm_that_is_cut_off_knows_that_it_is(talk: Talk) -> None:
--- /dev/null
+++ b/tests/test_liveness.py
@@ -0,0 +1,58 @@
+"""When a silent target counts as dead."""
+
+import pytest
+
+from eelgrasswick.cookie import liveness
+
+
+@pytest.fixture
+def checks() -> liveness.Liveness:
+    return liveness.Liveness()
+
+
+def test_silent_target_that_accepts_nothing_is_dead(checks: liveness.Liveness) -> None:
+    """A server crashed without a word, others of its zone go on."""
+    assert checks.begin(1000, 7, path_ms=900)
+    assert not checks.dead(7)
+    assert checks.probed(1250, 7, accepted=False, path_ms=1200)
+    assert checks.dead(7)
+
+
+def test_slow_target_is_not_dead(checks: liveness.Liveness) -> None:
+    """A server works on long requests and its callers send again.
+
+    A reset would break off what it is about to answer.
+    """
+    checks.begin(1000, 7, path_ms=900)
+    assert not checks.probed(1250, 7, accepted=True, path_ms=1200)
+    assert not checks.dead(7)
+    assert not checks.begin(1300, 7, path_ms=1300)
+    assert checks.begin(1250 + liveness.AGAIN_MS, 7, path_ms=2700)
+
+
+def test_target_behind_a_cut_is_not_dead(checks: liveness.Liveness) -> None:
+    """A zone is cut off; its servers live and their flows go on afterwards."""
+    assert not checks.begin(3000, 7, path_ms=1000)
+    assert checks.begin(3000, 8, path_ms=2500)
+    assert not checks.probed(3600, 8, accepted=False, path_ms=2500)
+    assert not checks.dead(8)
+
+
+def test_target_behind_a_cut_that_has_just_begun_is_not_dead(
+    checks: liveness.Liveness,
+) -> None:
+    """A zone is cut off, and one of its servers is found silent right then.
+
+    Others of the zone answered a moment before the cut, which proves nothing.
+    Reset, the flows of a server that lives would be broken.
+    """
+    assert checks.begin(500, 7, path_ms=5)
+    assert not checks.probed(750, 7, accepted=False, path_ms=20)
+    assert not checks.dead(7)
+
+
+def test_answer_closes_the_case(checks: liveness.Liveness) -> None:
+    checks.begin(1000, 7, path_ms=900)
+    checks.answered(7)
+    assert not checks.probed(1250, 7, accepted=False, path_ms=1200)
+    assert not checks.dead(7)
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -2,7 +2,14 @@
 
 import pytest
 
-from eelgrasswick.cookie import catalog, knowledge, model, reports, sights, steering
+from eelgrasswick.cookie import (
+    catalog,
+    knowledge,
+    model,
+    observations,
+    reports,
+    steering,
+)
 from eelgrasswick.platform import entries, segments
 from tests import cookie_parts
 
@@ -20,12 +27,14 @@
 
 
 @pytest.fixture
-def seen(known: catalog.Catalog) -> sights.Sights:
-    return sights.Sights("z1", known)
+def seen(known: catalog.Catalog) -> observations.Observations:
+    return observations.Observations("z1", known)
 
 
 @pytest.fixture
-def steers(known: catalog.Catalog, seen: sights.Sights) -> steering.Steering:
+def steers(
+    known: catalog.Catalog, seen: observations.Observations
+) -> steering.Steering:
     return steering.Steering("z1", segments.Codec(), known, seen)
 
 
@@ -62,7 +71,9 @@
     Its caller would wait in vain if that VM had to know the flow.
     """
     target = _open(steers)
-    other = steering.Steering("z2", segments.Codec(), known, sights.Sights("z2", known))
+    other = steering.Steering(
+        "z2", segments.Codec(), known, observations.Observations("z2", known)
+    )
     raw = cookie_parts.packet(cookie_parts.ACK, cookie=target.cookie, data=b"GET")
     decision = _steer(other, 5, raw)
     assert decision.target == target
@@ -109,7 +120,7 @@
 
 
 def test_doubled_opening_packet_goes_to_one_target(
-    steers: steering.Steering, seen: sights.Sights
+    steers: steering.Steering, seen: observations.Observations
 ) -> None:
     """The network delivers an opening packet twice.
 
@@ -223,7 +234,7 @@
     known = catalog.Catalog(entries.Reader())
     known.update(0, knowledge.Merge((cookie_parts.config_row(1),), 10**9))
     steers = steering.Steering(
-        "z1", segments.Codec(), known, sights.Sights("z1", known)
+        "z1", segments.Codec(), known, observations.Observations("z1", known)
     )
     raw = cookie_parts.packet(cookie_parts.SYN)
     decision = _steer(steers, 100, raw)
@@ -245,7 +256,7 @@
 
 
 def test_target_that_others_find_silent_is_left_out(
-    steers: steering.Steering, seen: sights.Sights
+    steers: steering.Steering, seen: observations.Observations
 ) -> None:
     """A server went silent and two other VMs have lost packets to it.
 
@@ -260,7 +271,7 @@
 
 
 def test_one_other_vm_removes_no_target(
-    steers: steering.Steering, seen: sights.Sights
+    steers: steering.Steering, seen: observations.Observations
 ) -> None:
     """One VM's own link is broken and it finds every target silent."""
     first = _open(steers)
@@ -270,7 +281,7 @@
 
 
 def test_zone_that_is_cut_off_is_left_out_at_once(
-    known: catalog.Catalog, seen: sights.Sights, steers: steering.Steering
+    known: catalog.Catalog, seen: observations.Observations, steers: steering.Steering
 ) -> None:
     """A zone is cut off from the others, where most targets are.
 
@@ -292,7 +303,7 @@
 
 
 def test_nothing_is_left_out_when_all_are_silent(
-    known: catalog.Catalog, seen: sights.Sights
+    known: catalog.Catalog, seen: observations.Observations
 ) -> None:
     """A VM's own link to all targets is broken for a moment.
 
@@ -319,7 +330,7 @@
     assert first not in targets
 
 
-def _crash(steers: steering.Steering, seen: sights.Sights) -> model.Target:
+def _crash(steers: steering.Steering, seen: observations.Observations) -> model.Target:
     """Let a target fall silent with one flow open; return it when it is dead."""
     first = _open(steers)
     raw = cookie_parts.packet(cookie_parts.ACK, cookie=first.cookie, data=b"GET")
@@ -332,12 +343,12 @@
         decision = _steer(steers, now_ms, raw)
     assert decision is not None
     assert decision.probe == first
-    assert seen.verdicts.probed(460, first.cookie, False, 300)
+    assert seen.liveness.probed(460, first.cookie, False, 300)
     return first
 
 
 def test_flows_of_a_dead_target_are_reset(
-    steers: steering.Steering, seen: sights.Sights
+    steers: steering.Steering, seen: observations.Observations
 ) -> None:
     """A server crashes while flows are open on it.
 
@@ -355,7 +366,7 @@
 
 
 def test_target_that_answers_again_is_not_dead(
-    steers: steering.Steering, seen: sights.Sights
+    steers: steering.Steering, seen: observations.Observations
 ) -> None:
     first = _crash(steers, seen)
     seen.answered(720, first)
@@ -364,7 +375,7 @@
 
 
 def test_flows_of_other_vms_count(
-    steers: steering.Steering, known: catalog.Catalog, seen: sights.Sights
+    steers: steering.Steering, known: catalog.Catalog, seen: observations.Observations
 ) -> None:
     """Another VM of the zone has filled one target.
 
@@ -379,7 +390,7 @@
 
 
 def test_flows_spread_evenly(
-    steers: steering.Steering, known: catalog.Catalog, seen: sights.Sights
+    steers: steering.Steering, known: catalog.Catalog, seen: observations.Observations
 ) -> None:
     for number in range(60):
         _open(steers, port=41_000 + number)
--- a/tests/test_storing.py
+++ b/tests/test_store_watch.py
@@ -8,7 +8,7 @@
 from twisted.internet import defer
 
 from eelgrasswick import errors
-from eelgrasswick.cookie import clock, journal, knowledge, source, stats, storing
+from eelgrasswick.cookie import clock, event_log, knowledge, source, stats, store_watch
 
 Answer = source.Changes | Exception
 ROW = source.Row("servers/i-0a", b"v", 5)
@@ -39,15 +39,15 @@
 
 
 class Task:
-    """A storing task whose clock is turned by hand."""
+    """A store_watch task whose clock is turned by hand."""
 
     def __init__(self, script: Script, log: int) -> None:
         """Call a scripted store."""
         self.now_ms = 100_000
         self.knowledge = knowledge.Knowledge()
         self.merges: list[knowledge.Merge] = []
-        written = journal.Journal(log, "vm1", 100, stats.Stats())
-        self.storing = storing.Storing(
+        written = event_log.EventLog(log, "vm1", 100, stats.Stats())
+        self.store_watch = store_watch.StoreWatch(
             script, self.knowledge, self._merged, written, random.Random(1)
         )
 
@@ -57,7 +57,7 @@
     def step(self, after_ms: int = 5000) -> None:
         """Let time pass, and call the store if it is this VM's turn."""
         self.now_ms += after_ms
-        self.storing.check(self.now_ms, 0)
+        self.store_watch.check(self.now_ms, 0)
 
 
 Start = typing.Callable[..., Task]
@@ -133,9 +133,9 @@
     task.step()
     task.step()
     assert task.knowledge.age_ms(task.now_ms) == 10_000
-    assert not task.storing.answers
+    assert not task.store_watch.answers
     task.step()
-    assert task.storing.answers
+    assert task.store_watch.answers
     assert task.knowledge.age_ms(task.now_ms) <= 0
 
 
@@ -162,7 +162,7 @@
     """
     read, write = os.pipe()
     counted = stats.Stats()
-    written = journal.Journal(write, "vm1", 10**9, counted)
+    written = event_log.EventLog(write, "vm1", 10**9, counted)
     for number in range(20_000):
         written.write(number, "event", detail="x" * 50)
         written.flush()
@@ -175,7 +175,7 @@
 
 def test_journal_says_what_was_left_out() -> None:
     read, write = os.pipe()
-    written = journal.Journal(write, "vm1", 2, stats.Stats())
+    written = event_log.EventLog(write, "vm1", 2, stats.Stats())
     for now_ms in (0, 1, 2, 3, 1500):
         written.write(now_ms, "event")
     written.flush()
