--- a/eelgrasswick/cookie/catalog.py
+++ b/eelgrasswick/cookie/catalog.py
@@ -13,8 +13,8 @@
 # Age of knowledge from which a deletion may be due to an outage. Without one a
 # VM's knowledge is at most two seconds old.
 OUTAGE_MS: typing.Final = 2500
-# Age of knowledge up to which the store counts as there. A watch is answered
-# at least every second, and the answer takes up to 0.8 s more to reach all VMs.
+# Confirmations that are further apart than this have an outage between them. A
+# watch is answered each second, and its answer takes up to 0.8 s to reach all VMs.
 PRESENT_MS: typing.Final = 1800
 # A flow may live for 60 s. So long a target that is gone is remembered, as its
 # entry may lapse while it goes on serving.
@@ -48,7 +48,7 @@
         self._by_service: dict[str, list[model.Target]] = {}
         self._gone_ms: collections.OrderedDict[int, int] = collections.OrderedDict()
         self._lapsed: dict[str, _Lapsed] = {}
-        self._tick_ms = 0
+        self._confirmed_ms = knowledge.NEVER_MS
         self._unsettled_ms = 0
         # A dict for its order: the oldest is forgotten first.
         self._dropped: dict[tuple[bytes, int], None] = {}
@@ -113,7 +113,6 @@
         """
         if merge.gap_ms > OUTAGE_MS:
             self._unsettled_ms = LAPSE_MS
-            self._tick_ms = now_ms
         notes = []
         for row in merge.rows:
             if self._reader.is_config(row.key):
@@ -123,17 +122,19 @@
         self._rebuild()
         return notes
 
-    def tick(self, now_ms: int, age_ms: int) -> None:
+    def tick(self, now_ms: int, confirmed_ms: int) -> None:
         """Forget targets that are gone for long enough.
 
         Args:
             now_ms: Present time.
-            age_ms: Age of what this VM knows. While the store is away again,
-                servers can't bring their entries back, and that time does not
-                count.
+            confirmed_ms: Up to when the store is known to have been there. While
+                it is away again, servers can't bring their entries back, and
+                that time does not count.
         """
-        elapsed_ms = now_ms - self._tick_ms if age_ms <= PRESENT_MS else 0
-        self._tick_ms = now_ms
+        elapsed_ms = confirmed_ms - self._confirmed_ms
+        self._confirmed_ms = confirmed_ms
+        if elapsed_ms > PRESENT_MS:
+            elapsed_ms = 0
         self._unsettled_ms = max(0, self._unsettled_ms - elapsed_ms)
         lapsed = []
         for name, item in self._lapsed.items():
--- a/eelgrasswick/cookie/entry.py
+++ b/eelgrasswick/cookie/entry.py
@@ -209,7 +209,7 @@
     def _ask(self) -> None:
         now_ms = clock.now_ms()
         self._observations.tick(now_ms)
-        self._catalog.tick(now_ms, self._knowledge.age_ms(now_ms))
+        self._catalog.tick(now_ms, self._knowledge.confirmed_ms)
         self._gossip.ask(now_ms, self._observations.report(), self._store_watch.answers)
 
     def _check(self) -> None:
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -46,7 +46,7 @@
     _update(known, 10, cookie_parts.gone_row("i-0a", 4))
     assert _names(known) == {"i-0b"}
     assert known.by_cookie(cookie) is not None
-    known.tick(10 + catalog.REMEMBER_MS, age_ms=0)
+    known.tick(10 + catalog.REMEMBER_MS, confirmed_ms=0)
     assert known.by_cookie(cookie) is None
 
 
@@ -60,7 +60,10 @@
     """
     _update(known, 5000, cookie_parts.gone_row("i-0a", 4), gap_ms=5000)
     assert "i-0a" in _names(known)
-    known.tick(5000 + catalog.LAPSE_MS, age_ms=0)
+    known.tick(5000, confirmed_ms=5000)
+    known.tick(6000, confirmed_ms=6000)
+    assert "i-0a" in _names(known)
+    known.tick(7000, confirmed_ms=7000)
     assert _names(known) == {"i-0b"}
 
 
@@ -73,11 +76,12 @@
     callers would be refused until the store is back for good.
     """
     _update(known, 5000, cookie_parts.gone_row("i-0a", 4), gap_ms=5000)
-    for now_ms in range(5250, 12_000, 250):
-        known.tick(now_ms, age_ms=now_ms - 5000)
+    known.tick(5250, confirmed_ms=5000)
+    for now_ms in range(5500, 12_000, 250):
+        known.tick(now_ms, confirmed_ms=5600)
     assert "i-0a" in _names(known)
-    for now_ms in range(12_000, 12_000 + catalog.LAPSE_MS, 250):
-        known.tick(now_ms, age_ms=100)
+    for now_ms in range(12_000, 14_250, 250):
+        known.tick(now_ms, confirmed_ms=now_ms - 100)
     assert _names(known) == {"i-0b"}
 
 
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -240,7 +240,8 @@
     decision = _steer(steers, 100, raw)
     assert decision.outcome is steering.Outcome.NO_TARGET_YET
     assert decision.datagram is None
-    known.tick(catalog.LAPSE_MS, age_ms=100)
+    for now_ms in range(0, catalog.LAPSE_MS + 1, 500):
+        known.tick(now_ms, confirmed_ms=now_ms)
     assert _steer(steers, 2100, raw).outcome is steering.Outcome.NO_TARGET
 
 
