--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -51,7 +51,7 @@
     assert not checks.dead(7)
 
 
-def test_answer_closes_the_case(checks: liveness.Liveness) -> None:
+def test_answer_closes_the_check(checks: liveness.Liveness) -> None:
     checks.begin(1000, 7, path_ms=900)
     checks.answered(7)
     assert not checks.probed(1250, 7, accepted=False, path_ms=1200)
