--- a/eelgrasswick/cookie/model.py
+++ b/eelgrasswick/cookie/model.py
@@ -1,8 +1,12 @@
 """The things that packets are steered by: routes, targets and segments."""
 
+import functools
 import hashlib
 import typing
 
+# Above the 19,000 targets of the design size; each lifetime is hashed once.
+_MAX_COOKIES: typing.Final = 32_768
+
 
 class Address(typing.NamedTuple):
     """Where datagrams go: dotted IPv4 address and port."""
@@ -115,6 +119,11 @@
     @property
     def cookie(self) -> int:
         """A 32-bit hash of name and lifetime, never 0."""
-        text = f"{self.name}/{self.born_ms}".encode()
-        digest = hashlib.blake2b(text, digest_size=4).digest()
-        return int.from_bytes(digest, "big") or 1
+        return _cookie(self.name, self.born_ms)
+
+
+@functools.lru_cache(maxsize=_MAX_COOKIES)
+def _cookie(name: str, born_ms: int) -> int:
+    # Placement and the tick of each 250 ms ask for it several times a target.
+    digest = hashlib.blake2b(f"{name}/{born_ms}".encode(), digest_size=4).digest()
+    return int.from_bytes(digest, "big") or 1
--- a/eelgrasswick/cookie/observations.py
+++ b/eelgrasswick/cookie/observations.py
@@ -55,12 +55,12 @@
         self._silence.tried(now_ms, target.cookie)
         self._zone_silence.tried(now_ms, target.zone)
 
-    def answered(self, now_ms: int, target: model.Target) -> bool:
-        """Note that a target answered; True when it was passed over before."""
+    def answered(self, now_ms: int, target: model.Target) -> None:
+        """Note that a target answered."""
         self._answered_ms[target.zone] = now_ms
         self.liveness.answered(target.cookie)
         self._zone_silence.answered(target.zone)
-        return self._silence.answered(target.cookie)
+        self._silence.answered(target.cookie)
 
     def unanswered(self, now_ms: int, target: model.Target) -> bool:
         """Note an unanswered packet; True when the target should be probed."""
--- a/tests/entry_parts.py
+++ b/tests/entry_parts.py
@@ -1,5 +1,6 @@
 """Entry VMs on loopback sockets, with a store in memory."""
 
+import contextlib
 import os
 import random
 import socket
@@ -11,6 +12,7 @@
 from eelgrasswick import errors
 from eelgrasswick.cookie import entry, settings, source
 from eelgrasswick.platform import entries, segments
+from eelgrasswick.soak import layout
 from tests import turning
 
 READY_PATH: typing.Final = "/ready"
@@ -18,6 +20,16 @@
 _OFFSETS: typing.Final = {"ready": 1, "peer": 2, "metrics": 3}
 
 
+# Held until this process ends, so that tests in other processes take another.
+_HELD: typing.Final = contextlib.ExitStack()
+_BLOCK: typing.Final = _HELD.enter_context(layout.reserved())
+
+
+def host(number: int) -> str:
+    """Return a loopback address that no other process of tests uses."""
+    return f"127.{_BLOCK}.1.{number}"
+
+
 class MemoryStore(source.ChangeSource):
     """A store in memory; ``down`` makes every call fail."""
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -33,7 +33,7 @@
 @pytest.fixture
 def server() -> typing.Iterator[socket.socket]:
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as made:
-        made.bind(("127.4.1.9", 0))
+        made.bind((entry_parts.host(9), 0))
         made.setblocking(False)
         yield made
 
@@ -74,7 +74,7 @@
 def test_opening_packet_reaches_the_target(
     start: Start, store: entry_parts.MemoryStore, server: socket.socket
 ) -> None:
-    vm = start("127.4.1.1", store)
+    vm = start(entry_parts.host(1), store)
     _await_ready(vm)
     _send(vm, cookie_parts.packet(cookie_parts.SYN))
     assert _await_datagram(server).startswith(bytes(7) + b"\x0a")
@@ -94,11 +94,11 @@
     """
     many = [("198.18.0.1", port, "desk") for port in range(443, 900)]
     store.write(cookie_parts.config_row(3, routes=many))
-    first = start("127.4.1.1", store)
+    first = start(entry_parts.host(1), store)
     _await_ready(first)
     away = entry_parts.MemoryStore()
     away.down = True
-    second = start("127.4.1.2", away, "127.4.1.1")
+    second = start(entry_parts.host(2), away, entry_parts.host(1))
     _await_ready(second)
     _send(second, cookie_parts.packet(cookie_parts.SYN, port=899))
     assert _await_datagram(server)
@@ -113,8 +113,8 @@
     """
     away = entry_parts.MemoryStore()
     away.down = True
-    first = start("127.4.1.1", store)
-    second = start("127.4.1.2", away, "127.4.1.1")
+    first = start(entry_parts.host(1), store)
+    second = start(entry_parts.host(2), away, entry_parts.host(1))
     _await_ready(second)
     store.write(cookie_parts.config_row(9, version=5))
     seen: list[str] = []
@@ -134,7 +134,7 @@
     """
     away = entry_parts.MemoryStore()
     away.down = True
-    vm = start("127.4.1.1", away)
+    vm = start(entry_parts.host(1), away)
     lines: list[str] = []
     turning.until(lambda: lines.extend(vm.log()) or "store_lost" in str(lines))
     assert not vm.ready()
@@ -150,7 +150,7 @@
     The opening packets that wait in its socket would open them a second time,
     at other targets.
     """
-    vm = start("127.4.1.1", store)
+    vm = start(entry_parts.host(1), store)
     _await_ready(vm)
     _send(vm, cookie_parts.packet(cookie_parts.SYN))
     time.sleep(forwarding.STALL_MS / 1000 + 0.1)
@@ -172,24 +172,24 @@
     Lost, their callers would send them again only after their time limit.
     """
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as waiting:
-        waiting.bind(("127.4.1.1", entry_parts.DATA_PORT))
+        waiting.bind((entry_parts.host(1), entry_parts.DATA_PORT))
         waiting.setblocking(False)
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as made:
             raw = cookie_parts.packet(cookie_parts.SYN)
-            made.sendto(raw, ("127.4.1.1", entry_parts.DATA_PORT))
-        start("127.4.1.1", store, waiting=waiting)
+            made.sendto(raw, (entry_parts.host(1), entry_parts.DATA_PORT))
+        start(entry_parts.host(1), store, waiting=waiting)
         assert _await_datagram(server)
 
 
 def test_leaving_vm_says_so(start: Start, store: entry_parts.MemoryStore) -> None:
-    vm = start("127.4.1.1", store)
+    vm = start(entry_parts.host(1), store)
     _await_ready(vm)
     vm.vm.stop()
     assert not vm.ready()
 
 
 def test_metrics(start: Start, store: entry_parts.MemoryStore) -> None:
-    vm = start("127.4.1.1", store)
+    vm = start(entry_parts.host(1), store)
     _await_ready(vm)
     _send(vm, b"no packet")
     turning.until(lambda: b"packets_malformed_total 1" in vm.get("metrics", "/metrics"))
@@ -205,7 +205,7 @@
 
     A line for each datagram would take the time that packets need.
     """
-    vm = start("127.4.1.1", store)
+    vm = start(entry_parts.host(1), store)
     _await_ready(vm)
     vm.log()
     for _ in range(100):
@@ -220,15 +220,15 @@
 def test_new_seeds_are_taken(start: Start, store: entry_parts.MemoryStore) -> None:
     away = entry_parts.MemoryStore()
     away.down = True
-    start("127.4.1.1", store)
-    alone = start("127.4.1.2", away)
-    text = alone.text.replace("seeds = ", "seeds = 127.4.1.1:1")
+    start(entry_parts.host(1), store)
+    alone = start(entry_parts.host(2), away)
+    text = alone.text.replace("seeds = ", f"seeds = {entry_parts.host(1)}:1")
     alone.vm.reload(settings.read(text))
     _await_ready(alone)
 
 
 def test_deleted_target_is_told(start: Start, store: entry_parts.MemoryStore) -> None:
-    vm = start("127.4.1.1", store)
+    vm = start(entry_parts.host(1), store)
     _await_ready(vm)
     store.write(source.Row("servers/i-0a", None, 7))
     lines: list[str] = []
