Cut, mute and delay the links between VMs in soak runs; draw a picture of a run

Cause: the soak's VMs talked to each other past all proxies, so no run showed a VM or zone that is cut off from the others, and a failing run could only be read from its events. Each VM is now known to the others by an alias that the run listens on; a seed that failed once is drawn from the old kinds, as it was.

Ruled out: cutting by address filters of the machine (not ours to set), and a setting of the product for the address that others use (made for tests only).

--- a/eelgrasswick/soak/__main__.py
+++ b/eelgrasswick/soak/__main__.py
@@ -8,7 +8,7 @@
 
 from twisted.internet import defer, task
 
-from eelgrasswick.soak import layout, run
+from eelgrasswick.soak import faults, kept, layout, run
 
 
 def _options() -> argparse.Namespace:
@@ -20,13 +20,20 @@
     parser.add_argument("--targets", type=int, default=9)
     parser.add_argument("--flows-per-s", type=float, default=15.0)
     parser.add_argument("--faults", type=int, default=10)
+    parser.add_argument(
+        "--kept", action="store_true", help="the seeds that failed once, as they were"
+    )
+    parser.add_argument("--plot", type=pathlib.Path, help="picture of the last run")
     parser.add_argument("--keep", type=pathlib.Path, help="folder for failing seeds")
     return parser.parse_args()
 
 
 async def _play(reactor: typing.Any, options: argparse.Namespace) -> None:
+    seeds = list(range(options.seed, options.seed + options.seeds))
+    if options.kept:
+        seeds = [item.seed for item in kept.SEEDS]
     failed = 0
-    for seed in range(options.seed, options.seed + options.seeds):
+    for seed in seeds:
         asked = run.Options(
             seed,
             options.duration_s,
@@ -34,9 +41,11 @@
             options.targets,
             options.flows_per_s,
             options.faults,
+            faults.FIRST_KINDS if options.kept else faults.KINDS,
+            options.plot,
         )
         failed += not await _one(reactor, asked, options.keep)
-    print(f"{options.seeds - failed} passed, {failed} failed")
+    print(f"{len(seeds) - failed} passed, {failed} failed")
     if failed:
         raise SystemExit(1)
 
--- a/eelgrasswick/soak/actions.py
+++ b/eelgrasswick/soak/actions.py
@@ -4,10 +4,22 @@
 import time
 import typing
 
-from eelgrasswick.soak import fabric, faults, history, operator, processes, proxy
+from eelgrasswick.soak import (
+    fabric,
+    faults,
+    history,
+    layout,
+    operator,
+    peer_links,
+    processes,
+    proxy,
+)
 
 SERIES: typing.Final = 6
 SERIES_GAP_S: typing.Final = 0.15
+# A zone that is cut off from the store and all other VMs hears of no change. Its
+# knowledge must be new again within the operators' three seconds.
+ZONE_CUT_S: typing.Final = 2.0
 
 
 class Parts(typing.NamedTuple):
@@ -16,6 +28,7 @@
     vms: list[processes.Process]
     targets: list[processes.Process]
     proxies: list[proxy.Proxy]
+    peers: peer_links.PeerLinks
     fabric: fabric.Fabric
     operator: operator.Operator
 
@@ -127,6 +140,37 @@
         for made in self._some(item, len(self._parts.proxies)):
             made.reset()
 
+    def vm_cut(self, item: faults.Fault) -> None:
+        """Cut a VM off from all other VMs."""
+        self._cut([self._number(item)], item.for_s, mute=True, deaf=True)
+
+    def vm_mute(self, item: faults.Fault) -> None:
+        """Let a VM's datagrams to the others vanish."""
+        self._cut([self._number(item)], item.for_s, mute=True)
+
+    def vm_deaf(self, item: faults.Fault) -> None:
+        """Let the datagrams of the others to a VM vanish."""
+        self._cut([self._number(item)], item.for_s, deaf=True)
+
+    def zone_cut(self, item: faults.Fault) -> None:
+        """Cut all VMs of a zone off from all others and the store."""
+        for_s = min(item.for_s, ZONE_CUT_S)
+        zones = len(layout.ZONES)
+        numbers = range(int(item.pick * zones), len(self._parts.vms), zones)
+        self._parts.peers.zone = frozenset(numbers)
+        self._reactor.callLater(for_s, setattr, self._parts.peers, "zone", frozenset())
+        for number in numbers:
+            mood = proxy.Mood(forward=False, back=False)
+            self._mood(self._parts.proxies[number], for_s, mood)
+
+    def peers_lose(self, item: faults.Fault) -> None:
+        """Lose datagrams between VMs."""
+        self._peers_mood(item, peer_links.Mood(loses=0.4 * item.strength))
+
+    def peers_delay(self, item: faults.Fault) -> None:
+        """Delay datagrams between VMs, so that they overtake each other."""
+        self._peers_mood(item, peer_links.Mood(delay_s=0.4 * item.strength))
+
     def fabric_loses(self, item: faults.Fault) -> None:
         """Lose callers' packets."""
         self._fabric_mood(item, fabric.Mood(loses=0.2 * item.strength))
@@ -164,6 +208,26 @@
             for n in range(count)
         ]
 
+    def _number(self, item: faults.Fault) -> int:
+        return int(item.pick * len(self._parts.vms))
+
+    def _cut(
+        self, numbers: list[int], for_s: float, mute: bool = False, deaf: bool = False
+    ) -> None:
+        peers = self._parts.peers
+        for wanted, cut in ((mute, peers.mute), (deaf, peers.deaf)):
+            if wanted:
+                cut.update(numbers)
+                self._reactor.callLater(for_s, cut.difference_update, numbers)
+        for number in numbers if deaf else ():
+            mood = proxy.Mood(forward=False, back=False)
+            self._mood(peers.connections[number], for_s, mood)
+
+    def _peers_mood(self, item: faults.Fault, mood: peer_links.Mood) -> None:
+        peers = self._parts.peers
+        peers.mood = mood
+        self._reactor.callLater(item.for_s, setattr, peers, "mood", peer_links.Mood())
+
     def _pause(self, process: processes.Process, for_s: float) -> None:
         process.signal(signal.SIGSTOP)
         self._reactor.callLater(for_s, process.signal, signal.SIGCONT)
--- a/eelgrasswick/soak/faults.py
+++ b/eelgrasswick/soak/faults.py
@@ -25,7 +25,9 @@
     strength: float
 
 
-KINDS: typing.Final = (
+# The kinds that the first seeds were drawn from; a kept seed draws from these, as
+# more kinds would make another run of it.
+FIRST_KINDS: typing.Final = (
     "vm_term",
     "vm_kill",
     "vm_pause",
@@ -51,19 +53,36 @@
     "route_drop",
     "config_series",
 )
+KINDS: typing.Final = (
+    *FIRST_KINDS,
+    "vm_cut",
+    "vm_mute",
+    "vm_deaf",
+    "zone_cut",
+    "peers_lose",
+    "peers_delay",
+)
 
 
-def draw(seed: int, duration_s: float, count: int) -> list[Fault]:
+def draw(
+    seed: int, duration_s: float, count: int, kinds: typing.Sequence[str] = KINDS
+) -> list[Fault]:
     """Return the faults of a seed, in the order of their beginning.
 
     They come in series and overlap; the first seconds are quiet, so that the
     run has something to compare with, and so are the last ones.
+
+    Args:
+        seed: Decides everything.
+        duration_s: Length of the load.
+        count: How many faults.
+        kinds: What is drawn from.
     """
     rng = random.Random(seed)
     found = [
         Fault(
             round(rng.uniform(QUIET_S, max(QUIET_S, duration_s - LAST_S)), 2),
-            rng.choice(KINDS),
+            rng.choice(kinds),
             round(rng.uniform(0.5, 4.0), 2),
             rng.random(),
             rng.random(),
--- a/eelgrasswick/soak/layout.py
+++ b/eelgrasswick/soak/layout.py
@@ -15,6 +15,7 @@
 TARGET_PORT: typing.Final = 20180
 RESERVED_PORT: typing.Final = 20160
 SERVICE_IP: typing.Final = "198.18.0.1"
+SEEDS: typing.Final = 3
 BLOCKS: typing.Final = range(130, 230)
 
 
@@ -54,10 +55,15 @@
         """IP address of a caller."""
         return f"127.{self.block}.4.{number + 1}"
 
-    def ini(self, number: int) -> str:
-        """Return the settings of an entry VM."""
+    def ini(self, number: int, known_as: typing.Sequence[str]) -> str:
+        """Return the settings of an entry VM.
+
+        Args:
+            number: Which one.
+            known_as: Addresses that the VMs know each other by.
+        """
         host = self.vm(number)
-        seeds = ", ".join(f"{self.vm(seed)}:1" for seed in range(min(3, self.vms)))
+        seeds = ", ".join(f"{seed}:1" for seed in known_as[:SEEDS])
         return (
             f"[vm]\nname = vm{number}\nzone = {ZONES[number % len(ZONES)]}\n"
             f"data = {host}:{DATA_PORT}\nready = {host}:{READY_PORT}\n"
--- a/eelgrasswick/soak/run.py
+++ b/eelgrasswick/soak/run.py
@@ -17,12 +17,16 @@
     history,
     layout,
     operator,
+    peer_links,
+    plot,
     processes,
     proxy,
 )
 
 READY_PATH: typing.Final = "/api/readyz"
+# A machine with as many cores as a laptop starts two processes a second or more.
 START_S: typing.Final = 20.0
+START_EACH_S: typing.Final = 0.5
 # A killed process is started again after this, as the platform does.
 RESTART_S: typing.Final = 1.0
 TICK_S: typing.Final = 0.02
@@ -43,6 +47,8 @@
         targets: Number of targets.
         flows_per_s: New flows each second.
         faults: Number of faults.
+        kinds: What the faults are drawn from.
+        plot: Where a picture of the run goes; None for none.
     """
 
     seed: int
@@ -51,6 +57,8 @@
     targets: int
     flows_per_s: float
     faults: int
+    kinds: tuple[str, ...]
+    plot: pathlib.Path | None
 
 
 class Verdict(typing.NamedTuple):
@@ -91,6 +99,7 @@
         self._folder = folder
         self._layout = layout.Layout(block, options.vms, options.targets, 8)
         self._rng = random.Random(options.seed)
+        self._peers = peer_links.PeerLinks(reactor, self._layout, self._rng)
         self._fabric = fabric.Fabric(reactor, layout.DATA_PORT, self._rng)
         self._events: list[history.Event] = []
         self._vms: list[processes.Process] = []
@@ -103,11 +112,16 @@
         self._actions = actions.Actions(
             reactor,
             actions.Parts(
-                self._vms, self._targets, self._proxies, self._fabric, self._operator
+                self._vms,
+                self._targets,
+                self._proxies,
+                self._peers,
+                self._fabric,
+                self._operator,
             ),
             self._events.append,
         )
-        self._ports: list[typing.Any] = []
+        self._ports: list[typing.Any] = self._peers.ports
         self._begun_s = 0.0
         self._flows = 0
 
@@ -134,7 +148,7 @@
             settings = self._target_settings(number)
             self._targets.append(processes.target(settings, self._folder))
         for number in range(self._options.vms):
-            ini = self._layout.ini(number)
+            ini = self._layout.ini(number, self._peers.aliases)
             self._vms.append(processes.entry_vm(f"vm{number}", ini, self._folder))
         for number in range(self._layout.callers):
             self._add_caller(self._layout.caller(number))
@@ -163,7 +177,10 @@
     async def _load(self) -> None:
         self._begun_s = time.monotonic()
         drawn = faults.draw(
-            self._options.seed, self._options.duration_s, self._options.faults
+            self._options.seed,
+            self._options.duration_s,
+            self._options.faults,
+            self._options.kinds,
         )
         loops = [
             (task.LoopingCall(self._tick), TICK_S),
@@ -228,7 +245,8 @@
         return await self._look_who_is_ready() == self._options.vms
 
     async def _until(self, done: typing.Callable[[], typing.Any]) -> None:
-        limit_s = time.monotonic() + START_S
+        processes_started = self._options.vms + self._options.targets
+        limit_s = time.monotonic() + START_S + START_EACH_S * processes_started
         while not await done():
             if time.monotonic() > limit_s:
                 raise TimeoutError("the programs do not start")
@@ -256,6 +274,8 @@
             events += history.read(path)
         for item in sorted(events, key=lambda event: event.at_s):
             history.write(self._folder / "events.jsonl", item)
+        if self._options.plot is not None:
+            plot.draw(events, self._options.plot, f"seed {self._options.seed}")
         count = {
             kind: sum(item.kind is kind for item in events) for kind in history.Kind
         }
