Play loads on flows that name their target by command, with a picture

Cause: the model of these loads could only be run by its tests, had no loss of power and no burst beside dark servers, and a request whose first packet was lost never reached its server, although callers send it again.

Ruled out: one scenario file for both ways of carrying flows; they share neither callers nor targets.

--- a/eelgrasswick/emulation/cookie_load.py
+++ b/eelgrasswick/emulation/cookie_load.py
@@ -17,13 +17,11 @@
     knowledge,
     model,
     observations,
-    source,
     steering,
 )
+from eelgrasswick.emulation import cookie_scenario
 from eelgrasswick.soak import packets
 
-SERVICE_IP: typing.Final = bytes((198, 18, 0, 1))
-PORT: typing.Final = 443
 HOP_MS: typing.Final = 1
 SYN_AFTER_MS: typing.Final = (0, 200, 600)
 OPEN_MS: typing.Final = 1400
@@ -35,59 +33,6 @@
 ZONES: typing.Final = ("z1", "z2", "z3")
 
 
-class Server(typing.NamedTuple):
-    """A target of a load: its zone, slots, and time factor for all work."""
-
-    zone: str
-    slots: int
-    slowness: float
-
-
-class Trouble(typing.NamedTuple):
-    """Something that begins at a moment.
-
-    Attributes:
-        at_ms: When.
-        kind: ``dark`` (a server falls silent), ``cut`` (a zone is cut off from
-            the others) or ``burst`` (more callers come to a zone, for good).
-        which: Number of the server, or name of the zone.
-        until_ms: When it is over.
-        factor: How many times more flows a burst brings.
-    """
-
-    at_ms: int
-    kind: str
-    which: int | str
-    until_ms: int
-    factor: float = 1.0
-
-
-class Load(typing.NamedTuple):
-    """A load.
-
-    Attributes:
-        servers: All targets, of one service.
-        flows: Long flows that are open in each zone.
-        pause_ms: Mean pause between an answer and the next request.
-        work_ms: Mean work of a request at slowness 1.
-        aim_ms: Answers within this are in time.
-        limit_ms: Callers give up after this.
-        length_ms: Length of the run.
-        requests: Requests of a flow, after which its caller opens another.
-        troubles: What goes wrong.
-    """
-
-    servers: tuple[Server, ...]
-    flows: int
-    pause_ms: float
-    work_ms: float
-    aim_ms: int
-    limit_ms: int
-    length_ms: int
-    requests: int
-    troubles: tuple[Trouble, ...] = ()
-
-
 class Result(typing.NamedTuple):
     """What callers got.
 
@@ -108,8 +53,20 @@
     crossed: float
 
 
+class End(typing.NamedTuple):
+    """How a request ended.
+
+    Attributes:
+        at_ms: When.
+        took_ms: Time from its first try to the answer; None without one.
+    """
+
+    at_ms: int
+    took_ms: int | None
+
+
 class _Target:
-    def __init__(self, number: int, server: Server) -> None:
+    def __init__(self, number: int, server: cookie_scenario.Server) -> None:
         self.number = number
         self.server = server
         self.dark = False
@@ -130,6 +87,7 @@
         self.acknowledged = 0
         self.asked_ms = 0
         self.waiting = 0
+        self.arrived = 0
         self.ended = False
 
 
@@ -138,9 +96,7 @@
 
     def __init__(
         self,
-        load: Load,
-        rows: typing.Sequence[source.Row],
-        reader: source.Reader,
+        load: cookie_scenario.Load,
         wire: codec.SegmentCodec,
         seed: int,
         vms_per_zone: int = 3,
@@ -149,8 +105,6 @@
 
         Args:
             load: What is played.
-            rows: Configuration and one row for each server, in their order.
-            reader: Decodes the rows.
             wire: Reads and writes packets.
             seed: Decides all random choices.
             vms_per_zone: Entry VMs in each zone.
@@ -164,12 +118,18 @@
         self._by_cookie: dict[int, _Target] = {}
         self._codec = wire
         self._vms: list[tuple[str, steering.Steering, observations.Observations]] = []
-        for zone in ZONES * vms_per_zone:
-            self._add_vm(zone, rows, reader)
-        self._times_ms: list[int] = []
-        self._asked = self._failed = self._opened = self._crossed = 0
+        self._vms_per_zone = vms_per_zone
+        self._start_vms()
+        self._ends: list[End] = []
+        self._asked = self._opened = self._crossed = 0
         self._port = 1000
         self._cut = ""
+        self._off = False
+
+    @property
+    def ends(self) -> typing.Sequence[End]:
+        """How all requests ended, in order."""
+        return self._ends
 
     def run(self) -> Result:
         """Play the load to its end."""
@@ -185,15 +145,18 @@
             call(*arguments)
         return self._result()
 
-    def _add_vm(
-        self, zone: str, rows: typing.Sequence[source.Row], reader: source.Reader
-    ) -> None:
+    def _start_vms(self) -> None:
+        self._vms.clear()
+        for zone in ZONES * self._vms_per_zone:
+            self._add_vm(zone)
+
+    def _add_vm(self, zone: str) -> None:
+        reader = cookie_scenario.Reader(self._load)
         known = catalog.Catalog(reader)
-        known.update(0, knowledge.Merge(tuple(rows), 0))
+        known.update(0, knowledge.Merge(reader.rows(), 0))
         seen = observations.Observations(zone, known)
-        names = [row.key.rpartition("/")[2] for row in rows[1:]]
-        for target in known.targets:
-            self._by_cookie[target.cookie] = self._targets[names.index(target.name)]
+        for number, target in enumerate(known.targets):
+            self._by_cookie[target.cookie] = self._targets[number]
         made = steering.Steering(zone, self._codec, known, seen)
         self._vms.append((zone, made, seen))
 
@@ -204,22 +167,27 @@
         at_ms = self._now_ms + int(delay_ms)
         heapq.heappush(self._events, (at_ms, self._count, call, arguments))
 
-    def _begin(self, trouble: Trouble) -> None:
+    def _begin(self, trouble: cookie_scenario.Trouble) -> None:
         if trouble.kind == "dark":
             self._targets[int(trouble.which)].dark = True
         elif trouble.kind == "cut":
             self._cut = str(trouble.which)
+        elif trouble.kind == "power_off":
+            self._off = True
         else:
             zone = str(trouble.which)
             for _ in range(int((trouble.factor - 1) * self._load.flows)):
                 self._new_flow(zone)
         self._later(trouble.until_ms - trouble.at_ms, self._end_trouble, trouble)
 
-    def _end_trouble(self, trouble: Trouble) -> None:
+    def _end_trouble(self, trouble: cookie_scenario.Trouble) -> None:
         if trouble.kind == "dark":
             self._targets[int(trouble.which)].dark = False
         elif trouble.kind == "cut":
             self._cut = ""
+        elif trouble.kind == "power_off":
+            self._off = False
+            self._start_vms()
 
     def _tick(self) -> None:
         for _, _, seen in self._vms:
@@ -270,12 +238,10 @@
             return
         flow.left -= 1
         flow.waiting += 1
-        self._send_request(flow, flow.waiting, RESEND_MS, first=True)
+        self._send_request(flow, flow.waiting, RESEND_MS)
         self._later(self._load.limit_ms, self._time_out, flow, flow.waiting)
 
-    def _send_request(
-        self, flow: _Flow, waiting: int, wait_ms: int, first: bool = False
-    ) -> None:
+    def _send_request(self, flow: _Flow, waiting: int, wait_ms: int) -> None:
         if flow.ended or flow.waiting != waiting:
             return
         decision = self._steer(flow, packets.ACK, flow.acknowledged, b"GET\n")
@@ -283,7 +249,8 @@
             self._move(flow)
             return
         target = self._reached(flow, decision)
-        if target is not None and first:
+        if target is not None and flow.arrived != waiting:
+            flow.arrived = waiting
             self._arrive(target, flow)
         self._later(wait_ms, self._send_request, flow, waiting, 2 * wait_ms)
 
@@ -309,7 +276,7 @@
         cut = self._apart(flow.zone, target.server.zone)
         if target.dark or cut or flow.ended or flow.waiting != waiting:
             return
-        self._times_ms.append(self._now_ms + HOP_MS - flow.asked_ms)
+        self._ends.append(End(self._now_ms, self._now_ms + HOP_MS - flow.asked_ms))
         flow.waiting += 1
         flow.sequence += 4
         flow.acknowledged += 2400
@@ -336,7 +303,7 @@
         self._new_flow(flow.zone, flow.asked_ms)
 
     def _fail(self, flow: _Flow) -> None:
-        self._failed += 1
+        self._ends.append(End(self._now_ms, None))
         flow.ended = True
         self._later(self._pause(), self._new_flow, flow.zone)
 
@@ -349,14 +316,16 @@
         item = packets.Packet(
             bytes((100, 64, flow.vm, 1)),
             flow.port,
-            SERVICE_IP,
-            PORT,
+            cookie_scenario.SERVICE_IP,
+            cookie_scenario.PORT,
             flags,
             flow.sequence,
             acknowledged,
             flow.cookie,
             data,
         )
+        if self._off:
+            return steering.Decision(steering.Outcome.NOT_READY, None, None, None)
         raw = packets.encode(item)
         _, made, seen = self._vms[flow.vm]
         decision = made.steer(self._now_ms, 0, self._codec.decode(raw), raw)
@@ -388,13 +357,15 @@
         return first != second and self._cut in (first, second)
 
     def _result(self) -> Result:
-        times_ms = sorted(self._times_ms)
+        times_ms = sorted(
+            item.took_ms for item in self._ends if item.took_ms is not None
+        )
         loads = [
             item.ran * item.server.slowness / item.server.slots
             for item in self._targets
             if not item.dark
         ]
-        done = self._failed + len(times_ms)
+        done = len(self._ends)
         return Result(
             self._asked,
             sum(item <= self._load.aim_ms for item in times_ms) / max(1, done),
--- /dev/null
+++ b/eelgrasswick/emulation/cookie_scenario.py
@@ -0,0 +1,147 @@
+"""Loads on flows that name their target: servers, callers and what goes wrong.
+
+The ordinary load is the users' smallest site: seven servers of unequal speed in
+three availability zones, half busy with long flows. Each other load adds one
+trouble of their heaviest days.
+"""
+
+import typing
+
+from eelgrasswick.cookie import model, source
+
+SERVICE: typing.Final = "desk"
+SERVICE_IP: typing.Final = bytes((198, 18, 0, 1))
+PORT: typing.Final = 443
+CONFIG_KEY: typing.Final = "config"
+TARGET_PREFIX: typing.Final = "target/"
+# Servers' ids count from here.
+FIRST_ID: typing.Final = 16
+_BORN_MS: typing.Final = 1000
+
+
+class Server(typing.NamedTuple):
+    """A target of a load: its zone, slots, and time factor for all work."""
+
+    zone: str
+    slots: int
+    slowness: float
+
+
+class Trouble(typing.NamedTuple):
+    """Something that begins at a moment.
+
+    Attributes:
+        at_ms: When.
+        kind: ``dark`` (a server falls silent), ``cut`` (a zone is cut off from
+            the others), ``burst`` (more callers come to a zone, for good) or
+            ``power_off`` (all VMs are away and forget what they saw).
+        which: Number of the server, or name of the zone; nothing for all.
+        until_ms: When it is over.
+        factor: How many times more flows a burst brings.
+    """
+
+    at_ms: int
+    kind: str
+    which: int | str
+    until_ms: int
+    factor: float = 1.0
+
+
+class Load(typing.NamedTuple):
+    """A load.
+
+    Attributes:
+        servers: All targets, of one service.
+        flows: Long flows that are open in each zone.
+        pause_ms: Mean pause between an answer and the next request.
+        work_ms: Mean work of a request at slowness 1.
+        aim_ms: Answers within this are in time.
+        limit_ms: Callers give up after this.
+        length_ms: Length of the run.
+        requests: Requests of a flow, after which its caller opens another.
+        troubles: What goes wrong.
+    """
+
+    servers: tuple[Server, ...]
+    flows: int
+    pause_ms: float
+    work_ms: float
+    aim_ms: int
+    limit_ms: int
+    length_ms: int
+    requests: int
+    troubles: tuple[Trouble, ...] = ()
+
+
+_SERVERS: typing.Final = (
+    Server("z1", 2, 0.7),
+    Server("z1", 2, 1.7),
+    Server("z2", 2, 0.7),
+    Server("z2", 2, 0.7),
+    Server("z2", 2, 1.7),
+    Server("z3", 2, 0.7),
+    Server("z3", 2, 0.7),
+)
+ORDINARY: typing.Final = Load(_SERVERS, 30, 400, 24, 150, 1000, 20_000, 12)
+_DARK: typing.Final = tuple(Trouble(5000, "dark", n, 12_000) for n in (0, 3))
+LOADS: typing.Final[dict[str, Load]] = {
+    "ordinary": ORDINARY,
+    "dark": ORDINARY._replace(troubles=_DARK),
+    "cut": ORDINARY._replace(troubles=(Trouble(8000, "cut", "z3", 14_000),)),
+    "burst": ORDINARY._replace(
+        flows=25, troubles=(Trouble(5000, "burst", "z1", 20_000, 4.0),)
+    ),
+    "dark_burst": ORDINARY._replace(
+        flows=20,
+        troubles=(
+            *(Trouble(5000, "burst", zone, 20_000, 2.5) for zone in ("z1", "z2", "z3")),
+            *_DARK,
+        ),
+    ),
+    "power_off": ORDINARY._replace(troubles=(Trouble(8000, "power_off", "", 9400),)),
+    "saturation": ORDINARY._replace(flows=120, pause_ms=200),
+}
+
+
+class Reader(source.Reader):
+    """Rows of a load: its one route, and one row for each server."""
+
+    def __init__(self, load: Load) -> None:
+        """Read the rows of a load."""
+        self._load = load
+
+    def rows(self) -> tuple[source.Row, ...]:
+        """Return all rows, the configuration first."""
+        numbers = range(len(self._load.servers))
+        targets = [source.Row(f"{TARGET_PREFIX}{n}", b"", n + 2) for n in numbers]
+        return (source.Row(CONFIG_KEY, b"", 1), *targets)
+
+    def is_config(self, key: str) -> bool:
+        """Tell whether a key holds the configuration."""
+        return key == CONFIG_KEY
+
+    def is_target(self, key: str) -> bool:
+        """Tell whether a key holds a target."""
+        return key.startswith(TARGET_PREFIX)
+
+    def config(self, row: source.Row) -> model.Config:
+        """Return the configuration, the same for all rows."""
+        route = model.Route("all", (model.Share(SERVICE, 1.0),), self._load.limit_ms)
+        return model.Config(row.revision, {(SERVICE_IP, PORT): route}, 60_000)
+
+    def target(self, row: source.Row) -> model.Target:
+        """Return the target that a row stands for."""
+        number = int(row.key.removeprefix(TARGET_PREFIX))
+        server = self._load.servers[number]
+        identity = number + FIRST_ID
+        return model.Target(
+            f"i-{identity:x}",
+            _BORN_MS,
+            identity.to_bytes(8, "big"),
+            SERVICE,
+            model.Address(f"10.128.0.{identity}", 8080),
+            server.zone,
+            server.slots,
+            False,
+            0,
+        )
--- a/eelgrasswick/trials/trial.py
+++ b/eelgrasswick/trials/trial.py
@@ -2,16 +2,21 @@
 
 import dataclasses
 import json
+import pathlib
 import typing
 
 import cappa
 
+from eelgrasswick import errors
+from eelgrasswick.commands import console
 from eelgrasswick.decisions import placement
+from eelgrasswick.emulation import cookie_scenario
 from eelgrasswick.trials import (
     trial_engine,
     trial_load,
     trial_placement,
     trial_spread,
+    trial_steering,
 )
 
 Seed = typing.Annotated[int, cappa.Arg(long="--seed", help="seed of random choices")]
@@ -79,12 +84,36 @@
             print_row(row)
 
 
+@cappa.command(name="steering", help="what callers get when flows name their target")
+@dataclasses.dataclass
+class Steering:
+    """Arguments of ``trial steering``."""
+
+    loads: typing.Annotated[list[str], cappa.Arg(help=", ".join(cookie_scenario.LOADS))]
+    seed: Seed = 1
+    seeds: typing.Annotated[
+        int, cappa.Arg(long="--seeds", help="how many seeds, from the first on")
+    ] = 1
+    plot: typing.Annotated[
+        pathlib.Path | None, cappa.Arg(long="--plot", help="picture of the last run")
+    ] = None
+
+    def __call__(self) -> None:
+        """Print one line for each load and seed."""
+        try:
+            for name in self.loads:
+                for seed in range(self.seed, self.seed + self.seeds):
+                    print_row(trial_steering.play(name, seed, self.plot))
+        except errors.ScenarioInvalidError as error:
+            console.fail(error)
+
+
 @cappa.command(name="trial", help="run a trial in virtual time")
 @dataclasses.dataclass
 class Trial:
     """The group of trials."""
 
-    part: cappa.Subcommands[Spread | Placement]
+    part: cappa.Subcommands[Spread | Placement | Steering]
 
 
 def print_row(row: typing.Any) -> None:
--- a/tests/test_cookie_load.py
+++ b/tests/test_cookie_load.py
@@ -5,36 +5,19 @@
 import pytest
 
 from eelgrasswick.cookie import observations, placing, speed
-from eelgrasswick.emulation import cookie_load
-from eelgrasswick.platform import entries, segments
-from tests import cookie_parts
-
-Server = cookie_load.Server
-Trouble = cookie_load.Trouble
-
-
-def _play(load: cookie_load.Load, seed: int = 1) -> cookie_load.Result:
-    rows = [cookie_parts.config_row(1)]
-    for number, server in enumerate(load.servers):
-        name = f"i-{number + 16:x}"
-        rows.append(
-            cookie_parts.target_row(
-                name, number + 2, zone=server.zone, concurrency=server.slots
-            )
-        )
-    reader = entries.Reader()
-    return cookie_load.Play(load, rows, reader, segments.Codec(), seed).run()
-
-
-def _load(**changes: typing.Any) -> cookie_load.Load:
-    """Return seven servers of unequal speed, half busy, as on a first site."""
-    zones = ("z1", "z1", "z2", "z2", "z2", "z3", "z3")
-    slowness = (0.7, 1.7, 0.7, 0.7, 1.7, 0.7, 0.7)
-    servers = tuple(
-        Server(zone, 2, slow) for zone, slow in zip(zones, slowness, strict=True)
-    )
-    load = cookie_load.Load(servers, 30, 400, 24, 150, 1000, 20_000, 12)
-    return load._replace(**changes)
+from eelgrasswick.emulation import cookie_load, cookie_scenario
+from eelgrasswick.platform import segments
+
+Trouble = cookie_scenario.Trouble
+
+
+def _play(load: cookie_scenario.Load, seed: int = 1) -> cookie_load.Result:
+    return cookie_load.Play(load, segments.Codec(), seed).run()
+
+
+def _load(**changes: typing.Any) -> cookie_scenario.Load:
+    """Return the ordinary load with changes."""
+    return cookie_scenario.ORDINARY._replace(**changes)
 
 
 def test_ordinary_load_is_answered_in_time() -> None:
