Let the event log read its clock; drop two fields that nothing used

Cause: three tasks each had a wrapper that passed the time to the log, and the configuration's idle time and a route's time limit were decoded and never read. Ruled out: using them; what is remembered of a flow serves decisions only, and callers and servers keep both limits themselves. Conclusion: no change of what a VM does.

--- a/eelgrasswick/cookie/entry.py
+++ b/eelgrasswick/cookie/entry.py
@@ -124,8 +124,8 @@
         """Open the sockets and begin."""
         vm = self._settings.vm
         now_ms = clock.now_ms()
-        self._log.take_twisted(clock.now_ms)
-        self._write("started", zone=vm.zone, seeds=len(self._settings.fleet.seeds))
+        self._log.take_twisted()
+        self._log.write("started", zone=vm.zone, seeds=len(self._settings.fleet.seeds))
         self._gossip.peers.named(now_ms, self._settings.fleet.seeds)
         self._listen()
         self._take_packets()
@@ -153,18 +153,18 @@
         """Take settings that have changed; addresses stay as they were."""
         self._settings = loaded
         self._gossip.peers.named(clock.now_ms(), loaded.fleet.seeds)
-        self._write("settings_reloaded", seeds=len(loaded.fleet.seeds))
+        self._log.write("settings_reloaded", seeds=len(loaded.fleet.seeds))
 
     def refuse_settings(self, error: errors.EelgrasswickError) -> None:
         """Note settings that can't be used; the present ones stay."""
         detail = error.detail.replace("\n", "; ")
-        self._write("settings_refused", kind=error.kind.value, detail=detail)
+        self._log.write("settings_refused", kind=error.kind.value, detail=detail)
 
     def stop(self) -> None:
         """Begin to leave: take no new flows, carry on until they are gone."""
         if self._stop_ms is None:
             self._stop_ms = clock.now_ms()
-            self._write("stopping", flows=len(self._observations.tracker))
+            self._log.write("stopping", flows=len(self._observations.tracker))
 
     def _listen(self) -> None:
         vm = self._settings.vm
@@ -195,7 +195,7 @@
             )
         elif self._catalog.ready:
             waited_ms = clock.now_ms() - self._begun_ms
-            self._write("packets_taken", waited_ms=waited_ms)
+            self._log.write("packets_taken", waited_ms=waited_ms)
             self._forwarder.begin(waited_ms)
             taken = self._reactor.adoptDatagramPort(
                 self._waiting.fileno(), socket.AF_INET, port, DATAGRAM_BYTES
@@ -219,7 +219,7 @@
         if ready != self._was_ready:
             self._was_ready = ready
             age_ms = knowledge.shown_ms(self._knowledge.age_ms(now_ms))
-            self._write("ready" if ready else "not_ready", age_ms=age_ms)
+            self._log.write("ready" if ready else "not_ready", age_ms=age_ms)
         self._log.flush()
         if self._stop_ms is not None:
             self._end_if_done(now_ms, self._stop_ms)
@@ -227,7 +227,7 @@
     def _end_if_done(self, now_ms: int, asked_ms: int) -> None:
         grace_ms = int(self._settings.stop.grace_s * 1000)
         if stopping.may_end(now_ms, asked_ms, self._forwarder.packet_ms, grace_ms):
-            self._write("stopped", after_ms=now_ms - asked_ms)
+            self._log.write("stopped", after_ms=now_ms - asked_ms)
             self._log.flush()
             self._reactor.stop()
 
@@ -254,7 +254,4 @@
 
     def _on_unsent(self, host: str, failure: Exception) -> None:
         self._stats.counts["datagrams_unsent"] += 1
-        self._write("datagram_unsent", to=host, detail=str(failure))
-
-    def _write(self, event: str, **fields: object) -> None:
-        self._log.write(clock.now_ms(), event, **fields)
+        self._log.write("datagram_unsent", to=host, detail=str(failure))
--- a/eelgrasswick/cookie/event_log.py
+++ b/eelgrasswick/cookie/event_log.py
@@ -7,7 +7,7 @@
 from twisted import logger
 
 from eelgrasswick import log_line
-from eelgrasswick.cookie import stats
+from eelgrasswick.cookie import clock, stats
 
 # What may wait for whoever reads standard output. Beyond it lines are left out.
 MAX_PENDING_BYTES: typing.Final = 256_000
@@ -19,25 +19,39 @@
     """Writes lines to a file descriptor that must not block."""
 
     def __init__(
-        self, descriptor: int, vm: str, per_s: int, counted: stats.Stats
+        self,
+        descriptor: int,
+        vm: str,
+        per_s: int,
+        counted: stats.Stats,
+        now_ms: typing.Callable[[], int] = clock.now_ms,
     ) -> None:
-        """Write for a VM, at most ``per_s`` lines of a sort each second."""
+        """Write for a VM.
+
+        Args:
+            descriptor: File descriptor to write to.
+            vm: Name of the VM.
+            per_s: Lines of one sort that are written each second, at most.
+            counted: Counts what was left out.
+            now_ms: The clock by which seconds are told apart.
+        """
         os.set_blocking(descriptor, False)
         self._descriptor = descriptor
         self._vm = vm
         self._bound = log_line.Bound(per_s)
         self._stats = counted
+        self._now_ms = now_ms
         self._pending = bytearray()
 
-    def write(self, now_ms: int, event: str, **fields: object) -> None:
+    def write(self, event: str, **fields: object) -> None:
         """Write a line, unless its sort has had its lines this second."""
-        for sort, count in self._bound.next_second(now_ms):
+        for sort, count in self._bound.next_second(self._now_ms()):
             self._stats.counts["log_lines_left_out"] += count
             self._line("log_bounded", {"sort": sort, "left_out": count})
         if self._bound.allows(event):
             self._line(event, fields)
 
-    def take_twisted(self, now_ms: typing.Callable[[], int]) -> None:
+    def take_twisted(self) -> None:
         """Write errors that Twisted reports as events of this log.
 
         An error in a callback that nobody waits for would otherwise go to
@@ -53,7 +67,7 @@
                 detail = logger.formatEvent(event)
                 failure = event.get("log_failure")
                 where = failure.getTraceback()[-TRACE_CHARACTERS:] if failure else ""
-                self.write(now_ms(), "internal_error", detail=detail, where=where)
+                self.write("internal_error", detail=detail, where=where)
 
         logger.globalLogBeginner.beginLoggingTo(
             [typing.cast(typing.Any, observer)], redirectStandardIO=False
--- a/eelgrasswick/cookie/forwarding.py
+++ b/eelgrasswick/cookie/forwarding.py
@@ -99,7 +99,7 @@
             # Opening packets that waited are old. Their flows may be open by
             # now, through other VMs; placed here, they would be open twice.
             self._backlog_until_ms = now_ms + BACKLOG_MS
-            self._write("woke", stood_still_ms=gap_ms)
+            self._log.write("woke", stood_still_ms=gap_ms)
         return now_ms
 
     def begin(self, waited_ms: int) -> None:
@@ -114,16 +114,16 @@
             segment = self._codec.decode(raw)
         except errors.PacketMalformedError as error:
             self._stats.counts["packets_malformed"] += 1
-            self._write("packet_dropped", source=host, detail=error.detail)
+            self._log.write("packet_dropped", source=host, detail=error.detail)
             return
         if segment.opening and now_ms < self._backlog_until_ms:
             self._stats.counts["packets_dropped_old"] += 1
-            self._write("flow_dropped_old", flow=segment.flow)
+            self._log.write("flow_dropped_old", flow=segment.flow)
             return
         age_ms = self._knowledge.age_ms(now_ms)
         decision = self._steering.steer(now_ms, age_ms, segment, raw)
         self._send(segment, decision)
-        self._account(now_ms, age_ms, segment, decision)
+        self._account(age_ms, segment, decision)
         if decision.probe is not None:
             defer.ensureDeferred(self._probe(decision.probe))
 
@@ -139,7 +139,6 @@
 
     def _account(
         self,
-        now_ms: int,
         age_ms: int,
         segment: model.Segment,
         decision: steering.Decision,
@@ -152,7 +151,6 @@
             return
         target = decision.target
         self._log.write(
-            now_ms,
             f"flow_{outcome.value}",
             flow=segment.flow,
             copy=segment.acknowledged if segment.opening else "-",
@@ -185,7 +183,7 @@
             self.port.send(datagram, self._caller(flow))
         self._stats.counts["targets_probed"] += 1
         self._stats.counts["flows_abandoned"] += len(resets)
-        self._write(
+        self._log.write(
             "target_dead" if dead else "target_probed",
             target=target.name,
             accepted=int(accepted),
@@ -194,7 +192,4 @@
             flows_reset=len(resets),
         )
         for flow, _ in resets:
-            self._write("flow_target_dead_reset", flow=flow, target=target.name)
-
-    def _write(self, event: str, **fields: object) -> None:
-        self._log.write(clock.now_ms(), event, **fields)
+            self._log.write("flow_target_dead_reset", flow=flow, target=target.name)
--- a/eelgrasswick/cookie/gossip.py
+++ b/eelgrasswick/cookie/gossip.py
@@ -93,7 +93,7 @@
         for item in requests:
             self._send_peer(item)
         for host in gone:
-            self._write("peer_lost", peer=host, alive=len(self.peers))
+            self._log.write("peer_lost", peer=host, alive=len(self.peers))
         self.peers.forget(now_ms)
 
     def merged(self, now_ms: int, merge: knowledge.Merge, origin: str) -> None:
@@ -108,12 +108,12 @@
             heard = self._exchange.receive(now_ms, host, payload)
         except errors.MessageInvalidError as error:
             self._stats.counts["peer_messages_invalid"] += 1
-            self._write("peer_message_refused", source=host, detail=error.detail)
+            self._log.write("peer_message_refused", source=host, detail=error.detail)
             return
         for item in heard.sends:
             self._send_peer(item)
         if heard.joined:
-            self._write("peer_regained", peer=host, alive=len(self.peers))
+            self._log.write("peer_regained", peer=host, alive=len(self.peers))
         if heard.merge is not None:
             self._learned(now_ms, heard.merge, host)
         if heard.fetch_from and heard.fetch_from not in self._fetching:
@@ -128,7 +128,7 @@
             )
         except errors.EelgrasswickError as error:
             self._stats.counts["transfers_failed"] += 1
-            self._write("transfer_failed", peer=host, kind=error.kind.value)
+            self._log.write("transfer_failed", peer=host, kind=error.kind.value)
             return
         finally:
             self._fetching.discard(host)
@@ -140,10 +140,7 @@
             return
         gap_ms = knowledge.shown_ms(merge.gap_ms)
         for note in self._catalog.update(now_ms, merge):
-            self._write(note.event, **note.fields, origin=origin, gap_ms=gap_ms)
+            self._log.write(note.event, **note.fields, origin=origin, gap_ms=gap_ms)
 
     def _send_peer(self, item: exchange.Outgoing) -> None:
         self.port.send(item.payload, model.Address(item.host, self._peer_port))
-
-    def _write(self, event: str, **fields: object) -> None:
-        self._log.write(clock.now_ms(), event, **fields)
--- a/eelgrasswick/cookie/model.py
+++ b/eelgrasswick/cookie/model.py
@@ -68,12 +68,10 @@
     Attributes:
         name: The operators' name for it.
         shares: Services that take its new flows.
-        timeout_ms: How long a request may take.
     """
 
     name: str
     shares: tuple[Share, ...]
-    timeout_ms: int
 
 
 class Config(typing.NamedTuple):
@@ -82,12 +80,10 @@
     Attributes:
         version: Rises with each change.
         routes: By address and port.
-        idle_ms: A flow that was silent for longer may be forgotten.
     """
 
     version: int
     routes: dict[tuple[bytes, int], Route]
-    idle_ms: int
 
 
 class Target(typing.NamedTuple):
--- a/eelgrasswick/cookie/store_watch.py
+++ b/eelgrasswick/cookie/store_watch.py
@@ -106,7 +106,6 @@
         now_ms = clock.now_ms()
         if self._policy.failures:
             self._log.write(
-                now_ms,
                 "store_regained",
                 failures=self._policy.failures,
                 answer_ms=now_ms - asked_ms,
@@ -124,7 +123,6 @@
     ) -> None:
         now_ms = clock.now_ms()
         self._log.write(
-            now_ms,
             event,
             kind=error.kind.value,
             detail=error.detail,
--- a/eelgrasswick/emulation/cookie_scenario.py
+++ b/eelgrasswick/emulation/cookie_scenario.py
@@ -126,8 +126,8 @@
 
     def config(self, row: source.Row) -> model.Config:
         """Return the configuration, the same for all rows."""
-        route = model.Route("all", (model.Share(SERVICE, 1.0),), self._load.limit_ms)
-        return model.Config(row.revision, {(SERVICE_IP, PORT): route}, 60_000)
+        route = model.Route("all", (model.Share(SERVICE, 1.0),))
+        return model.Config(row.revision, {(SERVICE_IP, PORT): route})
 
     def target(self, row: source.Row) -> model.Target:
         """Return the target that a row stands for."""
--- a/eelgrasswick/platform/entries.py
+++ b/eelgrasswick/platform/entries.py
@@ -55,8 +55,7 @@
         # ``prefix`` is the service port between slashes, ``host`` its address.
         port = int(item["prefix"].strip("/"))
         routes[(socket.inet_aton(item["host"]), port)] = _route(item)
-    idle_ms = body.get("limits", {}).get("idle_timeout_ms", 0)
-    return model.Config(_number(body["version"]), routes, idle_ms)
+    return model.Config(_number(body["version"]), routes)
 
 
 def _route(item: _Body) -> model.Route:
@@ -67,7 +66,7 @@
         )
     else:
         shares = (model.Share(_text(item["service"]), 1.0),)
-    return model.Route(_text(item["name"]), shares, item.get("timeout_ms", 0))
+    return model.Route(_text(item["name"]), shares)
 
 
 def _target(name: str, body: _Body) -> model.Target:
--- a/tests/test_store_watch.py
+++ b/tests/test_store_watch.py
@@ -163,8 +163,8 @@
     read, write = os.pipe()
     counted = stats.Stats()
     written = event_log.EventLog(write, "vm1", 10**9, counted)
-    for number in range(20_000):
-        written.write(number, "event", detail="x" * 50)
+    for _ in range(20_000):
+        written.write("event", detail="x" * 50)
         written.flush()
     assert counted.counts["log_lines_left_out"] > 0
     os.close(read)
@@ -175,9 +175,10 @@
 
 def test_journal_says_what_was_left_out() -> None:
     read, write = os.pipe()
-    written = event_log.EventLog(write, "vm1", 2, stats.Stats())
-    for now_ms in (0, 1, 2, 3, 1500):
-        written.write(now_ms, "event")
+    times_ms = iter((0, 1, 2, 3, 1500))
+    written = event_log.EventLog(write, "vm1", 2, stats.Stats(), lambda: next(times_ms))
+    for _ in range(5):
+        written.write("event")
     written.flush()
     lines = os.read(read, 10_000).decode().splitlines()
     assert [line.split()[1] for line in lines] == [
