Reset the flows of servers whose name or address has a new owner

Cause: two seconds after a server crashed its address may be another's. A probe then found the dead server accepting, and its callers waited until their time limits. Where its entry was gone already no connection was tried, and the verdict fell because no neighbour had answered within the same millisecond.

Ruled out: the way to other zones (5 of 156 probes that came to nothing), TCP probes of the former address with its token (servers do not read it there).

Conclusion: the entries tell for certain; a probe is a real one also without an entry, and then needs no answer while it runs.

--- a/eelgrasswick/cookie/catalog.py
+++ b/eelgrasswick/cookie/catalog.py
@@ -4,7 +4,7 @@
 import typing
 
 from eelgrasswick import errors
-from eelgrasswick.cookie import knowledge, model, source
+from eelgrasswick.cookie import knowledge, lifetimes, model, source
 
 # How long an entry that is gone after an outage of the store may still be
 # used. Entries lapse while targets can't renew them and are back within two
@@ -37,17 +37,25 @@
 
 
 class Catalog:
-    """Configuration and targets, kept up from the rows that change."""
+    """Configuration and targets, kept up from the rows that change.
+
+    Attributes:
+        config: What operators have put in force; None before the first.
+        on_ended: Told of each lifetime of a server that is over for certain.
+    """
 
     def __init__(self, reader: source.Reader) -> None:
         """Read rows with the adapter's reader."""
         self._reader = reader
         self.config: model.Config | None = None
+        self.on_ended: typing.Callable[[model.Target], None] = _ignore
         self._by_name: dict[str, model.Target] = {}
         self._by_cookie: dict[int, model.Target] = {}
         self._by_service: dict[str, list[model.Target]] = {}
         self._gone_ms: collections.OrderedDict[int, int] = collections.OrderedDict()
         self._lapsed: dict[str, _Lapsed] = {}
+        self._services: frozenset[str] = frozenset()
+        self._lifetimes = lifetimes.Lifetimes()
         self._confirmed_ms = knowledge.NEVER_MS
         self._unsettled_ms = 0
         # A dict for its order: the oldest is forgotten first.
@@ -94,6 +102,10 @@
         """Return the target that a cookie names, also one that left lately."""
         return self._by_cookie.get(cookie)
 
+    def ended(self, cookie: int) -> bool:
+        """Tell whether the target that a cookie names is over for certain."""
+        return self._lifetimes.ended(cookie)
+
     def accepting(self, service: str) -> list[model.Target]:
         """Return the targets of a service that may get new flows."""
         return self._by_service.get(service, [])
@@ -114,12 +126,17 @@
         if merge.gap_ms > OUTAGE_MS:
             self._unsettled_ms = LAPSE_MS
         notes = []
-        for row in merge.rows:
+        over: list[model.Target] = []
+        # The configuration first: it says whose entries count.
+        for row in sorted(merge.rows, key=lambda row: self._reader.is_target(row.key)):
             if self._reader.is_config(row.key):
                 notes.append(self._take_config(row))
             elif self._reader.is_target(row.key):
                 notes.append(self._take_target(now_ms, row, merge.gap_ms))
+                over += self._ended_by(row)
         self._rebuild()
+        for target in over:
+            self.on_ended(target)
         return notes
 
     def tick(self, now_ms: int, confirmed_ms: int) -> None:
@@ -148,8 +165,10 @@
             if now_ms - at_ms < REMEMBER_MS:
                 break
             del self._gone_ms[cookie]
-            self._by_cookie.pop(cookie, None)
+            target = self._by_cookie.pop(cookie, None)
             self._seen_ms.pop(cookie, None)
+            if target is not None:
+                self._lifetimes.forget(target)
         if lapsed:
             self._rebuild()
 
@@ -163,6 +182,8 @@
             return _refused(row, error)
         self._note_dropped(config)
         self.config = config
+        routes = config.routes.values()
+        self._services = frozenset(s.service for item in routes for s in item.shares)
         return Note(
             "config_in_force",
             {
@@ -209,6 +230,14 @@
             },
         )
 
+    def _ended_by(self, row: source.Row) -> list[model.Target]:
+        target = self._by_name.get(row.key)
+        # A server of a service that no route names is nobody's successor; an
+        # entry like that may be anyone's.
+        if row.value is None or target is None or target.service not in self._services:
+            return []
+        return self._lifetimes.told(row.key, target, row.revision)
+
     def _remove(self, now_ms: int, row: source.Row, gap_ms: int) -> Note:
         target = self._by_name.pop(row.key, None)
         fields: dict[str, str | int] = {"key": row.key, "revision": row.revision}
@@ -230,11 +259,15 @@
             if target.cookie in owners:
                 continue
             owners[target.cookie] = target
-            if not target.draining:
+            if not target.draining and not self.ended(target.cookie):
                 self._by_service.setdefault(target.service, []).append(target)
         self._by_cookie.update(owners)
 
 
+def _ignore(_: model.Target) -> None:
+    """Do nothing about a lifetime that is over."""
+
+
 def _refused(row: source.Row, error: errors.EelgrasswickError) -> Note:
     return Note(
         "entry_refused",
--- a/eelgrasswick/cookie/entry.py
+++ b/eelgrasswick/cookie/entry.py
@@ -90,6 +90,7 @@
         self._forwarder = forwarding.Forwarder(
             reactor, vm.zone, vm.data.port, self._carried_by(parts), self._on_unsent
         )
+        self._catalog.on_ended = self._forwarder.abandon
         self._gossip = gossip.Gossip(
             reactor, vm.peer, vm.zone, self._told(), rng, self._on_unsent
         )
--- a/eelgrasswick/cookie/forwarding.py
+++ b/eelgrasswick/cookie/forwarding.py
@@ -171,25 +171,35 @@
     async def _probe(self, target: model.Target) -> None:
         now_ms = clock.now_ms()
         missing = self._catalog.missing(target, now_ms)
-        # The address of a target that is gone may be another's already.
-        accepted = not missing and await probing.accepts(self._reactor, target.address)
+        accepted = await probing.accepts(self._reactor, target.address)
         path_ms = self._observations.path_ms(target)
         now_ms = clock.now_ms()
         dead = self._observations.liveness.probed(
-            now_ms, target.cookie, accepted, path_ms
+            now_ms, target.cookie, accepted, path_ms, missing
         )
-        resets = self._steering.abandon(target) if dead else []
-        for flow, datagram in resets:
-            self.port.send(datagram, self._caller(flow))
         self._stats.counts["targets_probed"] += 1
-        self._stats.counts["flows_abandoned"] += len(resets)
         self._log.write(
             "target_dead" if dead else "target_probed",
             target=target.name,
             accepted=int(accepted),
             entry_missing=int(missing),
             path_ms=knowledge.shown_ms(now_ms - path_ms),
-            flows_reset=len(resets),
+            flows_reset=self._reset_flows(target) if dead else 0,
         )
-        for flow, _ in resets:
+
+    def abandon(self, target: model.Target) -> None:
+        """Reset the flows of a target whose lifetime is over for certain."""
+        self._log.write(
+            "target_ended",
+            target=target.name,
+            cookie=target.cookie,
+            flows_reset=self._reset_flows(target),
+        )
+
+    def _reset_flows(self, target: model.Target) -> int:
+        resets = self._steering.abandon(target)
+        for flow, datagram in resets:
+            self.port.send(datagram, self._caller(flow))
             self._log.write("flow_target_dead_reset", flow=flow, target=target.name)
+        self._stats.counts["flows_abandoned"] += len(resets)
+        return len(resets)
--- a/eelgrasswick/cookie/liveness.py
+++ b/eelgrasswick/cookie/liveness.py
@@ -64,12 +64,27 @@
         self._checks[cookie] = _Check(State.PROBING, now_ms)
         return True
 
-    def probed(self, now_ms: int, cookie: int, accepted: bool, path_ms: int) -> bool:
+    def probed(
+        self,
+        now_ms: int,
+        cookie: int,
+        accepted: bool,
+        path_ms: int,
+        missing: bool = False,
+    ) -> bool:
         """Take the outcome of a probe; True when the target is dead from now on.
 
         An answer in the meantime closes the check. Without an answer of another
         target since the probe began, the way may have been cut just before, and
-        the check is dropped until the next unanswered packet.
+        the check is dropped until the next unanswered packet. That can't be when
+        the entry has been missing for long: the target was silent well before.
+
+        Args:
+            now_ms: Present time.
+            cookie: The target.
+            accepted: It accepted a connection.
+            path_ms: When another target of its zone last answered.
+            missing: Its entry has been gone for longer than an outage explains.
         """
         check = self._checks.get(cookie)
         if check is None or check.state is not State.PROBING:
@@ -77,7 +92,7 @@
         if accepted:
             self._checks[cookie] = _Check(State.ALIVE, now_ms)
             return False
-        if path_ms <= check.since_ms:
+        if path_ms <= check.since_ms and not missing:
             del self._checks[cookie]
             return False
         self._checks[cookie] = _Check(State.DEAD, now_ms)
--- a/eelgrasswick/cookie/steering.py
+++ b/eelgrasswick/cookie/steering.py
@@ -106,7 +106,7 @@
         copies = segment.acknowledged
         record = self._observations.tracker.get(flow)
         before = self._catalog.by_cookie(record.cookie) if record is not None else None
-        if record is None or before is None:
+        if record is None or before is None or self._is_dead(now_ms, before):
             return self._place(now_ms, route, flow, raw, copies, None)
         soon = now_ms - record.placed_ms < COPY_MS
         if record.open or copies <= record.copies or soon:
@@ -159,7 +159,7 @@
         target = self._catalog.by_cookie(cookie)
         if target is None:
             return Decision(Outcome.UNKNOWN_COOKIE, None, None, None)
-        if self._observations.liveness.dead(now_ms, cookie):
+        if self._is_dead(now_ms, target):
             self._observations.tracker.forget(segment.flow)
             datagram = self._codec.reset(segment.flow, segment.acknowledged)
             return Decision(Outcome.TARGET_DEAD, datagram, None, target)
@@ -178,6 +178,11 @@
             probe,
         )
 
+    def _is_dead(self, now_ms: int, target: model.Target) -> bool:
+        cookie = target.cookie
+        ended = self._catalog.ended(cookie)
+        return ended or self._observations.liveness.dead(now_ms, cookie)
+
     def abandon(self, target: model.Target) -> list[tuple[model.FlowId, bytes]]:
         """Return a reset for each open flow of a target that is dead."""
         flows = self._observations.tracker.open_on(target.cookie)
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -137,3 +137,52 @@
     assert not made.ready
     made.update(0, knowledge.Merge((cookie_parts.target_row("i-0a", 2),), 0))
     assert made.ready
+
+
+def test_successor_is_told_of_and_its_former_gets_no_flow(
+    known: catalog.Catalog,
+) -> None:
+    """A server has crashed, its entry is still there, and its address is taken."""
+    over: list[str] = []
+    known.on_ended = lambda target: over.append(target.name)
+    former = next(t for t in known.targets if t.name == "i-0a")
+    row = cookie_parts.target_row("i-0c", 9, born=9000, address="10.128.0.10:8080")
+    _update(known, 10, row)
+    assert over == ["i-0a"]
+    assert known.ended(former.cookie)
+    assert _names(known) == {"i-0b", "i-0c"}
+
+
+def test_entry_of_an_unknown_service_ends_nobody(known: catalog.Catalog) -> None:
+    """Another writer puts an entry there with the address of a live server."""
+    over: list[str] = []
+    known.on_ended = lambda target: over.append(target.name)
+    row = cookie_parts.target_row(
+        "i-0c", 9, born=9000, address="10.128.0.10:8080", service="stray"
+    )
+    _update(known, 10, row)
+    assert over == []
+    assert "i-0a" in _names(known)
+
+
+def test_ended_lifetime_is_forgotten_after_its_flows(known: catalog.Catalog) -> None:
+    former = next(t for t in known.targets if t.name == "i-0a")
+    _update(known, 10, cookie_parts.target_row("i-0a", 9, born=9000))
+    assert known.ended(former.cookie)
+    known.tick(10 + catalog.REMEMBER_MS, confirmed_ms=0)
+    assert not known.ended(former.cookie)
+    assert known.by_cookie(former.cookie) is None
+
+
+def test_successor_is_noticed_when_its_entry_comes_before_the_config() -> None:
+    """A VM starts and gets all rows from another one, in any order."""
+    over: list[str] = []
+    made = catalog.Catalog(entries.Reader())
+    made.on_ended = lambda target: over.append(target.name)
+    rows = (
+        cookie_parts.target_row("i-0a", 2),
+        cookie_parts.target_row("i-0c", 9, born=9000, address="10.128.0.10:8080"),
+        cookie_parts.config_row(1),
+    )
+    made.update(0, knowledge.Merge(rows, 0))
+    assert over == ["i-0a"]
--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -51,6 +51,17 @@
     assert not checks.dead(750, 7)
 
 
+def test_missing_entry_tells_a_crash_from_a_cut(checks: liveness.Liveness) -> None:
+    """A server crashed for good, and its entry lapsed seconds ago.
+
+    On a fleet of many VMs one sees an answer of the server's zone now and then, but
+    seldom within the fraction of a second that a refused connection takes.
+    """
+    assert checks.begin(9000, 7, path_ms=8500)
+    assert checks.probed(9001, 7, accepted=False, path_ms=8500, missing=True)
+    assert checks.dead(9001, 7)
+
+
 def test_answer_closes_the_check(checks: liveness.Liveness) -> None:
     checks.begin(1000, 7, path_ms=900)
     checks.answered(7)
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -412,6 +412,40 @@
     assert again.probe is None
 
 
+def test_flows_of_a_replaced_target_are_reset(
+    steers: steering.Steering, known: catalog.Catalog
+) -> None:
+    """A server crashed and another one has its address by now.
+
+    The packets of its flows would reach the other, which drops them in silence.
+    """
+    first = _open(steers)
+    row = cookie_parts.target_row(
+        "i-0d",
+        9,
+        born=9000,
+        address=f"{first.address.host}:{first.address.port}",
+    )
+    known.update(10, knowledge.Merge((row,), 0))
+    raw = cookie_parts.packet(cookie_parts.ACK, cookie=first.cookie, data=b"GET")
+    assert _steer(steers, 20, raw).outcome is steering.Outcome.TARGET_DEAD
+
+
+def test_opening_packet_of_a_replaced_target_goes_elsewhere(
+    steers: steering.Steering, known: catalog.Catalog
+) -> None:
+    """A server is replaced between an opening packet and its copy."""
+    first = _open(steers)
+    known.update(
+        10, knowledge.Merge((cookie_parts.target_row(first.name, 9, born=9000),), 0)
+    )
+    copy = cookie_parts.packet(cookie_parts.SYN, acknowledged=1)
+    decision = _steer(steers, 20, copy)
+    assert decision.outcome is steering.Outcome.PLACED
+    assert decision.target is not None
+    assert decision.target.cookie != first.cookie
+
+
 def test_flows_of_other_vms_count(
     steers: steering.Steering, known: catalog.Catalog, seen: observations.Observations
 ) -> None:
