Tell other VMs of a dead target; probe a target whose answers are overdue

Cause: on a fleet of many VMs each has a flow or two on a target, and found out that it is dead only when that flow's caller had lost a request. A target that resets its flows itself, or that hangs, leaves nothing that a VM sees sent again.

Ruled out: resetting on another VM's word (it may be cut off alone); taking every late acknowledgement for a missing answer (answers of one packet are acknowledged with the next request, a second later).

--- a/eelgrasswick/cookie/entry.py
+++ b/eelgrasswick/cookie/entry.py
@@ -90,10 +90,11 @@
         self._forwarder = forwarding.Forwarder(
             reactor, vm.zone, vm.data.port, self._carried_by(parts), self._on_unsent
         )
-        self._catalog.on_ended = self._forwarder.abandon
         self._gossip = gossip.Gossip(
             reactor, vm.peer, vm.zone, self._told(), rng, self._on_unsent
         )
+        self._catalog.on_ended = self._forwarder.abandon
+        self._forwarder.on_dead = self._gossip.dead
         self._store_watch = store_watch.StoreWatch(
             parts.source, self._knowledge, self._gossip.merged, self._log, rng
         )
@@ -119,6 +120,7 @@
             self._observations.reports,
             self._log,
             self._stats,
+            self._forwarder.check,
         )
 
     def start(self) -> None:
@@ -210,6 +212,7 @@
     def _ask(self) -> None:
         now_ms = clock.now_ms()
         self._observations.tick(now_ms)
+        self._forwarder.check_overdue(now_ms)
         self._catalog.tick(now_ms, self._knowledge.confirmed_ms)
         self._gossip.ask(now_ms, self._observations.report(), self._store_watch.answers)
 
--- a/eelgrasswick/cookie/exchange.py
+++ b/eelgrasswick/cookie/exchange.py
@@ -22,12 +22,16 @@
 _ENTRY_BYTES: typing.Final = 12
 # News goes to three VMs of the own zone and three of others at once.
 SPREAD: typing.Final = 3
+# Word of a dead target is passed on once in this time. Flooded by six VMs each, it
+# is through a fleet of 62 in three hops, some milliseconds.
+TOLD_MS: typing.Final = 5000
 # An answer later than this is no answer.
 ANSWER_MS: typing.Final = 600
 
 _ASK: typing.Final = 1
 _ANSWER: typing.Final = 2
 _NEWS: typing.Final = 3
+_DEAD: typing.Final = 4
 
 
 class Outgoing(typing.NamedTuple):
@@ -45,12 +49,14 @@
         merge: Rows that were new; None when there was nothing to merge.
         fetch_from: A VM that knows more than fits a datagram; empty for none.
         joined: True when the sender was not alive before.
+        dead: Cookies of targets that another VM has found dead.
     """
 
     sends: tuple[Outgoing, ...]
     merge: knowledge.Merge | None
     fetch_from: str
     joined: bool
+    dead: tuple[int, ...]
 
 
 class _Message(typing.NamedTuple):
@@ -94,6 +100,7 @@
         self._rng = rng
         self._number = rng.getrandbits(31)
         self._asked: dict[int, tuple[str, int]] = {}
+        self._told_ms: dict[int, int] = {}
 
     def ask(self, now_ms: int) -> tuple[list[Outgoing], list[str]]:
         """Return the requests that are due, and VMs that count as gone now."""
@@ -109,7 +116,25 @@
         if not merge.rows:
             return []
         base = min(row.revision for row in merge.rows) - 1
-        payload = self._encode(now_ms, _NEWS, 0, self._short(base, ()))
+        payload = self._encode(now_ms, _NEWS, 0, self._short(base, ()), ())
+        return [Outgoing(host, payload) for host in self._peers.spread(SPREAD)]
+
+    def dead(self, now_ms: int, cookie: int) -> list[Outgoing]:
+        """Return the datagrams that tell some others of a dead target.
+
+        A VM of a large fleet has one flow or none on a target, and would find out
+        only when that flow's caller has lost a request.
+        """
+        self._told_ms = {
+            item: at_ms
+            for item, at_ms in self._told_ms.items()
+            if now_ms - at_ms < TOLD_MS
+        }
+        if cookie in self._told_ms:
+            return []
+        self._told_ms[cookie] = now_ms
+        word = (reports.Entry(cookie, 0, 0, True),)
+        payload = self._encode(now_ms, _DEAD, 0, None, word)
         return [Outgoing(host, payload) for host in self._peers.spread(SPREAD)]
 
     def receive(self, now_ms: int, host: str, payload: bytes) -> Heard:
@@ -121,7 +146,7 @@
         item = _decode(payload)
         joined = self._peers.heard(now_ms, host, item.zone, item.reads_store)
         self._peers.named(now_ms, item.hosts)
-        if item.kind != _NEWS:
+        if item.kind in (_ASK, _ANSWER):
             self._reports.take(now_ms, host, item.report)
         merge, fetch = self._merge(now_ms, host, item)
         sends: list[Outgoing] = []
@@ -131,18 +156,27 @@
             self._confirm(now_ms, host, item)
         if merge is not None:
             sends += self.news(now_ms, merge)
-        return Heard(tuple(sends), merge, fetch, joined)
+        dead: tuple[int, ...] = ()
+        if item.kind == _DEAD:
+            dead = tuple(entry.cookie for entry in item.report)
+        for cookie in dead:
+            sends += self.dead(now_ms, cookie)
+        return Heard(tuple(sends), merge, fetch, joined, dead)
 
     def _request(self, now_ms: int, host: str) -> Outgoing:
         self._number += 1
         self._asked[self._number] = (host, now_ms)
-        return Outgoing(host, self._encode(now_ms, _ASK, self._number, None))
+        return Outgoing(
+            host, self._encode(now_ms, _ASK, self._number, None, self.report)
+        )
 
     def _answer(self, now_ms: int, host: str, item: _Message) -> Outgoing:
         changes = None
         if item.revision < self._knowledge.revision:
             changes = self._short(item.revision, self.report)
-        return Outgoing(host, self._encode(now_ms, _ANSWER, item.number, changes))
+        return Outgoing(
+            host, self._encode(now_ms, _ANSWER, item.number, changes, self.report)
+        )
 
     def _confirm(self, now_ms: int, host: str, item: _Message) -> None:
         asked = self._asked.pop(item.number, None)
@@ -174,7 +208,12 @@
         return changes if size <= room else None
 
     def _encode(
-        self, now_ms: int, kind: int, number: int, changes: source.Changes | None
+        self,
+        now_ms: int,
+        kind: int,
+        number: int,
+        changes: source.Changes | None,
+        report: reports.Report,
     ) -> bytes:
         item = [
             kind,
@@ -185,7 +224,7 @@
             min(self._knowledge.age_ms(now_ms), 2**31),
             list(changes) if changes is not None else None,
             self._peers.sample(),
-            [list(entry) for entry in self.report] if kind != _NEWS else [],
+            [list(entry) for entry in report],
         ]
         return cbor2.dumps(item)
 
@@ -252,7 +291,7 @@
         )
     except _FAULTS as error:
         raise errors.MessageInvalidError(f"peer message: {error}") from error
-    if item.kind not in (_ASK, _ANSWER, _NEWS):
+    if item.kind not in (_ASK, _ANSWER, _NEWS, _DEAD):
         raise errors.MessageInvalidError(f"peer message of kind {item.kind}")
     return item
 
--- a/eelgrasswick/cookie/forwarding.py
+++ b/eelgrasswick/cookie/forwarding.py
@@ -55,6 +55,7 @@
     Attributes:
         port: The socket, for the reactor to listen on.
         packet_ms: When the last packet came.
+        on_dead: Told of each target that this VM has found dead.
     """
 
     def __init__(
@@ -76,6 +77,7 @@
         """
         self.port = ports.Port(self._on_data, failed)
         self.packet_ms = 0
+        self.on_dead: typing.Callable[[int], None] = _ignore
         self._reactor = reactor
         self._caller_port = caller_port
         self._codec = parts.codec
@@ -172,10 +174,14 @@
         now_ms = clock.now_ms()
         missing = self._catalog.missing(target, now_ms)
         accepted = await probing.accepts(self._reactor, target.address)
+        if not accepted and not missing:
+            await probing.path_known(
+                self._reactor, lambda: self._observations.path_ms(target) > now_ms
+            )
         path_ms = self._observations.path_ms(target)
-        now_ms = clock.now_ms()
+        ended_ms = clock.now_ms()
         dead = self._observations.liveness.probed(
-            now_ms, target.cookie, accepted, path_ms, missing
+            ended_ms, target.cookie, accepted, path_ms, missing
         )
         self._stats.counts["targets_probed"] += 1
         self._log.write(
@@ -183,9 +189,28 @@
             target=target.name,
             accepted=int(accepted),
             entry_missing=int(missing),
-            path_ms=knowledge.shown_ms(now_ms - path_ms),
+            path_ms=knowledge.shown_ms(ended_ms - path_ms),
             flows_reset=self._reset_flows(target) if dead else 0,
         )
+        if dead:
+            self.on_dead(target.cookie)
+
+    def check_overdue(self, now_ms: int) -> None:
+        """Probe the targets whose answers are overdue."""
+        for target in self._observations.overdue(now_ms):
+            defer.ensureDeferred(self._probe(target))
+
+    def check(self, cookie: int) -> None:
+        """Probe a target that another VM has found dead, if flows are open on it.
+
+        The other VM may be cut off from it, so its word alone resets nothing.
+        """
+        target = self._catalog.by_cookie(cookie)
+        if target is None or not self._observations.tracker.open_on(cookie):
+            return
+        path_ms = self._observations.path_ms(target)
+        if self._observations.liveness.begin(clock.now_ms(), cookie, path_ms):
+            defer.ensureDeferred(self._probe(target))
 
     def abandon(self, target: model.Target) -> None:
         """Reset the flows of a target whose lifetime is over for certain."""
@@ -203,3 +228,7 @@
             self._log.write("flow_target_dead_reset", flow=flow, target=target.name)
         self._stats.counts["flows_abandoned"] += len(resets)
         return len(resets)
+
+
+def _ignore(_: int) -> None:
+    """Tell nobody of a dead target."""
--- a/eelgrasswick/cookie/gossip.py
+++ b/eelgrasswick/cookie/gossip.py
@@ -30,6 +30,7 @@
         reports: Takes what others say of targets.
         log: The log.
         stats: The counters.
+        check: Looks after a target that another VM has found dead.
     """
 
     knowledge: knowledge.Knowledge
@@ -37,6 +38,7 @@
     reports: reports.Reports
     log: event_log.EventLog
     stats: stats.Stats
+    check: typing.Callable[[int], None]
 
 
 class Gossip:
@@ -74,6 +76,7 @@
         self._catalog = parts.catalog
         self._log = parts.log
         self._stats = parts.stats
+        self._check = parts.check
         self._exchange = exchange.Exchange(
             zone, parts.knowledge, self.peers, parts.reports, rng
         )
@@ -102,6 +105,11 @@
         for item in self._exchange.news(now_ms, merge):
             self._send_peer(item)
 
+    def dead(self, cookie: int) -> None:
+        """Tell others that this VM has found a target dead."""
+        for item in self._exchange.dead(clock.now_ms(), cookie):
+            self._send_peer(item)
+
     def _on_peer(self, payload: bytes, host: str) -> None:
         now_ms = clock.now_ms()
         try:
@@ -112,6 +120,8 @@
             return
         for item in heard.sends:
             self._send_peer(item)
+        for cookie in heard.dead:
+            self._check(cookie)
         if heard.joined:
             self._log.write("peer_regained", peer=host, alive=len(self.peers))
         if heard.merge is not None:
--- a/eelgrasswick/cookie/observations.py
+++ b/eelgrasswick/cookie/observations.py
@@ -25,6 +25,7 @@
         self.tracker = tracker.Tracker()
         self.speeds = speed.SpeedBook()
         self._silence: silence.SilenceBook[int] = silence.SilenceBook()
+        self._stalled: silence.SilenceBook[int] = silence.SilenceBook()
         self._zone_silence: silence.SilenceBook[str] = silence.SilenceBook()
         self.reports = reports.Reports()
         self.liveness = liveness.Liveness()
@@ -53,6 +54,7 @@
     def placed(self, now_ms: int, target: model.Target) -> None:
         """Note that a flow was sent to a target."""
         self._silence.tried(now_ms, target.cookie)
+        self._stalled.tried(now_ms, target.cookie)
         self._zone_silence.tried(now_ms, target.zone)
 
     def answered(self, now_ms: int, target: model.Target) -> None:
@@ -62,6 +64,11 @@
         self._zone_silence.answered(target.zone)
         self._silence.answered(target.cookie)
 
+    def served(self, target: model.Target, answer_ms: int) -> None:
+        """Note how long a target took for an answer."""
+        self._stalled.answered(target.cookie)
+        self.speeds.answered(target.cookie, answer_ms)
+
     def unanswered(self, now_ms: int, target: model.Target) -> bool:
         """Note an unanswered packet; True when the target should be probed."""
         if target.zone != self._zone:
@@ -71,6 +78,22 @@
         # 400 ms more; asking for a connection costs little and decides.
         return self.liveness.begin(now_ms, target.cookie, self.path_ms(target))
 
+    def overdue(self, now_ms: int) -> list[model.Target]:
+        """Note requests that wait for too long; return the targets to probe.
+
+        A target that hangs still opens flows, so that openings are no sign of life
+        here; only answers are.
+        """
+        found = []
+        for cookie in self.tracker.overdue(now_ms):
+            target = self._catalog.by_cookie(cookie)
+            if target is None:
+                continue
+            self._stalled.unanswered(now_ms, cookie)
+            if self.liveness.begin(now_ms, cookie, self.path_ms(target)):
+                found.append(target)
+        return found
+
     def recheck(self, now_ms: int, target: model.Target) -> bool:
         """Tell whether to probe a target that was dead and may be back."""
         if not self.liveness.lapsed(now_ms, target.cookie):
@@ -88,6 +111,7 @@
         cookies = {item.cookie for item in self._catalog.targets}
         self.speeds.keep(cookies)
         self._silence.keep(cookies)
+        self._stalled.keep(cookies)
         self.liveness.keep(self._catalog.remembered)
         self._factors = {}
         for service in {item.service for item in self._catalog.targets}:
@@ -108,7 +132,7 @@
             cookie,
             self.tracker.flows_on(cookie),
             int(mean_ms) if mean_ms is not None else 0,
-            self._silence.silent(cookie),
+            self._silence.silent(cookie) or self._stalled.silent(cookie),
         )
 
     def _suspected(self, now_ms: int, target: model.Target) -> bool:
@@ -116,9 +140,11 @@
             # Also not for a trial: its flow would be reset with the next packet.
             return True
         witnesses = self.reports.silent_for(now_ms, target.cookie)
-        return self._silence.suspected(
-            now_ms, target.cookie, witnesses
-        ) or self._zone_silence.suspected(now_ms, target.zone, 0)
+        silent = any(
+            book.suspected(now_ms, target.cookie, witnesses)
+            for book in (self._silence, self._stalled)
+        )
+        return silent or self._zone_silence.suspected(now_ms, target.zone, 0)
 
     def _candidate(self, now_ms: int, target: model.Target) -> placing.Candidate:
         cookie = target.cookie
--- a/eelgrasswick/cookie/steering.py
+++ b/eelgrasswick/cookie/steering.py
@@ -197,7 +197,7 @@
         elif sight.repeated:
             probe = self._observations.unanswered(now_ms, target)
         if sight.answer_ms is not None:
-            self._observations.speeds.answered(target.cookie, sight.answer_ms)
+            self._observations.served(target, sight.answer_ms)
         return probe
 
 
--- a/eelgrasswick/cookie/tracker.py
+++ b/eelgrasswick/cookie/tracker.py
@@ -19,6 +19,10 @@
 # An answer of one packet is acknowledged only with the next request. Samples
 # above this are pauses of the caller, not work of the target.
 MAX_SAMPLE_MS: typing.Final = 2000
+# A request that waits longer than this is overdue, if its flow's answers came
+# sooner before. On the sheets 99% of the answers come within 180 ms. Answers of one
+# packet are acknowledged a second later, so their flows can't tell.
+OVERDUE_MS: typing.Final = 300
 
 
 class Sight(typing.NamedTuple):
@@ -46,6 +50,7 @@
         copies: Opening packets before the one that was last placed.
         placed_ms: When that one was placed.
         acknowledged: What the caller last acknowledged.
+        prompt: True when its last answer was acknowledged soon.
     """
 
     __slots__ = (
@@ -58,6 +63,7 @@
         "open",
         "placed_here",
         "placed_ms",
+        "prompt",
     )
 
     def __init__(self, cookie: int, placed_here: bool) -> None:
@@ -71,6 +77,7 @@
         self.asked_ack = 0
         self.data_end = 0
         self.acknowledged = 0
+        self.prompt = False
 
 
 class Tracker:
@@ -83,6 +90,9 @@
         )
         self._seen_ms: dict[model.FlowId, int] = {}
         self._flows: collections.Counter[int] = collections.Counter()
+        self._asked: collections.OrderedDict[model.FlowId, int] = (
+            collections.OrderedDict()
+        )
 
     def __len__(self) -> int:
         """Return the number of flows that are remembered."""
@@ -129,10 +139,31 @@
             self._move(record, cookie)
         record.acknowledged = segment.acknowledged
         sight = Sight(opened, *_timing(now_ms, record, segment))
+        if not record.asked_ms:
+            self._asked.pop(segment.flow, None)
+        else:
+            self._asked.setdefault(segment.flow, record.asked_ms)
         if segment.ending or segment.reset:
             self._drop(segment.flow)
         return sight
 
+    def overdue(self, now_ms: int) -> list[int]:
+        """Return the targets of requests that wait for too long, each once.
+
+        A flow that was reset by its target, or whose target hangs, is silent: its
+        caller gave it up, and no packet that is sent again tells of it.
+        """
+        found = []
+        while self._asked:
+            flow, asked_ms = next(iter(self._asked.items()))
+            if now_ms - asked_ms < OVERDUE_MS:
+                break
+            del self._asked[flow]
+            record = self._records[flow]
+            if record.prompt:
+                found.append(record.cookie)
+        return found
+
     def open_on(self, cookie: int) -> list[tuple[model.FlowId, int]]:
         """Return the open flows of a target, and what their callers acknowledged."""
         return [
@@ -174,6 +205,7 @@
     def _drop(self, flow: model.FlowId) -> None:
         record = self._records.pop(flow)
         del self._seen_ms[flow]
+        self._asked.pop(flow, None)
         self._less(record.cookie)
 
     def _less(self, cookie: int) -> None:
@@ -188,6 +220,7 @@
     answer_ms = None
     if record.asked_ms and segment.acknowledged != record.asked_ack:
         waited_ms = now_ms - record.asked_ms
+        record.prompt = waited_ms <= OVERDUE_MS
         answer_ms = waited_ms if waited_ms <= MAX_SAMPLE_MS else None
         record.asked_ms = 0
     if not segment.data_bytes:
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -230,3 +230,42 @@
         exchange.decode_changes(payload)
     except errors.MessageInvalidError as error:
         assert error.detail
+
+
+def test_word_of_a_dead_target_reaches_all_once() -> None:
+    """A server crashes, and one VM of twenty has noticed.
+
+    Each of the others has a flow or two on it. Left to themselves they would find
+    out one by one, each with a request of its callers.
+    """
+    talk = Talk(20, 3)
+    talk.run(4000)
+    first = talk.vms["10.0.0.1"]
+    heard: list[str] = []
+    waiting = [(first, item) for item in first.exchange.dead(talk.now_ms, 77)]
+    while waiting:
+        sender, item = waiting.pop(0)
+        taken = talk.vms[item.host]
+        told = taken.exchange.receive(talk.now_ms, sender.host, item.payload)
+        assert told.dead == (77,)
+        heard.append(item.host)
+        waiting += [(taken, more) for more in told.sends]
+    assert set(heard) >= set(talk.vms) - {"10.0.0.1"}
+    assert len(heard) <= 20 * 2 * exchange.SPREAD
+    assert first.exchange.dead(talk.now_ms + 1, 77) == []
+    assert first.exchange.dead(talk.now_ms + exchange.TOLD_MS, 77) != []
+
+
+def test_word_of_a_dead_target_leaves_the_sender_s_report() -> None:
+    """The word is not all that the sender knows of targets."""
+    talk = Talk(2, 1)
+    talk.run(1000)
+    first, second = talk.vms.values()
+    first.exchange.report = (reports.Entry(5, 9, 0, False),)
+    talk.run(1000)
+    second.reports.tick(talk.now_ms)
+    assert second.reports.flows_on(5) == 9
+    for item in first.exchange.dead(talk.now_ms, 77):
+        second.exchange.receive(talk.now_ms, first.host, item.payload)
+    second.reports.tick(talk.now_ms)
+    assert second.reports.flows_on(5) == 9
--- a/tests/test_probing.py
+++ b/tests/test_probing.py
@@ -23,3 +23,31 @@
     """A server's machine has lost power, so that nothing refuses either."""
     with turning.full_listener() as address:
         assert not turning.result(probing.accepts(default_reactor, address))
+
+
+def test_refusal_waits_for_an_answer_of_a_neighbour() -> None:
+    """A server's process is gone and its machine refuses at once.
+
+    A cut that refuses connections looks the same until another server of the zone
+    answers; decided at once, the verdict would fall nearly every time.
+    """
+    asked: list[bool] = []
+
+    def known() -> bool:
+        asked.append(len(asked) >= 2)
+        return asked[-1]
+
+    turning.result(probing.path_known(default_reactor, known))
+    assert asked == [False, False, True]
+
+
+def test_wait_for_a_neighbour_ends() -> None:
+    """The whole zone is cut off, and nobody of it answers."""
+    asked: list[None] = []
+
+    def never() -> bool:
+        asked.append(None)
+        return False
+
+    turning.result(probing.path_known(default_reactor, never))
+    assert len(asked) == probing.TIMEOUT_MS // probing.WAIT_STEP_MS
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -9,6 +9,7 @@
     model,
     observations,
     reports,
+    silence,
     steering,
 )
 from eelgrasswick.platform import entries, segments
@@ -469,3 +470,33 @@
     own = [t for t in known.targets if t.zone == "z1"]
     counts = [seen.tracker.flows_on(t.cookie) for t in own]
     assert max(counts) - min(counts) <= 4
+
+
+def test_target_that_hangs_gets_fewer_flows(
+    steers: steering.Steering, seen: observations.Observations
+) -> None:
+    """A server opens flows and accepts connections, but answers no request.
+
+    Its health check is good. Each new flow there costs its caller a time limit.
+    """
+    first = _open(steers)
+    for number in range(2):
+        port = 46_000 + number
+        for now_ms, acknowledged, data in (
+            (10, 100, b"GET"),
+            (30, 2500, b""),
+            (100, 4100, b"GET"),
+        ):
+            raw = cookie_parts.packet(
+                cookie_parts.ACK,
+                port,
+                sequence=1 + now_ms,
+                acknowledged=acknowledged,
+                cookie=first.cookie,
+                data=data,
+            )
+            _steer(steers, now_ms, raw)
+    assert seen.overdue(600) == [first]
+    assert all(_open(steers, 610, port=47_000 + n) != first for n in range(20))
+    trial_ms = 600 + silence.TRIAL_MS
+    assert any(_open(steers, trial_ms, port=48_000 + n) == first for n in range(20))
--- a/tests/test_tracker.py
+++ b/tests/test_tracker.py
@@ -68,3 +68,42 @@
         flows.placed(port, cookie_parts.flow(port), port % 3, 0)
     assert len(flows) == 50
     assert sum(flows.flows_on(cookie) for cookie in range(3)) == 50
+
+
+def _asked(
+    flows: tracker.Tracker, now_ms: int, sequence: int, acknowledged: int
+) -> None:
+    segment = _segment(sequence=sequence, acknowledged=acknowledged, data=b"GET")
+    flows.passed(now_ms, segment, 7)
+
+
+def test_request_without_an_answer_is_overdue(flows: tracker.Tracker) -> None:
+    """A server crashes and is reachable, so that it resets its flows itself.
+
+    The VM sees none of that, only that the flow it forwarded is silent.
+    """
+    _asked(flows, 10, 1, 100)
+    flows.passed(40, _segment(acknowledged=2500), 7)
+    _asked(flows, 1000, 4, 4100)
+    assert flows.overdue(1000 + tracker.OVERDUE_MS - 1) == []
+    assert flows.overdue(1000 + tracker.OVERDUE_MS) == [7]
+    assert flows.overdue(1000 + tracker.OVERDUE_MS + 1) == []
+
+
+def test_answers_of_one_packet_are_never_overdue(flows: tracker.Tracker) -> None:
+    """A caller acknowledges a short answer only with its next request.
+
+    Taken for overdue, each of them would cost a probe.
+    """
+    _asked(flows, 10, 1, 100)
+    _asked(flows, 1000, 4, 700)
+    _asked(flows, 2000, 7, 1300)
+    assert flows.overdue(2900) == []
+
+
+def test_flow_that_was_given_up_is_not_overdue(flows: tracker.Tracker) -> None:
+    _asked(flows, 10, 1, 100)
+    flows.passed(40, _segment(acknowledged=2500), 7)
+    _asked(flows, 1000, 4, 4100)
+    flows.passed(1100, _segment(cookie_parts.RST, 4), 7)
+    assert flows.overdue(2000) == []
