Count witnesses of a silent target once a report; trust no probe across a stall

Cause: placing a flow asked, for each target of the service, all reports of all other VMs whether one of them found it silent. And a VM that stood still while a probe ran took its own late timer for the target's silence.

Ruled out: parsing and hashing (0.02 ms a packet), the tick of each 250 ms (0.6 ms).

--- a/eelgrasswick/cookie/forwarding.py
+++ b/eelgrasswick/cookie/forwarding.py
@@ -15,13 +15,11 @@
     observations,
     ports,
     probing,
+    stall,
     stats,
     steering,
 )
 
-# A VM that did nothing for so long was suspended or stood still. Its callers
-# have sent copies by then, and the fabric has begun to leave it out.
-STALL_MS: typing.Final = 400
 # How long it then takes to read what waits in the socket: 200 KB, 2,000 packets
 # of 100 bytes, at 25 us each.
 BACKLOG_MS: typing.Final = 50
@@ -89,15 +87,14 @@
         self._steering = steering.Steering(
             zone, parts.codec, parts.catalog, parts.observations
         )
-        self._awake_ms = clock.now_ms()
+        self._stalls = stall.Stalls(clock.now_ms())
         self._backlog_until_ms = 0
 
     def wake(self) -> int:
         """Return the present time; notice when this VM has stood still."""
         now_ms = clock.now_ms()
-        gap_ms = now_ms - self._awake_ms
-        self._awake_ms = now_ms
-        if gap_ms > STALL_MS:
+        gap_ms = self._stalls.awake(now_ms)
+        if gap_ms > stall.STALL_MS:
             # Opening packets that waited are old. Their flows may be open by
             # now, through other VMs; placed here, they would be open twice.
             self._backlog_until_ms = now_ms + BACKLOG_MS
@@ -106,7 +103,7 @@
 
     def begin(self, waited_ms: int) -> None:
         """Note that packets are read from now on, which may have waited."""
-        self._awake_ms = clock.now_ms() - waited_ms
+        self._stalls = stall.Stalls(clock.now_ms() - waited_ms)
         self.wake()
 
     def _on_data(self, raw: bytes, host: str) -> None:
@@ -180,6 +177,9 @@
             )
         path_ms = self._observations.path_ms(target)
         ended_ms = clock.now_ms()
+        if self._stalls.since(now_ms, ended_ms):
+            # The probe may have timed out with its answer unread.
+            path_ms, missing = knowledge.NEVER_MS, False
         dead = self._observations.liveness.probed(
             ended_ms, target.cookie, accepted, path_ms, missing
         )
--- a/eelgrasswick/cookie/reports.py
+++ b/eelgrasswick/cookie/reports.py
@@ -48,20 +48,29 @@
         self._reports: dict[str, tuple[Report, int]] = {}
         self._flows: dict[int, int] = {}
         self._answers_ms: dict[int, list[int]] = {}
+        # When each VM last found a target silent, by target and VM.
+        self._silent_ms: dict[int, dict[str, int]] = {}
 
     def take(self, now_ms: int, host: str, report: Report) -> None:
         """Take a VM's report in place of its last one."""
+        self.forget(host)
         self._reports[host] = (report, now_ms)
+        for entry in report:
+            if entry.silent:
+                self._silent_ms.setdefault(entry.cookie, {})[host] = now_ms
 
     def forget(self, host: str) -> None:
         """Drop the report of a VM that is gone; its flows pass others now."""
-        self._reports.pop(host, None)
+        report, _ = self._reports.pop(host, ((), 0))
+        for entry in report:
+            if entry.silent:
+                self._not_silent(entry.cookie, host)
 
     def tick(self, now_ms: int) -> None:
         """Drop what is old, and sum up the rest."""
         old = [h for h, (_, at_ms) in self._reports.items() if now_ms - at_ms > KEEP_MS]
         for host in old:
-            del self._reports[host]
+            self.forget(host)
         self._flows = {}
         self._answers_ms = {}
         for report, _ in self._reports.values():
@@ -82,9 +91,18 @@
         return self._answers_ms.get(cookie, ())
 
     def silent_for(self, now_ms: int, cookie: int) -> int:
-        """Return how many other VMs lately found a target silent."""
-        return sum(
-            any(entry.cookie == cookie and entry.silent for entry in report)
-            for report, at_ms in self._reports.values()
-            if now_ms - at_ms <= SILENT_MS
-        )
+        """Return how many other VMs lately found a target silent.
+
+        It is asked for each target at each opening packet. Searched for in 60
+        reports it took 9 ms a packet with 75 targets, and 232 ms with 3,000.
+        """
+        found = self._silent_ms.get(cookie)
+        if found is None:
+            return 0
+        return sum(now_ms - at_ms <= SILENT_MS for at_ms in found.values())
+
+    def _not_silent(self, cookie: int, host: str) -> None:
+        found = self._silent_ms.get(cookie, {})
+        found.pop(host, None)
+        if not found:
+            self._silent_ms.pop(cookie, None)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -6,7 +6,14 @@
 
 import pytest
 
-from eelgrasswick.cookie import forwarding, settings, source
+from eelgrasswick.cookie import (
+    clock,
+    forwarding,
+    probing,
+    settings,
+    source,
+    stall,
+)
 from tests import cookie_parts, entry_parts, turning
 
 Start = typing.Callable[..., entry_parts.RunningVm]
@@ -153,7 +160,7 @@
     vm = start(entry_parts.host(1), store)
     _await_ready(vm)
     _send(vm, cookie_parts.packet(cookie_parts.SYN))
-    time.sleep(forwarding.STALL_MS / 1000 + 0.1)
+    time.sleep(stall.STALL_MS / 1000 + 0.1)
     lines: list[str] = []
     turning.until(lambda: lines.extend(vm.log()) or "flow_dropped_old" in str(lines))
     with pytest.raises(BlockingIOError):
@@ -233,3 +240,65 @@
     store.write(source.Row("servers/i-0a", None, 7))
     lines: list[str] = []
     turning.until(lambda: lines.extend(vm.log()) or "target_gone" in str(lines))
+
+
+def _probe_all_refused(
+    monkeypatch: pytest.MonkeyPatch, vm: entry_parts.RunningVm, blocked_s: float
+) -> list[str]:
+    """Probe the only target with a flow while its neighbour answers.
+
+    Returns:
+        The log's lines of the probe.
+    """
+    neighbour = next(t for t in vm.vm._catalog.targets if t.name == "i-0b")
+
+    async def refused(*_: object) -> bool:
+        time.sleep(blocked_s)
+        vm.vm._observations.answered(clock.now_ms() + 1, neighbour)
+        return False
+
+    monkeypatch.setattr(probing, "accepts", refused)
+    first = next(t for t in vm.vm._catalog.targets if t.name == "i-0a")
+    raw = cookie_parts.packet(cookie_parts.ACK, cookie=first.cookie, data=b"GET")
+    _send(vm, raw)
+    turning.until(
+        lambda: vm.vm._observations.tracker.open_on(first.cookie), "an open flow"
+    )
+    vm.vm._observations.answered(clock.now_ms(), neighbour)
+    vm.vm._forwarder.check(first.cookie)
+    lines: list[str] = []
+    turning.until(lambda: lines.extend(vm.log()) or "target_" in str(lines), "a probe")
+    return [line for line in lines if "event=target_" in line]
+
+
+def test_word_of_another_vm_leads_to_a_probe(
+    start: Start, store: entry_parts.MemoryStore, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Another VM has found a server dead on which this one has a pausing flow.
+
+    Its caller would lose its next request, and one that may run only once for good.
+    """
+    store.write(cookie_parts.target_row("i-0b", 3))
+    vm = start(entry_parts.host(1), store)
+    _await_ready(vm)
+    vm.log()
+    lines = _probe_all_refused(monkeypatch, vm, blocked_s=0)
+    assert "event=target_dead" in lines[0]
+    assert "flows_reset=1" in lines[0]
+
+
+def test_probe_of_a_vm_that_stood_still_proves_nothing(
+    start: Start, store: entry_parts.MemoryStore, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A VM stands still while it waits for a server to accept a connection.
+
+    Its timer runs out before the answer is read. Reset, the open flows of a server
+    that lives would be broken.
+    """
+    store.write(cookie_parts.target_row("i-0b", 3))
+    vm = start(entry_parts.host(1), store)
+    _await_ready(vm)
+    vm.log()
+    lines = _probe_all_refused(monkeypatch, vm, stall.PROBE_GAP_MS / 1000 + 0.1)
+    assert "event=target_probed" in lines[0]
+    assert "flows_reset=0" in lines[0]
