Look at a window of targets for each new flow; report targets with flows only

Cause: each opening packet was weighed against every target of its service and each report of 250 ms looked at every target, so both grew with the fleet.

Ruled out: sums kept up to date with each flow (reports of others and verdicts change them at any moment).

--- a/eelgrasswick/cookie/observations.py
+++ b/eelgrasswick/cookie/observations.py
@@ -33,7 +33,7 @@
         self._factors: dict[int, float] = {}
 
     def candidates(
-        self, now_ms: int, service: str, passed_over: int
+        self, now_ms: int, service: str, passed_over: int, part: float
     ) -> list[placing.Candidate]:
         """Return the targets of a service that may get a flow.
 
@@ -42,8 +42,9 @@
             service: Name of the service.
             passed_over: Cookie of a target that did not answer this flow
                 before, 0 for none; it is left out unless there is no other.
+            part: Even over flows, 0 to 1; says which of many are looked at.
         """
-        accepting = self._catalog.accepting(service)
+        accepting = placing.windows(self._catalog.accepting(service), self._zone, part)
         usable = [item for item in accepting if not self._suspected(now_ms, item)]
         # With all silent it is rather this VM's link, or the callers', that is
         # broken; refusing all would make it worse.
@@ -121,7 +122,9 @@
 
     def report(self) -> reports.Report:
         """Return what the other VMs should know, the fullest targets in front."""
-        entries = [self._entry(item.cookie) for item in self._catalog.targets]
+        # Of thousands of targets a VM has flows on some; the rest is not looked at.
+        known = self.tracker.targets() | self._silence.keys() | self._stalled.keys()
+        entries = [self._entry(cookie) for cookie in known]
         told = [item for item in entries if item.flows or item.silent]
         told.sort(key=lambda item: (item.silent, item.flows), reverse=True)
         return tuple(told[: reports.MAX_ENTRIES])
--- a/eelgrasswick/cookie/placing.py
+++ b/eelgrasswick/cookie/placing.py
@@ -19,6 +19,10 @@
 # be cut, as targets are half busy on the heaviest days of the sheets.
 SPILL_FACTOR: typing.Final = 1.5
 SPILL_SLACK: typing.Final = 2.0
+# So many targets of the own zone, and of the others, are looked at for one flow. Two
+# are compared, and the mean fill of 64 with a spread of a half is known within 6%.
+# Looking at all 2,400 of a service took 9.6 ms a flow, at 128 it is 0.5 ms.
+WINDOW: typing.Final = 64
 # A cold server works 1.6 times slower, by the platform's sheets.
 COLD_FACTOR: typing.Final = 0.6
 
@@ -73,6 +77,21 @@
     return _less_full(chosen, draws).target
 
 
+def windows(
+    targets: typing.Sequence[model.Target], zone: str, part: float
+) -> list[model.Target]:
+    """Return the targets that are looked at for a flow, the own zone's in front.
+
+    Args:
+        targets: All that take flows.
+        zone: Availability zone of this VM.
+        part: Even over flows, 0 to 1; each target is looked at as often as others.
+    """
+    own = [item for item in targets if item.zone == zone]
+    others = [item for item in targets if item.zone != zone]
+    return [*_window(own, part), *_window(others, part)]
+
+
 def pick_service(shares: typing.Sequence[model.Share], fraction: float) -> str:
     """Return the service that a part of a route's flows goes to.
 
@@ -89,6 +108,14 @@
     return shares[-1].service
 
 
+def _window(targets: list[model.Target], part: float) -> list[model.Target]:
+    if len(targets) <= WINDOW:
+        return targets
+    start = int(part * len(targets))
+    found = targets[start : start + WINDOW]
+    return found + targets[: WINDOW - len(found)]
+
+
 def _fill(candidates: typing.Sequence[Candidate]) -> float:
     flows = sum(item.flows for item in candidates)
     return flows / sum(item.strength for item in candidates)
--- a/eelgrasswick/cookie/silence.py
+++ b/eelgrasswick/cookie/silence.py
@@ -60,6 +60,10 @@
         sight = self._observations.get(key)
         return sight is not None and sight.unanswered >= ENOUGH
 
+    def keys(self) -> typing.AbstractSet[Key]:
+        """Return those that left something unanswered."""
+        return self._observations.keys()
+
     def suspected(self, now_ms: int, key: Key, witnesses: int) -> bool:
         """Tell whether one should get no flow now.
 
--- a/eelgrasswick/cookie/steering.py
+++ b/eelgrasswick/cookie/steering.py
@@ -13,6 +13,7 @@
 # Callers send a copy 200 ms after an opening packet. One that is seen sooner
 # has waited together with the first, and does not say that it got no answer.
 COPY_MS: typing.Final = 120
+_PARTS: typing.Final = 2**16
 
 
 class Outcome(enum.Enum):
@@ -128,8 +129,11 @@
     ) -> Decision:
         service = placing.pick_service(route.shares, _draws(flow, 0)[0])
         passed_over = silent.cookie if silent is not None else 0
-        candidates = self._observations.candidates(now_ms, service, passed_over)
-        target = placing.choose(candidates, self._zone, _draws(flow, copies))
+        draws = _draws(flow, copies)
+        # Its last bits are as even as the number, and say nothing of it.
+        part = draws[1] * _PARTS % 1
+        candidates = self._observations.candidates(now_ms, service, passed_over, part)
+        target = placing.choose(candidates, self._zone, draws)
         if target is None and not self._catalog.settled:
             # A refusal would be final while the caller's next copy may find one.
             return Decision(Outcome.NO_TARGET_YET, None, None, None)
--- a/eelgrasswick/cookie/tracker.py
+++ b/eelgrasswick/cookie/tracker.py
@@ -102,6 +102,10 @@
         """Return how many remembered flows a target has."""
         return self._flows[cookie]
 
+    def targets(self) -> set[int]:
+        """Return the targets that have flows."""
+        return set(self._flows)
+
     def get(self, flow: model.FlowId) -> Record | None:
         """Return what is remembered of a flow."""
         return self._records.get(flow)
--- a/tests/test_placing_cost.py
+++ b/tests/test_placing_cost.py
@@ -1,10 +1,19 @@
 """What a new flow costs where there are many targets and many VMs."""
 
+import collections
 import typing
 
 import pytest
 
-from eelgrasswick.cookie import catalog, knowledge, observations, reports
+from eelgrasswick.cookie import (
+    catalog,
+    knowledge,
+    model,
+    observations,
+    placing,
+    reports,
+    source,
+)
 from eelgrasswick.emulation import cookie_scenario
 
 
@@ -20,6 +29,17 @@
         return super().__getattribute__(name)
 
 
+class _WideReader(cookie_scenario.Reader):
+    """Rows of more servers than a last byte can number."""
+
+    def target(self, row: source.Row) -> model.Target:
+        """Return a target with an address of its own."""
+        item = super().target(row)
+        number = int.from_bytes(item.token, "big")
+        host = f"10.128.{number // 250}.{number % 250}"
+        return item._replace(address=model.Address(host, 8080))
+
+
 @pytest.fixture
 def seen() -> observations.Observations:
     """Return what a VM sees that has the reports of sixty others."""
@@ -46,5 +66,37 @@
     """
     before = _Counted.looks
     for _ in range(10):
-        seen.candidates(100, cookie_scenario.SERVICE, 0)
+        seen.candidates(100, cookie_scenario.SERVICE, 0, 0.5)
     assert _Counted.looks == before
+
+
+def test_few_of_many_targets_are_looked_at() -> None:
+    """A service has 2,400 servers, and each new flow is placed by two of them.
+
+    Looked at one by one they cost 10 ms a flow, and the VM carries no packet.
+    """
+    servers = [cookie_scenario.Server(f"z{n % 3 + 1}", 2, 1.0) for n in range(400)]
+    reader = _WideReader(cookie_scenario.ORDINARY._replace(servers=tuple(servers)))
+    known = catalog.Catalog(reader)
+    known.update(0, knowledge.Merge(reader.rows(), 0))
+    accepting = known.accepting(cookie_scenario.SERVICE)
+    looked_at: collections.Counter[int] = collections.Counter()
+    for step in range(1000):
+        found = placing.windows(accepting, "z1", step / 1000)
+        assert len(found) == len(set(found)) == 2 * placing.WINDOW
+        assert sum(item.zone == "z1" for item in found) == placing.WINDOW
+        looked_at.update(item.cookie for item in found)
+    own = [looked_at[item.cookie] for item in accepting if item.zone == "z1"]
+    assert max(own) < 1.1 * min(own)
+
+
+def test_report_names_targets_with_flows_only() -> None:
+    """A VM sees a small part of thousands of targets."""
+    reader = cookie_scenario.Reader(cookie_scenario.ORDINARY)
+    known = catalog.Catalog(reader)
+    known.update(0, knowledge.Merge(reader.rows(), 0))
+    made = observations.Observations("z1", known)
+    target = next(iter(known.targets))
+    flow = model.FlowId(bytes(4), 1, cookie_scenario.SERVICE_IP, 443)
+    made.tracker.placed(0, flow, target.cookie, 0)
+    assert [entry.cookie for entry in made.report()] == [target.cookie]
