Carry out store actions in one place; split the tests of steering

Tests of silent, dead and replaced targets stand in a module of their own, with the shared fixtures beside both.

--- a/eelgrasswick/daemons/daemon.py
+++ b/eelgrasswick/daemons/daemon.py
@@ -231,14 +231,13 @@
             case message.SendLink():
                 receiver = link_pool.Receiver(action.receiver, action.destination)
                 self._links.send(receiver, action.payload)
-            case message.WatchStore():
-                self._watcher.set_active(action.active)
-            case message.ReportInForce():
-                self._watcher.report(action)
-            case message.RepairStore():
-                self._watcher.repair(action)
-            case message.RecordEmpty():
-                self._watcher.record_empty(action)
+            case (
+                message.WatchStore()
+                | message.ReportInForce()
+                | message.RepairStore()
+                | message.RecordEmpty()
+            ):
+                self._watcher.carry_out(action)
             case message.Log():
                 self._logger.write(now_ms, action)
             case message.Stopped():
--- a/eelgrasswick/daemons/watcher.py
+++ b/eelgrasswick/daemons/watcher.py
@@ -47,6 +47,18 @@
         self._unwritten: dict[str, store.Put] = {}
         self._revision = 0
 
+    def carry_out(self, action: message.StoreAction) -> None:
+        """Do what an engine asks for at the store."""
+        match action:
+            case message.WatchStore():
+                self.set_active(action.active)
+            case message.ReportInForce():
+                self.report(action)
+            case message.RepairStore():
+                self.repair(action)
+            case message.RecordEmpty():
+                self.record_empty(action)
+
     def set_active(self, active: bool) -> None:
         """Take up or lay down the watch."""
         self._turn += 1
--- a/eelgrasswick/emulation/virtual_fleet.py
+++ b/eelgrasswick/emulation/virtual_fleet.py
@@ -275,12 +275,8 @@
                 self._send_peer(vm, action)
             case message.SendLink():
                 self._send_link(vm, action)
-            case message.WatchStore():
-                vm.watcher.set_active(action.active)
-            case message.ReportInForce():
-                vm.watcher.report(action)
-            case message.RepairStore():
-                vm.watcher.repair(action)
+            case message.WatchStore() | message.ReportInForce() | message.RepairStore():
+                vm.watcher.carry_out(action)
             case _:
                 pass
 
--- a/eelgrasswick/message.py
+++ b/eelgrasswick/message.py
@@ -182,6 +182,9 @@
     """The VM has left the fleet; the process may end."""
 
 
+# What the task that owns the store connection carries out.
+StoreAction = WatchStore | ReportInForce | RepairStore | RecordEmpty
+
 Action = (
     SendDatagram
     | SendFabric
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,7 +8,11 @@
 
 from tests import fleet, world
 
-pytest_plugins = ["tests.control_steps", "tests.flow_steps"]
+pytest_plugins = [
+    "tests.control_steps",
+    "tests.flow_steps",
+    "tests.steering_parts",
+]
 
 # The same verdict every time: no random seeds and no time limits.
 hypothesis.settings.register_profile("same", derandomize=True, deadline=None)
--- /dev/null
+++ b/tests/test_steering_silent.py
@@ -0,0 +1,274 @@
+"""What happens to flows of targets that are silent, dead or replaced."""
+
+from eelgrasswick.cookie import (
+    catalog,
+    knowledge,
+    liveness,
+    model,
+    observations,
+    reports,
+    silence,
+    steering,
+)
+from tests import cookie_parts, steering_parts
+
+
+def test_copy_goes_to_another_target(steers: steering.Steering) -> None:
+    """A server went silent and its entry is still there.
+
+    The caller sends its opening packet again after 200 ms. To the same server
+    again, the attempt would fail after 1.4 s.
+    """
+    first = steering_parts.opened(steers)
+    again = steering_parts.opened(steers, 200, copies=1)
+    assert again != first
+
+
+def test_silent_target_is_left_out(steers: steering.Steering) -> None:
+    """Several callers in a row get no answer from one server.
+
+    Each further one would lose 200 ms there.
+    """
+    first = steering_parts.opened(steers)
+    for number in range(1, 40):
+        target = steering_parts.opened(steers, number, port=40_100 + number)
+        if target == first:
+            steering_parts.opened(steers, number + 200, copies=1, port=40_100 + number)
+    later = {
+        steering_parts.opened(steers, 300, port=41_000 + number) for number in range(10)
+    }
+    assert first not in later
+
+
+def test_target_that_others_find_silent_is_left_out(
+    steers: steering.Steering, seen: observations.Observations
+) -> None:
+    """A server went silent and two other VMs have lost packets to it.
+
+    This VM would lose two callers of its own before it knew.
+    """
+    first = steering_parts.opened(steers)
+    silent = (reports.Entry(first.cookie, 3, 0, silent=True),)
+    seen.reports.take(0, "10.0.0.8", silent)
+    seen.reports.take(0, "10.0.0.9", silent)
+    targets = {
+        steering_parts.opened(steers, 10, port=41_000 + number) for number in range(20)
+    }
+    assert first not in targets
+
+
+def test_one_other_vm_removes_no_target(
+    steers: steering.Steering, seen: observations.Observations
+) -> None:
+    """One VM's own link is broken and it finds every target silent."""
+    first = steering_parts.opened(steers)
+    seen.reports.take(0, "10.0.0.8", (reports.Entry(first.cookie, 3, 0, True),))
+    targets = {
+        steering_parts.opened(steers, 10, port=41_000 + number) for number in range(20)
+    }
+    assert first in targets
+
+
+def test_zone_that_is_cut_off_is_left_out_at_once(
+    known: catalog.Catalog, seen: observations.Observations, steers: steering.Steering
+) -> None:
+    """A zone is cut off from the others, where most targets are.
+
+    Its callers would lose 200 ms and more at each of those targets in turn.
+    """
+    rows = [
+        cookie_parts.target_row(f"i-1{digit}", 20, zone="z2") for digit in "0123456789"
+    ]
+    known.update(0, knowledge.Merge(tuple(rows), 0))
+    far = [item for item in known.accepting("desk") if item.zone == "z2"]
+    seen.unanswered(0, far[0])
+    seen.unanswered(0, far[1])
+    own = [item for item in known.accepting("desk") if item.zone == "z1"]
+    full = tuple(reports.Entry(item.cookie, 90, 0, False) for item in own)
+    seen.reports.take(0, "10.0.0.8", full)
+    seen.tick(0)
+    targets = {
+        steering_parts.opened(steers, 10, port=41_000 + number) for number in range(20)
+    }
+    assert targets == set(own)
+
+
+def test_nothing_is_left_out_when_all_are_silent(
+    known: catalog.Catalog, seen: observations.Observations
+) -> None:
+    """A VM's own link to all targets is broken for a moment.
+
+    If it refused every caller, none would come through when the link is back.
+    """
+    for target in known.accepting("desk"):
+        seen.unanswered(0, target)
+        seen.unanswered(0, target)
+    assert len(seen.candidates(10, "desk", 0, 0.5)) == 3
+
+
+def test_data_sent_again_and_again_tells_of_a_silent_target(
+    steers: steering.Steering,
+) -> None:
+    """A server goes silent while its flows are open.
+
+    Their callers send again what they asked; new ones should not go there.
+    """
+    first = steering_parts.opened(steers)
+    raw = cookie_parts.packet(cookie_parts.ACK, cookie=first.cookie, data=b"GET")
+    for now_ms in (10, 210, 610):
+        steering_parts.steer(steers, now_ms, raw)
+    targets = {
+        steering_parts.opened(steers, 620, port=41_000 + number) for number in range(20)
+    }
+    assert first not in targets
+
+
+def _crash(steers: steering.Steering, seen: observations.Observations) -> model.Target:
+    """Let a target fall silent with one flow open; return it when it is dead."""
+    first = steering_parts.opened(steers)
+    raw = cookie_parts.packet(cookie_parts.ACK, cookie=first.cookie, data=b"GET")
+    decision = None
+    for now_ms in (10, 210):
+        neighbour = steering_parts.opened(steers, now_ms, port=42_000 + now_ms)
+        while neighbour == first:
+            neighbour = steering_parts.opened(
+                steers, now_ms, port=43_000 + len(seen.tracker)
+            )
+        seen.answered(now_ms, neighbour)
+        decision = steering_parts.steer(steers, now_ms, raw)
+    assert decision is not None
+    assert decision.probe == first
+    assert seen.liveness.probed(460, first.cookie, False, 300)
+    return first
+
+
+def test_flows_of_a_dead_target_are_reset(
+    steers: steering.Steering, seen: observations.Observations
+) -> None:
+    """A server crashes while flows are open on it.
+
+    Their callers would wait until their time limit for each request.
+    """
+    first = _crash(steers, seen)
+    resets = steers.abandon(first)
+    assert [flow for flow, _ in resets] == [cookie_parts.flow()]
+    raw = cookie_parts.packet(
+        cookie_parts.ACK, 40_077, acknowledged=900, cookie=first.cookie, data=b"GET"
+    )
+    decision = steering_parts.steer(steers, 710, raw)
+    assert decision.outcome is steering.Outcome.TARGET_DEAD
+    assert decision.address is None
+
+
+def test_target_that_answers_again_is_not_dead(
+    steers: steering.Steering, seen: observations.Observations
+) -> None:
+    first = _crash(steers, seen)
+    seen.answered(720, first)
+    raw = cookie_parts.packet(cookie_parts.ACK, cookie=first.cookie, data=b"GET")
+    assert steering_parts.steer(steers, 730, raw).outcome is steering.Outcome.FORWARDED
+
+
+def test_dead_target_gets_no_flow(
+    steers: steering.Steering, seen: observations.Observations
+) -> None:
+    """A server is dead, and its entry is still there.
+
+    A flow that is placed on it would be reset with the caller's next packet.
+    """
+    first = _crash(steers, seen)
+    for number in range(30):
+        assert steering_parts.opened(steers, 1600, port=44_000 + number) != first
+
+
+def test_target_that_is_back_keeps_its_flows(
+    steers: steering.Steering, known: catalog.Catalog, seen: observations.Observations
+) -> None:
+    """A server was cut off by itself, taken for dead, and is back.
+
+    Another VM has opened a flow on it. A packet of that flow comes here: it goes
+    on, and the server is asked once more whether it is there.
+    """
+    first = _crash(steers, seen)
+    steers.abandon(first)
+    now_ms = 470 + liveness.DEAD_MS
+    neighbours = [item for item in known.accepting("desk") if item != first]
+    seen.answered(now_ms, neighbours[0])
+    raw = cookie_parts.packet(
+        cookie_parts.ACK, 40_078, cookie=first.cookie, data=b"GET"
+    )
+    decision = steering_parts.steer(steers, now_ms, raw)
+    assert decision.outcome is steering.Outcome.FORWARDED
+    assert decision.probe == first
+    again = steering_parts.steer(steers, now_ms + 10, raw)
+    assert again.outcome is steering.Outcome.FORWARDED
+    assert again.probe is None
+
+
+def test_flows_of_a_replaced_target_are_reset(
+    steers: steering.Steering, known: catalog.Catalog
+) -> None:
+    """A server crashed and another one has its address by now.
+
+    The packets of its flows would reach the other, which drops them in silence.
+    """
+    first = steering_parts.opened(steers)
+    row = cookie_parts.target_row(
+        "i-0d",
+        9,
+        born=9000,
+        address=f"{first.address.host}:{first.address.port}",
+    )
+    known.update(10, knowledge.Merge((row,), 0))
+    raw = cookie_parts.packet(cookie_parts.ACK, cookie=first.cookie, data=b"GET")
+    assert steering_parts.steer(steers, 20, raw).outcome is steering.Outcome.TARGET_DEAD
+
+
+def test_opening_packet_of_a_replaced_target_goes_elsewhere(
+    steers: steering.Steering, known: catalog.Catalog
+) -> None:
+    """A server is replaced between an opening packet and its copy."""
+    first = steering_parts.opened(steers)
+    known.update(
+        10, knowledge.Merge((cookie_parts.target_row(first.name, 9, born=9000),), 0)
+    )
+    copy = cookie_parts.packet(cookie_parts.SYN, acknowledged=1)
+    decision = steering_parts.steer(steers, 20, copy)
+    assert decision.outcome is steering.Outcome.PLACED
+    assert decision.target is not None
+    assert decision.target.cookie != first.cookie
+
+
+def test_target_that_hangs_gets_fewer_flows(
+    steers: steering.Steering, seen: observations.Observations
+) -> None:
+    """A server opens flows and accepts connections, but answers no request.
+
+    Its health check is good. Each new flow there costs its caller a time limit.
+    """
+    first = steering_parts.opened(steers)
+    for number in range(2):
+        port = 46_000 + number
+        for now_ms, acknowledged, data in (
+            (10, 100, b"GET"),
+            (30, 2500, b""),
+            (100, 4100, b"GET"),
+        ):
+            raw = cookie_parts.packet(
+                cookie_parts.ACK,
+                port,
+                sequence=1 + now_ms,
+                acknowledged=acknowledged,
+                cookie=first.cookie,
+                data=data,
+            )
+            steering_parts.steer(steers, now_ms, raw)
+    assert seen.overdue(600) == [first]
+    assert all(
+        steering_parts.opened(steers, 610, port=47_000 + n) != first for n in range(20)
+    )
+    trial_ms = 600 + silence.TRIAL_MS
+    assert any(
+        steering_parts.opened(steers, trial_ms, port=48_000 + n) == first
+        for n in range(20)
+    )
--- a/tests/world.py
+++ b/tests/world.py
@@ -364,14 +364,13 @@
                 self._carry(vm.zone, action.destination, vm, action.payload)
             case message.SendLink():
                 self._carry_link(vm, action)
-            case message.WatchStore():
-                vm.watcher.set_active(action.active)
-            case message.ReportInForce():
-                vm.watcher.report(action)
-            case message.RepairStore():
-                vm.watcher.repair(action)
-            case message.RecordEmpty():
-                vm.watcher.record_empty(action)
+            case (
+                message.WatchStore()
+                | message.ReportInForce()
+                | message.RepairStore()
+                | message.RecordEmpty()
+            ):
+                vm.watcher.carry_out(action)
             case message.Log():
                 self.logs.append((vm.me.name, action))
             case message.Stopped():
