--- a/eelgrasswick/cookie/lifetimes.py
+++ b/eelgrasswick/cookie/incarnations.py
@@ -1,8 +1,8 @@
-"""Which lifetimes of servers are over for certain, by what their successors say.
+"""Which incarnations of servers are over for certain, by what their successors say.
 
 A server that crashed leaves its entry, and a while later its address may be
 another's, which accepts connections: a probe then finds the dead one alive, and
-its callers wait until their time limits. Two things prove that a lifetime is over:
+its callers wait until their deadlines. Two things prove that an incarnation is over:
 an entry of the same name with another start, and the entry of another server that
 has its address. Its flows are reset at once, also those that pause just now, so
 that their callers' next requests open new ones.
@@ -31,7 +31,7 @@
         return later and self.revision > other.revision
 
 
-class Lifetimes:
+class Incarnations:
     """The last owner of each name and address, and who has ended."""
 
     def __init__(self) -> None:
@@ -41,7 +41,7 @@
         self._ended: set[int] = set()
 
     def ended(self, cookie: int) -> bool:
-        """Tell whether a lifetime is over for certain."""
+        """Tell whether an incarnation is over for certain."""
         return cookie in self._ended
 
     def told(self, key: str, target: model.Target, revision: int) -> list[model.Target]:
@@ -53,7 +53,7 @@
             revision: The store's revision of it.
 
         Returns:
-            The lifetimes that are over by it.
+            The incarnations that are over by it.
         """
         over = []
         former = self._named.get(key)
@@ -66,12 +66,13 @@
         return new
 
     def forget(self, target: model.Target) -> None:
-        """Forget a lifetime whose flows can't be open any more."""
+        """Forget an incarnation whose flows can't be open any more."""
         self._ended.discard(target.cookie)
-        for key in [key for key, item in self._named.items() if item == target]:
+        cookie = target.cookie
+        for key in [k for k, item in self._named.items() if item.cookie == cookie]:
             del self._named[key]
         owner = self._owners.get(target.address)
-        if owner is not None and owner.target.cookie == target.cookie:
+        if owner is not None and owner.target.cookie == cookie:
             del self._owners[target.address]
 
     def _own(self, claim: _Owner) -> list[model.Target]:
--- a/eelgrasswick/cookie/liveness.py
+++ b/eelgrasswick/cookie/liveness.py
@@ -2,7 +2,7 @@
 
 Load pattern: a server crashes without a word while hundreds of long flows are
 open on it. Their callers send into the void: each loses the request it waits
-for, and each idle one its next request too, up to its time limit. A reset lets
+for, and each idle one its next request too, up to its deadline. A reset lets
 them open a new flow at once.
 
 A reset of a flow that goes on well would break it, so three things must come
--- a/eelgrasswick/cookie/model.py
+++ b/eelgrasswick/cookie/model.py
@@ -4,7 +4,7 @@
 import hashlib
 import typing
 
-# Above the 19,000 targets of the design size; each lifetime is hashed once.
+# Above the 19,000 targets of the design size; each incarnation is hashed once.
 _MAX_COOKIES: typing.Final = 32_768
 
 
@@ -87,11 +87,11 @@
 
 
 class Target(typing.NamedTuple):
-    """One lifetime of one server.
+    """One incarnation of one server.
 
     Attributes:
         name: Its name in the store.
-        born_ms: Unix time of its start; tells lifetimes of one name apart.
+        born_ms: Unix time of its start; tells incarnations of one name apart.
         token: What datagrams to it begin with, so that a server which took
             over its address does not accept them.
         service: The service it works for.
@@ -114,7 +114,7 @@
 
     @property
     def cookie(self) -> int:
-        """A 32-bit hash of name and lifetime, never 0."""
+        """A 32-bit hash of name and incarnation, never 0."""
         return _cookie(self.name, self.born_ms)
 
 
--- a/eelgrasswick/platform/__main__.py
+++ b/eelgrasswick/platform/__main__.py
@@ -3,7 +3,7 @@
 The socket for callers' packets is bound before the libraries are imported. Their
 import takes 0.3 s; after a loss of power of all VMs the routers send packets
 meanwhile, and those that find no socket are lost. Their callers would wait for a
-retransmission 0.6 s later or more, beyond many time limits.
+retransmission 0.6 s later or more, beyond many deadlines.
 """
 
 import importlib
--- a/eelgrasswick/platform/entries.py
+++ b/eelgrasswick/platform/entries.py
@@ -81,7 +81,7 @@
         raise ValueError(f"id {name!r} has no hex digits")
     return model.Target(
         name,
-        # ``born`` is the start of this lifetime; a server may start again under
+        # ``born`` is the start of this incarnation; a server may start again under
         # the id that it had.
         _number(body.get("born", 0)),
         # Datagrams begin with the digits of the id as a number of 8 bytes.
--- a/eelgrasswick/soak/run.py
+++ b/eelgrasswick/soak/run.py
@@ -219,7 +219,7 @@
             item.tick(now_s)
 
     def _restart(self) -> None:
-        # What ended is started again; a target begins a new lifetime.
+        # What ended is started again; a target begins a new incarnation.
         for item in (*self._vms, *self._targets):
             if not item.alive:
                 self._actions.note("restart", item.name, str(item.exit_code))
--- a/eelgrasswick/soak/target.py
+++ b/eelgrasswick/soak/target.py
@@ -125,7 +125,7 @@
         return json.dumps(body).encode()
 
     def note_life(self, kind: history.Kind) -> None:
-        """Write that this lifetime begins, drains or ends."""
+        """Write that this incarnation begins, drains or ends."""
         self._note(kind)
 
     def _open(self, key: _Key, flow: Flow | None, item: packets.Packet) -> None:
@@ -243,7 +243,7 @@
 
 
 class Life:
-    """One lifetime of a target: its entry in the store, and its end."""
+    """One incarnation of a target: its entry in the store, and its end."""
 
     def __init__(self, settings: Settings, target: Target) -> None:
         """Keep a target's entry up."""
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -37,10 +37,10 @@
     assert target.slots == 2
 
 
-def test_lifetimes_of_one_name_differ(reader: entries.Reader) -> None:
+def test_incarnations_of_one_name_differ(reader: entries.Reader) -> None:
     """A server starts again under its id and knows nothing of before.
 
-    With one cookie for both lifetimes packets of old flows would count as
+    With one cookie for both incarnations packets of old flows would count as
     those of new ones.
     """
     first = reader.target(cookie_parts.target_row("i-0a", 1, born=1))
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -176,7 +176,7 @@
 ) -> None:
     """All VMs lose power, and the fabric sends packets while they start.
 
-    Lost, their callers would send them again only after their time limit.
+    Lost, their callers would send them again only after their deadline.
     """
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as waiting:
         waiting.bind((entry_parts.host(1), entry_parts.DATA_PORT))
--- a/tests/test_lifetimes.py
+++ b/tests/test_incarnations.py
@@ -1,8 +1,8 @@
-"""Which lifetimes of servers are over for certain."""
+"""Which incarnations of servers are over for certain."""
 
 import pytest
 
-from eelgrasswick.cookie import lifetimes, model
+from eelgrasswick.cookie import incarnations, model
 from eelgrasswick.platform import entries
 from tests import cookie_parts
 
@@ -10,8 +10,8 @@
 
 
 @pytest.fixture
-def known() -> lifetimes.Lifetimes:
-    return lifetimes.Lifetimes()
+def known() -> incarnations.Incarnations:
+    return incarnations.Incarnations()
 
 
 def _target(name: str, born: int, address: str = ADDRESS) -> model.Target:
@@ -20,7 +20,7 @@
 
 
 def test_server_that_took_an_address_ends_the_former(
-    known: lifetimes.Lifetimes,
+    known: incarnations.Incarnations,
 ) -> None:
     """A server crashes, and two seconds later another has its address.
 
@@ -35,7 +35,7 @@
 
 
 def test_order_in_which_entries_are_read_does_not_matter(
-    known: lifetimes.Lifetimes,
+    known: incarnations.Incarnations,
 ) -> None:
     """A VM starts and reads both entries at once, the later one first."""
     former, latter = _target("i-0a", 1000), _target("i-0b", 9000)
@@ -44,8 +44,8 @@
     assert not known.ended(latter.cookie)
 
 
-def test_server_that_started_again_ends_its_former_lifetime(
-    known: lifetimes.Lifetimes,
+def test_server_that_started_again_ends_its_former_incarnation(
+    known: incarnations.Incarnations,
 ) -> None:
     """A server crashes and is back within a second, under its name.
 
@@ -57,7 +57,9 @@
     assert known.told("servers/i-0a", latter, 9) == [former]
 
 
-def test_entry_that_was_written_late_ends_nobody(known: lifetimes.Lifetimes) -> None:
+def test_entry_that_was_written_late_ends_nobody(
+    known: incarnations.Incarnations,
+) -> None:
     """The last heartbeat of a crashed server is done seconds after it was sent.
 
     By the store's revisions alone the dead server would follow the live one.
@@ -68,7 +70,7 @@
     assert not known.ended(latter.cookie)
 
 
-def test_wrong_clock_of_a_server_ends_nobody(known: lifetimes.Lifetimes) -> None:
+def test_wrong_clock_of_a_server_ends_nobody(known: incarnations.Incarnations) -> None:
     """A server's clock is behind when it starts at an address that was used."""
     former, latter = _target("i-0a", 9000), _target("i-0b", 4000)
     known.told("servers/i-0a", former, 5)
@@ -76,21 +78,21 @@
     assert not known.ended(former.cookie)
 
 
-def test_entry_that_changes_ends_nobody(known: lifetimes.Lifetimes) -> None:
+def test_entry_that_changes_ends_nobody(known: incarnations.Incarnations) -> None:
     target = _target("i-0a", 1000)
     known.told("servers/i-0a", target, 5)
     assert known.told("servers/i-0a", target._replace(draining=True), 9) == []
 
 
-def test_each_end_is_told_once(known: lifetimes.Lifetimes) -> None:
+def test_each_end_is_told_once(known: incarnations.Incarnations) -> None:
     former, latter = _target("i-0a", 1000), _target("i-0b", 9000)
     known.told("servers/i-0a", former, 5)
     known.told("servers/i-0b", latter, 9)
     assert known.told("servers/i-0b", latter._replace(draining=True), 12) == []
 
 
-def test_lifetime_that_is_forgotten_leaves_nothing(
-    known: lifetimes.Lifetimes,
+def test_incarnation_that_is_forgotten_leaves_nothing(
+    known: incarnations.Incarnations,
 ) -> None:
     former, latter = _target("i-0a", 1000), _target("i-0b", 9000)
     known.told("servers/i-0a", former, 5)
--- a/tests/test_steering_silent.py
+++ b/tests/test_steering_silent.py
@@ -147,7 +147,7 @@
 ) -> None:
     """A server crashes while flows are open on it.
 
-    Their callers would wait until their time limit for each request.
+    Their callers would wait until their deadline for each request.
     """
     first = _crash(steers, seen)
     resets = steers.abandon(first)
@@ -244,7 +244,7 @@
 ) -> None:
     """A server opens flows and accepts connections, but answers no request.
 
-    Its health check is good. Each new flow there costs its caller a time limit.
+    Its health check is good. Each new flow there costs its caller a deadline.
     """
     first = steering_parts.opened(steers)
     for number in range(2):
