Give the home one value for a packet's arrival, and turns a class of their own

home.py passed time, packet, flow and service through eleven methods; they are one named tuple now, and 401 lines are 366. The shuffled turns of heartbeats left membership.py. The tables that parts of an engine share are called tables.

Ruled out: the same in opener.py, whose public methods are called by three others. Tests of membership, epochs, drains, failures and mixed faults are unchanged and green.

--- a/eelgrasswick/decisions/selector.py
+++ b/eelgrasswick/decisions/selector.py
@@ -34,7 +34,7 @@
     def __init__(self, shared: tables.Tables, policy: placement.Placement) -> None:
         """Choose by a policy."""
         self.chooser = choice.Chooser(policy)
-        self._books = shared
+        self._tables = shared
         self._learn_ms = 0
 
     def tick(self, now_ms: int) -> None:
@@ -53,7 +53,7 @@
             opening_ms: Time since the flow began.
         """
         self.chooser.strength.accepted(name, opening_ms)
-        if self._books.health.answered(name):
+        if self._tables.health.answered(name):
             self.chooser.ramp.restart(now_ms, name)
 
     def choose(
@@ -64,7 +64,7 @@
         excluded: frozenset[str],
     ) -> choice.Choice:
         """Choose a target for a new flow."""
-        current = self._books.epochs.current
+        current = self._tables.epochs.current
         assert current is not None
         if key.protocol == packet.Protocol.UDP:
             # A datagram can be repeated and reach two homes, as on the sides of
@@ -75,7 +75,7 @@
             item for item in current.ranked(key, owner) if item.name not in excluded
         ]
         ranked = self._reachable(ranked, current)
-        suspected = [self._books.health.suspected(now_ms, i.name) for i in ranked]
+        suspected = [self._tables.health.suspected(now_ms, i.name) for i in ranked]
         usable = health.usable(suspected)
         sights = [
             self._sight(item, good) for item, good in zip(ranked, usable, strict=True)
@@ -89,7 +89,7 @@
         # its targets with it. Flows sent there would hang until it heals. Left
         # out before the panic share is worked out: a small zone that is cut
         # off sees most targets as lost, and would send flows to all of them.
-        peers = self._books.peers
+        peers = self._tables.peers
         near = [
             item
             for item in ranked
@@ -98,14 +98,14 @@
         return near or ranked
 
     def _sight(self, item: target.Target, good: bool) -> choice.Sight:
-        here = self._books.flows.open_by_target[item.name]
-        everywhere = here + self._books.loads.elsewhere(item.name)
+        here = self._tables.flows.open_by_target[item.name]
+        everywhere = here + self._tables.loads.elsewhere(item.name)
         free = everywhere < item.connections
-        recent = self._books.loads.recent_elsewhere(item.name)
+        recent = self._tables.loads.recent_elsewhere(item.name)
         return choice.Sight(item, everywhere, recent, good and free)
 
     def _learn(self, now_ms: int) -> None:
-        current = self._books.epochs.current
+        current = self._tables.epochs.current
         if current is None:
             return
         for owner in current.config.services.values():
--- a/eelgrasswick/fleet/membership.py
+++ b/eelgrasswick/fleet/membership.py
@@ -20,6 +20,7 @@
     member,
     peer,
     probe,
+    turn,
     unheard,
 )
 
@@ -64,7 +65,7 @@
         self._peers = peers
         self._outbox = outbox
         self._rng = rng
-        self._round: list[str] = []
+        self._turn = turn.Turn(rng)
         self._probes = probe.Probes()
         self._suspects: dict[str, int] = {}
         self._holders: dict[packet.Address, str] = {}
@@ -310,22 +311,13 @@
     # Heartbeats.
 
     def _ping_next(self, now_ms: int) -> None:
-        name = self._next_name()
+        here = [item.name for item in self.others.values() if not item.gone]
+        name = self._turn.next(here)
         if name is None:
             return
         number = self._ping_known(self.others[name])
         self._probes.begin(now_ms, number, name)
 
-    def _next_name(self) -> str | None:
-        while self._round:
-            name = self._round.pop()
-            known = self.others.get(name)
-            if known is not None and not known.gone:
-                return name
-        self._round = [item.name for item in self.others.values() if not item.gone]
-        self._rng.shuffle(self._round)
-        return self._round.pop() if self._round else None
-
     def _ping_unheard(self) -> None:
         here = [self.me, *self.others.values()]
         known = {peer.address_of(item) for item in here if not item.gone}
--- a/eelgrasswick/homes/emptiness.py
+++ b/eelgrasswick/homes/emptiness.py
@@ -31,7 +31,7 @@
 
     def __init__(self, shared: tables.Tables) -> None:
         """Follow the targets of the configuration in force."""
-        self._books = shared
+        self._tables = shared
         self._leaving: dict[str, _Leaving] = {}
 
     def check(
@@ -49,7 +49,7 @@
             watching: True when this VM watches the store for its zone.
             others: Names of the other serving VMs.
         """
-        current = self._books.epochs.current
+        current = self._tables.epochs.current
         if current is None:
             return
         for item in current.config.targets.values():
@@ -57,17 +57,17 @@
                 self._leaving.pop(item.name, None)
             else:
                 self._look(now_ms, item, current.config.sequence)
-        if watching and self._books.loads.heard_from(others):
+        if watching and self._tables.loads.heard_from(others):
             self._note(now_ms, me, current.zones, len(others) + 1)
 
     def _look(self, now_ms: int, item: target.Target, sequence: int) -> None:
         known = self._leaving.setdefault(item.name, _Leaving(sequence))
-        here = self._books.flows.open_by_target[item.name]
-        if here + self._books.loads.elsewhere(item.name):
+        here = self._tables.flows.open_by_target[item.name]
+        if here + self._tables.loads.elsewhere(item.name):
             known.empty_ms = None
         elif known.empty_ms is None:
             known.empty_ms = now_ms
-            self._books.outbox.put(message.log("target_empty", target=item.name))
+            self._tables.outbox.put(message.log("target_empty", target=item.name))
 
     def _note(
         self, now_ms: int, me: member.Member, zones: frozenset[str], homes: int
@@ -75,7 +75,7 @@
         # For a moment after a home died its flows are counted nowhere. Written
         # down at once, a target with open flows would stand in the trail as
         # empty, and an operator would switch it off.
-        current = self._books.epochs.current
+        current = self._tables.epochs.current
         assert current is not None
         for name, known in self._leaving.items():
             item = current.config.targets.get(name)
@@ -84,6 +84,6 @@
             own = item.zone == me.zone or item.zone not in zones
             if own and now_ms - known.empty_ms >= SURE_MS:
                 known.noted = True
-                self._books.outbox.put(
+                self._tables.outbox.put(
                     message.RecordEmpty(name, known.sequence, known.empty_ms, homes)
                 )
--- a/eelgrasswick/homes/explain.py
+++ b/eelgrasswick/homes/explain.py
@@ -51,7 +51,7 @@
         self, shared: tables.Tables, kept: keeper.Keeper, fleet: membership.Membership
     ) -> None:
         """Read from the parts of an engine; nothing is changed."""
-        self._books = shared
+        self._tables = shared
         self._keeper = kept
         self._fleet = fleet
 
@@ -83,7 +83,7 @@
 
     def _flow(self, now_ms: int, key: packet.FlowKey) -> dict[str, str]:
         facts = {"flow": str(key)}
-        current = self._books.epochs.current
+        current = self._tables.epochs.current
         if current is None:
             return {**facts, "reason": "this VM has no configuration yet"}
         owner = current.config.service_at(
@@ -98,7 +98,7 @@
         facts.update(self._vm("home", place.home))
         facts.update(self._vm("backup", place.backup))
         facts.update(self._knowledge(now_ms, key))
-        record = self._books.flows.get(key)
+        record = self._tables.flows.get(key)
         if record is not None:
             facts["origin"] = record.origin.value
             facts["flow_state"] = record.state.value
@@ -108,11 +108,11 @@
         return facts
 
     def _knowledge(self, now_ms: int, key: packet.FlowKey) -> dict[str, str]:
-        record = self._books.flows.get(key)
+        record = self._tables.flows.get(key)
         sources = {
             "record": record.target if record is not None else None,
-            "hint": self._books.hints.get(now_ms, key),
-            "copy": self._books.replicator.kept.get(now_ms, key),
+            "hint": self._tables.hints.get(now_ms, key),
+            "copy": self._tables.replicator.kept.get(now_ms, key),
         }
         facts = {}
         for name, known in sources.items():
@@ -120,7 +120,7 @@
         for known in sources.values():
             if known is not None:
                 facts["draining"] = _word(not known.accepts)
-                suspected = self._books.health.suspected(now_ms, known.name)
+                suspected = self._tables.health.suspected(now_ms, known.name)
                 facts["suspected"] = _word(suspected)
                 break
         return facts
@@ -134,15 +134,15 @@
 
     def _target(self, now_ms: int, name: str) -> dict[str, str]:
         facts = {"target": name}
-        current = self._books.epochs.current
+        current = self._tables.epochs.current
         known = current.config.targets.get(name) if current is not None else None
         if known is None:
             return {**facts, "reason": "no rule names this target"}
         facts.update(_rule_of(known))
-        suspected = self._books.health.suspected(now_ms, name)
+        suspected = self._tables.health.suspected(now_ms, name)
         facts["suspected"] = _word(suspected)
-        here = self._books.flows.open_by_target[name]
-        elsewhere = self._books.loads.elsewhere(name)
+        here = self._tables.flows.open_by_target[name]
+        elsewhere = self._tables.loads.elsewhere(name)
         facts["open_here"] = str(here)
         facts["open_elsewhere"] = str(elsewhere)
         facts["reason"] = _target_reason(known, suspected, here + elsewhere)
--- a/eelgrasswick/homes/guess.py
+++ b/eelgrasswick/homes/guess.py
@@ -29,7 +29,7 @@
     def __init__(self, name: str, shared: tables.Tables) -> None:
         """Guess as the VM ``name``."""
         self._name = name
-        self._books = shared
+        self._tables = shared
 
     def begin(
         self, now_ms: int, key: packet.FlowKey, owner: service.Service
@@ -38,10 +38,10 @@
         # The address belonged to another service before, or may belong to one
         # by newer rules that this VM has not got yet: the packet may be meant
         # for that one, and no target of this one may see it.
-        doubtful = owner.reused or (owner.retired and self._books.epochs.behind)
+        doubtful = owner.reused or (owner.retired and self._tables.epochs.behind)
         candidates = [] if doubtful else self._candidates(key, owner)
         if not candidates:
-            self._books.outbox.count(_COUNT.PACKETS_UNKNOWN_FLOW)
+            self._tables.outbox.count(_COUNT.PACKETS_UNKNOWN_FLOW)
             return None
         record = flow.Record(
             candidates[0],
@@ -50,10 +50,10 @@
             now_ms,
             owner.idle_s * 1000,
         )
-        self._books.flows.add(key, record)
-        self._books.outbox.count(_COUNT.FLOWS_GUESSED)
+        self._tables.flows.add(key, record)
+        self._tables.outbox.count(_COUNT.FLOWS_GUESSED)
         name = record.target.name
-        self._books.outbox.put(message.log("flow_guessed", flow=str(key), target=name))
+        self._tables.outbox.put(message.log("flow_guessed", flow=str(key), target=name))
         return record
 
     def disown(
@@ -72,7 +72,7 @@
         record.syn_ack_sequence = None
         record.origin = flow.Origin.GUESSED
         record.first = item
-        self._books.outbox.count(_COUNT.FLOWS_GUESSED)
+        self._tables.outbox.count(_COUNT.FLOWS_GUESSED)
         self.refute(key, owner, record)
 
     def refute(
@@ -96,16 +96,16 @@
         ]
         if not rest:
             return False
-        self._books.flows.move(key, record, rest[0])
+        self._tables.flows.move(key, record, rest[0])
         if record.first is not None:
             send = message.SendDatagram(record.target.endpoint, record.first.raw)
-            self._books.outbox.put(send)
+            self._tables.outbox.put(send)
         return True
 
     def _candidates(
         self, key: packet.FlowKey, owner: service.Service
     ) -> list[target.Target]:
-        epochs = self._books.epochs
+        epochs = self._tables.epochs
         current = epochs.current
         assert current is not None
         found = {item.name: item for item in epochs.possible_targets(key, owner)}
@@ -119,8 +119,8 @@
 
     def certain(self, now_ms: int, key: packet.FlowKey, owner: service.Service) -> bool:
         """Tell whether every VM that may have placed a flow can be asked."""
-        former = self._books.epochs.earlier_owners(now_ms, key, owner)
-        peers = self._books.peers
+        former = self._tables.epochs.earlier_owners(now_ms, key, owner)
+        peers = self._tables.peers
         return all(name == self._name or peers.reachable(name) for name in former)
 
     def agreed(
@@ -135,9 +135,9 @@
         Returns:
             The target, or None when it is not clear or takes no new flow.
         """
-        current = self._books.epochs.current
+        current = self._tables.epochs.current
         assert current is not None
-        defaults = self._books.epochs.recent_defaults(now_ms, key, owner)
+        defaults = self._tables.epochs.recent_defaults(now_ms, key, owner)
         if not 0 < len(defaults) <= _VIEWS:
             return None
         present = current.config.targets.get(defaults[-1].name)
--- a/eelgrasswick/homes/home.py
+++ b/eelgrasswick/homes/home.py
@@ -19,6 +19,22 @@
 _COUNT: typing.Final = message.Counter
 
 
+class _Arrival(typing.NamedTuple):
+    """A packet of a flow at its home.
+
+    Attributes:
+        now_ms: When it came.
+        item: The packet.
+        key: Its flow.
+        owner: The flow's service.
+    """
+
+    now_ms: int
+    item: packet.Packet
+    key: packet.FlowKey
+    owner: service.Service
+
+
 class Home:
     """Places new flows, and finds out where unknown ones are.
 
@@ -31,7 +47,7 @@
     ) -> None:
         """Decide as the VM ``name``; new flows go through ``opening``."""
         self._name = name
-        self._books = shared
+        self._tables = shared
         self._opener = opening
         self._inquiries = inquiry.Inquiries(shared.peers)
         self._guesser = guess.Guesser(name, shared)
@@ -45,16 +61,17 @@
         owner: service.Service,
     ) -> None:
         """Handle a caller's packet of a flow whose home is this VM."""
-        record = self._books.flows.get(key)
+        record = self._tables.flows.get(key)
+        arrival = _Arrival(now_ms, item, key, owner)
         if record is None:
-            self._unknown(now_ms, item, key, owner)
+            self._unknown(arrival)
         elif item.opens:
-            self._open_again(now_ms, item, key, owner, record)
+            self._open_again(arrival, record)
         elif record.answers_another(item):
             record.seen_ms = now_ms
             self._guesser.disown(item, key, owner, record)
         else:
-            self._continue(now_ms, item, key, record)
+            self._continue(arrival, record)
 
     def answer(
         self,
@@ -65,15 +82,16 @@
         owner: service.Service,
     ) -> None:
         """Handle a target's SYN, FIN or RST for a flow at this home."""
-        record = self._books.flows.get(key)
+        record = self._tables.flows.get(key)
+        arrival = _Arrival(now_ms, item, key, owner)
         if record is None:
-            self._answer_unknown(now_ms, item, key, sender, owner)
+            self._answer_unknown(arrival, sender)
         elif record.target.name != sender.name:
-            self._answer_stray(now_ms, item, key, sender, record)
+            self._answer_stray(arrival, sender, record)
         elif item.resets:
-            self._answer_reset(now_ms, item, key, owner, record)
+            self._answer_reset(arrival, record)
         else:
-            self._answer_known(now_ms, item, key, record)
+            self._answer_known(arrival, record)
 
     def cancel(self, key: packet.FlowKey) -> None:
         """Stop deciding about a flow, as another VM does now."""
@@ -105,9 +123,9 @@
     def delegate_of(self, now_ms: int, key: packet.FlowKey) -> str | None:
         """Return the VM to which this one has left a flow, if it is there."""
         name = self._delegated.get(now_ms, key)
-        if name is None or self._books.flows.get(key) is not None:
+        if name is None or self._tables.flows.get(key) is not None:
             return None
-        return name if self._books.peers.reachable(name) else None
+        return name if self._tables.peers.reachable(name) else None
 
     def reclaim(self) -> None:
         """End all leave given to other VMs, because homes may have changed."""
@@ -128,14 +146,9 @@
 
     # Packets of callers.
 
-    def _continue(
-        self,
-        now_ms: int,
-        item: packet.Packet,
-        key: packet.FlowKey,
-        record: flow.Record,
-    ) -> None:
-        record.seen_ms = now_ms
+    def _continue(self, arrival: _Arrival, record: flow.Record) -> None:
+        item = arrival.item
+        record.seen_ms = arrival.now_ms
         record.syn_ack_sequence = None
         if record.state is flow.State.OPENING:
             # The caller has met a target whose SYN-ACK took its way over
@@ -147,19 +160,13 @@
             record.first = item
         self._send(record.target, item)
         if item.resets:
-            self._close(now_ms, key, record)
+            self._close(arrival, record)
         elif item.finishes:
             record.caller_done = True
-            self._close_if_done(now_ms, key, record)
+            self._close_if_done(arrival, record)
 
-    def _open_again(
-        self,
-        now_ms: int,
-        item: packet.Packet,
-        key: packet.FlowKey,
-        owner: service.Service,
-        record: flow.Record,
-    ) -> None:
+    def _open_again(self, arrival: _Arrival, record: flow.Record) -> None:
+        now_ms, item, key, owner = arrival
         if record.state is flow.State.CLOSED:
             self._opener.reopen(now_ms, item, key, owner, record)
             return
@@ -173,21 +180,16 @@
             self._opener.move(now_ms, key, owner, record)
         self._send(record.target, item)
 
-    def _unknown(
-        self,
-        now_ms: int,
-        item: packet.Packet,
-        key: packet.FlowKey,
-        owner: service.Service,
-    ) -> None:
-        shared = self._books
+    def _unknown(self, arrival: _Arrival) -> None:
+        now_ms, item, key, owner = arrival
+        shared = self._tables
         if self._opener.holds(item, key):
             return
         known = shared.hints.get(now_ms, key)
         known = known or shared.replicator.kept.get(now_ms, key)
         # A copy can outlive its flow, and a SYN opens another on a used port.
         if known is not None and (known.accepts or not item.opens):
-            self._adopt(now_ms, item, key, owner, known)
+            self._adopt(arrival, known)
             return
         if self._inquiries.hold(key, item):
             return
@@ -200,7 +202,7 @@
         self._settle(now_ms, inquiry.Settled(key, (item,), "", True))
 
     def _settle(self, now_ms: int, settled: inquiry.Settled) -> None:
-        current = self._books.epochs.current
+        current = self._tables.epochs.current
         assert current is not None
         key = settled.flow
         owner = current.config.service_at(
@@ -210,27 +212,22 @@
             return
         known = current.config.targets.get(settled.target)
         for item in settled.packets:
-            if self._books.flows.get(key) is not None:
+            arrival = _Arrival(now_ms, item, key, owner)
+            if self._tables.flows.get(key) is not None:
                 self.request(now_ms, item, key, owner)
             elif known is not None and known.service == owner.name:
-                self._adopt(now_ms, item, key, owner, known)
+                self._adopt(arrival, known)
             elif item.opens:
                 self._opener.admit(now_ms, item, key, owner, settled.certain)
             elif item.protocol == packet.Protocol.UDP:
-                self._admit_datagram(now_ms, item, key, owner, settled.certain)
+                self._admit_datagram(arrival, settled.certain)
             else:
                 record = self._guesser.begin(now_ms, key, owner)
                 if record is not None:
-                    self._continue(now_ms, item, key, record)
+                    self._continue(arrival, record)
 
-    def _admit_datagram(
-        self,
-        now_ms: int,
-        item: packet.Packet,
-        key: packet.FlowKey,
-        owner: service.Service,
-        answered: bool,
-    ) -> None:
+    def _admit_datagram(self, arrival: _Arrival, answered: bool) -> None:
+        now_ms, item, key, owner = arrival
         if answered and self._guesser.certain(now_ms, key, owner):
             self._opener.admit(now_ms, item, key, owner, True)
             return
@@ -238,18 +235,11 @@
         if agreed is not None:
             self._opener.admit(now_ms, item, key, owner, False, agreed)
         else:
-            self._books.outbox.count(_COUNT.PACKETS_UNKNOWN_FLOW)
+            self._tables.outbox.count(_COUNT.PACKETS_UNKNOWN_FLOW)
 
-    def _adopt(
-        self,
-        now_ms: int,
-        item: packet.Packet,
-        key: packet.FlowKey,
-        owner: service.Service,
-        known: target.Target,
-    ) -> None:
-        record = self.learn(now_ms, key, owner, known)
-        self._continue(now_ms, item, key, record)
+    def _adopt(self, arrival: _Arrival, known: target.Target) -> None:
+        record = self.learn(arrival.now_ms, arrival.key, arrival.owner, known)
+        self._continue(arrival, record)
 
     def learn(
         self,
@@ -262,128 +252,103 @@
         record = flow.Record(
             known, flow.Origin.LEARNED, flow.State.OPEN, now_ms, owner.idle_s * 1000
         )
-        self._books.flows.add(key, record)
-        self._books.outbox.count(_COUNT.FLOWS_LEARNED)
+        self._tables.flows.add(key, record)
+        self._tables.outbox.count(_COUNT.FLOWS_LEARNED)
         self._opener.replicate(key, owner, known)
         return record
 
     # Packets of targets.
 
-    def _answer_unknown(
-        self,
-        now_ms: int,
-        item: packet.Packet,
-        key: packet.FlowKey,
-        sender: target.Target,
-        owner: service.Service,
-    ) -> None:
-        if item.resets:
+    def _answer_unknown(self, arrival: _Arrival, sender: target.Target) -> None:
+        if arrival.item.resets:
             # Whether this target holds the flow is not known here. The reset
             # may answer a packet that another VM sent on a wrong guess.
-            self._books.outbox.count(_COUNT.RESETS_HELD_BACK)
+            self._tables.outbox.count(_COUNT.RESETS_HELD_BACK)
             return
-        record = self.learn(now_ms, key, owner, sender)
-        self._answer_known(now_ms, item, key, record)
+        record = self.learn(arrival.now_ms, arrival.key, arrival.owner, sender)
+        self._answer_known(arrival, record)
 
     def _answer_stray(
-        self,
-        now_ms: int,
-        item: packet.Packet,
-        key: packet.FlowKey,
-        sender: target.Target,
-        record: flow.Record,
+        self, arrival: _Arrival, sender: target.Target, record: flow.Record
     ) -> None:
+        item = arrival.item
         opens = bool(item.flags & packet.Flags.SYN)
         if record.origin is flow.Origin.GUESSED and not (item.resets or opens):
-            self.correct(key, sender)
-            self._answer_known(now_ms, item, key, record)
+            self.correct(arrival.key, sender)
+            self._answer_known(arrival, record)
             return
-        self._books.outbox.count(_COUNT.ANSWERS_STRAY)
+        self._tables.outbox.count(_COUNT.ANSWERS_STRAY)
 
     def correct(self, key: packet.FlowKey, sender: target.Target) -> None:
         """Take an answer as proof of where a guessed flow is."""
-        record = self._books.flows.get(key)
+        record = self._tables.flows.get(key)
         if record is None or record.origin is not flow.Origin.GUESSED:
             return
         if record.target.name != sender.name:
-            self._books.flows.move(key, record, sender)
+            self._tables.flows.move(key, record, sender)
         record.origin = flow.Origin.LEARNED
         record.first = None
         name = record.target.name
-        self._books.outbox.put(message.log("guess_settled", flow=str(key), target=name))
+        self._tables.outbox.put(
+            message.log("guess_settled", flow=str(key), target=name)
+        )
 
-    def _answer_reset(
-        self,
-        now_ms: int,
-        item: packet.Packet,
-        key: packet.FlowKey,
-        owner: service.Service,
-        record: flow.Record,
-    ) -> None:
+    def _answer_reset(self, arrival: _Arrival, record: flow.Record) -> None:
+        now_ms, item, key, owner = arrival
         if record.origin is flow.Origin.GUESSED:
             if self._guesser.refute(key, owner, record):
-                self._books.outbox.count(_COUNT.RESETS_HELD_BACK)
+                self._tables.outbox.count(_COUNT.RESETS_HELD_BACK)
             else:
                 self._pass(item)
-                self._close(now_ms, key, record)
+                self._close(arrival, record)
             return
         opening = record.state is flow.State.OPENING
         if opening and item.refuses_open and record.first is not None:
             # The target shed the flow before any work, so another may take it.
-            self._books.health.unanswered(now_ms, record.target.name)
+            self._tables.health.unanswered(now_ms, record.target.name)
             if self._opener.move(now_ms, key, owner, record):
                 self._send(record.target, record.first)
                 return
         self._pass(item)
-        self._close(now_ms, key, record, reset=True)
+        self._close(arrival, record, reset=True)
 
-    def _answer_known(
-        self,
-        now_ms: int,
-        item: packet.Packet,
-        key: packet.FlowKey,
-        record: flow.Record,
-    ) -> None:
-        record.seen_ms = now_ms
+    def _answer_known(self, arrival: _Arrival, record: flow.Record) -> None:
+        item = arrival.item
+        record.seen_ms = arrival.now_ms
         if item.flags & packet.Flags.SYN:
             record.first = None
             record.syn_ack_sequence = item.sequence
             if record.state is flow.State.OPENING:
                 record.state = flow.State.OPEN
-                self._opener.answered(now_ms, record)
+                self._opener.answered(arrival.now_ms, record)
         elif record.origin is flow.Origin.GUESSED:
             record.origin = flow.Origin.LEARNED
             record.first = None
         self._pass(item)
         if item.finishes:
             record.target_done = True
-            self._close_if_done(now_ms, key, record)
+            self._close_if_done(arrival, record)
 
     # Ends of flows.
 
-    def _close_if_done(
-        self, now_ms: int, key: packet.FlowKey, record: flow.Record
-    ) -> None:
+    def _close_if_done(self, arrival: _Arrival, record: flow.Record) -> None:
         if record.caller_done and record.target_done:
-            self._close(now_ms, key, record)
+            self._close(arrival, record)
         record.expect_end()
 
     def _close(
-        self,
-        now_ms: int,
-        key: packet.FlowKey,
-        record: flow.Record,
-        reset: bool = False,
+        self, arrival: _Arrival, record: flow.Record, reset: bool = False
     ) -> None:
         if not record.counts:
             return
-        self._books.flows.close(now_ms, key, record)
-        self._books.outbox.count(_COUNT.FLOWS_CLOSED)
+        now_ms, key = arrival.now_ms, arrival.key
+        self._tables.flows.close(now_ms, key, record)
+        self._tables.outbox.count(_COUNT.FLOWS_CLOSED)
         self._forget(key, record)
         self._opener.ended(now_ms, key, record, reset)
 
     def _forget(self, key: packet.FlowKey, record: flow.Record) -> None:
-        current = self._books.epochs.current
+        current = self._tables.epochs.current
         assert current is not None
         owner = current.config.services.get(record.target.service)
         if owner is None:
@@ -392,10 +357,10 @@
         default = place.default.name if place.default is not None else ""
         if record.target.name != default and place.backup not in (None, self._name):
             assert place.backup is not None
-            self._books.replicator.forget(place.backup, key)
+            self._tables.replicator.forget(place.backup, key)
 
     def _send(self, chosen: target.Target, item: packet.Packet) -> None:
-        self._books.outbox.put(message.SendDatagram(chosen.endpoint, item.raw))
+        self._tables.outbox.put(message.SendDatagram(chosen.endpoint, item.raw))
 
     def _pass(self, item: packet.Packet) -> None:
-        self._books.outbox.put(message.SendFabric(item.raw))
+        self._tables.outbox.put(message.SendFabric(item.raw))
--- a/eelgrasswick/homes/opener.py
+++ b/eelgrasswick/homes/opener.py
@@ -46,7 +46,7 @@
     ) -> None:
         """Decide as the VM ``name`` with a placement policy."""
         self._name = name
-        self._books = shared
+        self._tables = shared
         self._selector = selector.Selector(shared, policy)
         self.chooser = self._selector.chooser
         self._pending = pending.Pending(name, shared)
@@ -77,7 +77,7 @@
         """
         if now_ms - record.opened_ms >= 2 * health.ANSWER_MS:
             return True
-        return self._books.health.suspected(now_ms, record.target.name)
+        return self._tables.health.suspected(now_ms, record.target.name)
 
     def answered(self, now_ms: int, record: flow.Record) -> None:
         """Note that a target has accepted a flow."""
@@ -98,7 +98,7 @@
 
     def _serve(self, now_ms: int, name: str) -> None:
         """Place what waits for a service, in turn, and refuse what is late."""
-        current = self._books.epochs.current
+        current = self._tables.epochs.current
         owner = current.config.services.get(name) if current is not None else None
         if owner is None:
             return
@@ -114,7 +114,7 @@
             if chosen.target is None:
                 return
             queue.place(now_ms)
-            self._books.outbox.count(_COUNT.FLOWS_WAITED)
+            self._tables.outbox.count(_COUNT.FLOWS_WAITED)
             self.place(now_ms, item, key, owner, chosen.target)
 
     def _refuse_late(
@@ -144,7 +144,7 @@
         # old flow. On another target the new flow would be reset by packets
         # that follow those hints; on the same target they are right.
         refusal = self._refusal(now_ms, key, owner)
-        present = self._books.epochs.current
+        present = self._tables.epochs.current
         assert present is not None
         chosen = present.config.targets.get(record.target.name)
         if refusal is None and (chosen is None or not chosen.accepts):
@@ -189,7 +189,7 @@
         elif item.protocol == packet.Protocol.UDP and not certain:
             # A former home may have sent this very datagram to a target. Told
             # "not run", the caller would send it again and it would run twice.
-            self._books.outbox.count(_COUNT.PACKETS_UNKNOWN_FLOW)
+            self._tables.outbox.count(_COUNT.PACKETS_UNKNOWN_FLOW)
         else:
             self.refuse(item, key, refusal)
 
@@ -219,7 +219,7 @@
         today = datetime.datetime.fromtimestamp(now_ms / 1000, datetime.UTC).date()
         if owner.ended(today):
             return admission.Refusal(errors.ErrorKind.SERVICE_ENDED, _DAY_MS)
-        flows = self._books.flows
+        flows = self._tables.flows
         caller = flow.Caller(owner.name, key.caller_ip)
         demand = admission.Demand(
             owner.limit,
@@ -230,7 +230,7 @@
         return admission.admit(demand, _spread(key))
 
     def _share(self) -> float:
-        current = self._books.epochs.current
+        current = self._tables.epochs.current
         assert current is not None
         return current.share(self._name)
 
@@ -251,9 +251,9 @@
         if opening:
             record.first = item
             self._opening.append(Waiting(now_ms + health.ANSWER_MS, key, record))
-        self._books.flows.add(key, record)
-        self._books.hints.forget(key)
-        self._books.outbox.count(_COUNT.FLOWS_PLACED)
+        self._tables.flows.add(key, record)
+        self._tables.hints.forget(key)
+        self._tables.outbox.count(_COUNT.FLOWS_PLACED)
         exception = self.replicate(key, owner, chosen)
         self.chooser.begin(now_ms, key.packed, chosen.name, exception)
         self._send(chosen, item)
@@ -273,7 +273,7 @@
         if chosen is None:
             return False
         record.refuted = refuted
-        self._books.outbox.put(
+        self._tables.outbox.put(
             message.log(
                 "flow_moved",
                 flow=str(key),
@@ -281,9 +281,9 @@
                 target=chosen.name,
             )
         )
-        self._books.flows.move(key, record, chosen)
+        self._tables.flows.move(key, record, chosen)
         self.chooser.move(now_ms, key.packed, chosen.name)
-        self._books.outbox.count(_COUNT.FLOWS_MOVED)
+        self._tables.outbox.count(_COUNT.FLOWS_MOVED)
         self._opening.append(Waiting(now_ms + health.ANSWER_MS, key, record))
         self.replicate(key, owner, chosen)
         return True
@@ -296,14 +296,14 @@
         Returns:
             Whether the flow is such an exception.
         """
-        current = self._books.epochs.current
+        current = self._tables.epochs.current
         assert current is not None
         place = current.locate(key, owner)
         if place.default is not None and place.default.name == chosen.name:
             return False
-        self._books.outbox.count(_COUNT.FLOWS_EXCEPTION)
+        self._tables.outbox.count(_COUNT.FLOWS_EXCEPTION)
         if place.backup is not None and place.backup != self._name:
-            self._books.replicator.keep(place.backup, key, chosen)
+            self._tables.replicator.keep(place.backup, key, chosen)
         return True
 
     def refuse(
@@ -314,7 +314,7 @@
     ) -> None:
         """Tell the caller at once that nothing of its flow has run."""
         assert refusal is not None
-        outbox = self._books.outbox
+        outbox = self._tables.outbox
         outbox.count(_COUNT.FLOWS_REFUSED)
         outbox.put(
             message.SendFabric(
@@ -332,11 +332,11 @@
 
     def _note_silence(self, now_ms: int, waiting: Waiting) -> None:
         key = waiting.flow
-        record = self._books.flows.get(key)
+        record = self._tables.flows.get(key)
         if record is not waiting.record or record.state is not flow.State.OPENING:
             return
-        self._books.health.unanswered(now_ms, record.target.name)
-        current = self._books.epochs.current
+        self._tables.health.unanswered(now_ms, record.target.name)
+        current = self._tables.epochs.current
         owner = current.config.services.get(record.target.service) if current else None
         if owner is None or record.first is None or not self._pending.mine(key, owner):
             return
@@ -364,7 +364,7 @@
         self._send(record.target, first)
 
     def _send(self, chosen: target.Target, item: packet.Packet) -> None:
-        self._books.outbox.put(message.SendDatagram(chosen.endpoint, item.raw))
+        self._tables.outbox.put(message.SendDatagram(chosen.endpoint, item.raw))
 
 
 def _spread(key: packet.FlowKey) -> float:
--- a/eelgrasswick/homes/pending.py
+++ b/eelgrasswick/homes/pending.py
@@ -34,7 +34,7 @@
     def __init__(self, name: str, shared: tables.Tables) -> None:
         """Keep queues as the VM ``name``."""
         self._name = name
-        self._books = shared
+        self._tables = shared
         self._queues: dict[str, Queue] = {}
 
     def queue(self, owner: service.Service) -> Queue:
@@ -80,5 +80,5 @@
 
     def mine(self, key: packet.FlowKey, owner: service.Service) -> bool:
         """Tell whether this VM still decides about a flow."""
-        current = self._books.epochs.current
+        current = self._tables.epochs.current
         return current is not None and current.locate(key, owner).home == self._name
--- a/eelgrasswick/homes/rehome.py
+++ b/eelgrasswick/homes/rehome.py
@@ -26,13 +26,13 @@
     def __init__(self, name: str, shared: tables.Tables) -> None:
         """Work as the VM ``name``."""
         self._name = name
-        self._books = shared
+        self._tables = shared
         self._waiting: typing.Iterator[packet.FlowKey] = iter(())
 
     def start(self) -> None:
         """Begin anew, because homes may have changed."""
-        records = [key for key, _ in self._books.flows.items()]
-        kept = [key for key, _ in self._books.replicator.kept.items()]
+        records = [key for key, _ in self._tables.flows.items()]
+        kept = [key for key, _ in self._tables.replicator.kept.items()]
         self._waiting = iter(records + kept)
 
     def step(self, now_ms: int) -> None:
@@ -44,7 +44,7 @@
             self._one(now_ms, key)
 
     def _one(self, now_ms: int, key: packet.FlowKey) -> None:
-        shared = self._books
+        shared = self._tables
         record = shared.flows.get(key)
         kept = shared.replicator.kept.get(now_ms, key)
         known = record.target if record is not None else kept
@@ -65,9 +65,9 @@
 
     def _demote(self, now_ms: int, key: packet.FlowKey, record: flow.Record) -> None:
         # Counted here and at the new home, a flow would fill its target twice.
-        self._books.flows.remove(key)
+        self._tables.flows.remove(key)
         if _certain(record):
-            self._books.hints.learn(now_ms, key, record.target)
+            self._tables.hints.learn(now_ms, key, record.target)
 
     def _send(
         self,
@@ -76,7 +76,7 @@
         to_home: str | None,
         to_backup: str | None,
     ) -> None:
-        replicator = self._books.replicator
+        replicator = self._tables.replicator
         if to_home is not None and to_home != self._name:
             replicator.hand_over(to_home, key, known)
         elif to_backup is not None and to_backup != self._name:
--- a/eelgrasswick/homes/switch.py
+++ b/eelgrasswick/homes/switch.py
@@ -40,12 +40,12 @@
         """Switch packets as the VM ``name``."""
         self._name = name
         self._codec = codec
-        self._books = shared
+        self._tables = shared
         self._home = decider
 
     def datagram(self, now_ms: int, event: message.FabricDatagram) -> None:
         """Handle a datagram from the fabric or a target."""
-        current = self._books.epochs.current
+        current = self._tables.epochs.current
         item = self._decode(event.payload)
         if item is None or current is None:
             return
@@ -58,18 +58,18 @@
     def forward(self, now_ms: int, event: wire.Forward) -> None:
         """Handle a caller's packet that another VM passed on."""
         item = self._decode(event.packet)
-        if item is not None and self._books.epochs.current is not None:
+        if item is not None and self._tables.epochs.current is not None:
             self._request(now_ms, item, event.hops)
 
     def relay(self, now_ms: int, event: wire.Relay) -> None:
         """Handle a target's control packet that another VM passed on."""
-        current = self._books.epochs.current
+        current = self._tables.epochs.current
         item = self._decode(event.packet)
         if item is None or current is None:
             return
         sender = current.config.targets.get(event.target)
         if sender is None:
-            self._books.outbox.count(_COUNT.PACKETS_UNKNOWN_SENDER)
+            self._tables.outbox.count(_COUNT.PACKETS_UNKNOWN_SENDER)
             return
         self._answer_control(now_ms, item, sender, event.hops)
 
@@ -81,7 +81,7 @@
         if known is None and not self._home.delegate_to(now_ms, key, sender):
             return
         name = known.name if known is not None else ""
-        self._books.peers.send(sender, wire.Tell(event.flow, name))
+        self._tables.peers.send(sender, wire.Tell(event.flow, name))
 
     def tell(self, now_ms: int, sender: str, event: wire.Tell) -> None:
         """Take a former home's answer."""
@@ -89,21 +89,21 @@
         self._home.tell(now_ms, sender, key, event.target)
 
     def _known(self, now_ms: int, key: packet.FlowKey) -> target.Target | None:
-        record = self._books.flows.get(key)
+        record = self._tables.flows.get(key)
         if record is not None and record.counts and record.origin.value != "guessed":
             return record.target
-        hint = self._books.hints.get(now_ms, key)
-        return hint or self._books.replicator.kept.get(now_ms, key)
+        hint = self._tables.hints.get(now_ms, key)
+        return hint or self._tables.replicator.kept.get(now_ms, key)
 
     def _decode(self, payload: bytes) -> packet.Packet | None:
         try:
             return self._codec.decode(payload)
         except errors.PacketError as error:
             unsupported = error.kind is errors.ErrorKind.PACKET_UNSUPPORTED
-            self._books.outbox.count(
+            self._tables.outbox.count(
                 _COUNT.PACKETS_UNSUPPORTED if unsupported else _COUNT.PACKETS_MALFORMED
             )
-            self._books.outbox.put(
+            self._tables.outbox.put(
                 message.log(
                     "packet_dropped", kind=error.kind.value, detail=error.detail
                 )
@@ -111,9 +111,9 @@
             return None
 
     def _request(self, now_ms: int, item: packet.Packet, hops: int) -> None:
-        self._books.outbox.count(_COUNT.PACKETS_REQUEST)
+        self._tables.outbox.count(_COUNT.PACKETS_REQUEST)
         key = item.request_key()
-        current = self._books.epochs.current
+        current = self._tables.epochs.current
         assert current is not None
         owner = current.config.service_at(
             key.protocol, key.service_ip, key.service_port
@@ -124,7 +124,7 @@
         if not item.controls and self._direct(now_ms, item, key):
             return
         receiver = self._receiver(now_ms, current, key, owner)
-        if receiver == self._name or (hops and self._books.flows.get(key)):
+        if receiver == self._name or (hops and self._tables.flows.get(key)):
             self._home.request(now_ms, item, key, owner)
         else:
             self._pass_on(receiver, wire.Forward(hops + 1, item.raw))
@@ -142,26 +142,26 @@
         return self._home.delegate_of(now_ms, key) or home_name
 
     def _direct(self, now_ms: int, item: packet.Packet, key: packet.FlowKey) -> bool:
-        if self._books.flows.get(key) is not None:
+        if self._tables.flows.get(key) is not None:
             return False
-        known = self._books.hints.get(now_ms, key)
+        known = self._tables.hints.get(now_ms, key)
         if known is None:
             return False
-        self._books.outbox.put(message.SendDatagram(known.endpoint, item.raw))
+        self._tables.outbox.put(message.SendDatagram(known.endpoint, item.raw))
         return True
 
     def _pass_on(self, receiver: str | None, item: wire.Forward | wire.Relay) -> None:
-        outbox = self._books.outbox
+        outbox = self._tables.outbox
         if receiver is None:
             outbox.count(_COUNT.PACKETS_NO_HOME)
         elif item.hops > MAX_HOPS:
             outbox.count(_COUNT.PACKETS_HOP_LIMIT)
         else:
             outbox.count(_COUNT.PACKETS_FORWARDED)
-            self._books.peers.send(receiver, item)
+            self._tables.peers.send(receiver, item)
 
     def _no_service(self, item: packet.Packet, current: epoch.Epoch) -> None:
-        outbox = self._books.outbox
+        outbox = self._tables.outbox
         outbox.count(_COUNT.PACKETS_UNKNOWN_SERVICE)
         known = current.config.serves_ip(item.destination.ip)
         if known and (item.opens or item.protocol == packet.Protocol.UDP):
@@ -176,25 +176,25 @@
         owner = self._owner(item, sender)
         if owner is None:
             return
-        self._books.outbox.count(_COUNT.PACKETS_ANSWER)
+        self._tables.outbox.count(_COUNT.PACKETS_ANSWER)
         key = item.answer_key()
-        record = self._books.flows.get(key)
+        record = self._tables.flows.get(key)
         if record is None:
-            self._books.hints.learn(now_ms, key, sender)
+            self._tables.hints.learn(now_ms, key, sender)
         else:
             self._home.correct(key, sender)
-        self._books.outbox.put(message.SendFabric(item.raw))
+        self._tables.outbox.put(message.SendFabric(item.raw))
 
     def _answer_control(
         self, now_ms: int, item: packet.Packet, sender: target.Target, hops: int
     ) -> None:
         owner = self._owner(item, sender)
-        current = self._books.epochs.current
+        current = self._tables.epochs.current
         if owner is None or current is None:
             return
         key = item.answer_key()
         receiver = self._receiver(now_ms, current, key, owner)
-        here = self._books.flows.get(key) is not None
+        here = self._tables.flows.get(key) is not None
         if receiver == self._name or (hops and here):
             self._home.answer(now_ms, item, key, sender, owner)
         else:
@@ -206,11 +206,11 @@
         # A target speaks for its own service only. Let through, an answer of a
         # target that was moved to another service would reach a caller as the
         # answer of the service it had asked.
-        current = self._books.epochs.current
+        current = self._tables.epochs.current
         assert current is not None
         source = item.source
         owner = current.config.service_at(item.protocol, source.ip, source.port)
         if owner is None or owner.name != sender.service:
-            self._books.outbox.count(_COUNT.PACKETS_UNKNOWN_SENDER)
+            self._tables.outbox.count(_COUNT.PACKETS_UNKNOWN_SENDER)
             return None
         return owner
