--- a/eelgrasswick/soak/__main__.py
+++ b/eelgrasswick/soak/__main__.py
@@ -30,7 +30,9 @@
 
 async def _play(reactor: typing.Any, options: argparse.Namespace) -> None:
     last = options.seed + options.seeds
-    seeds = {seed: faults.KINDS for seed in range(options.seed, last)}
+    seeds: dict[int, tuple[str, ...]] = dict.fromkeys(
+        range(options.seed, last), faults.KINDS
+    )
     if options.kept:
         seeds = {item.seed: item.kinds for item in kept.SEEDS}
     failed = 0
