End a soak run's processes when it is stopped

Cause: a run that got SIGTERM ended without its last part, and its processes went on. Ruled out: reserved addresses; the block was free, as its holder had ended. Conclusion: the processes end with the reactor; a test stops a run, failed before.

--- a/eelgrasswick/soak/run.py
+++ b/eelgrasswick/soak/run.py
@@ -127,10 +127,16 @@
 
     async def play(self) -> Verdict:
         """Play the run to its end."""
+        # A run that is stopped by a signal never gets to its end; left alone, its
+        # processes would keep the addresses that the next run reserves.
+        stopped = self._reactor.addSystemEventTrigger(
+            "before", "shutdown", self.end_processes
+        )
         try:
             await self._start()
             await self._load()
         finally:
+            self._reactor.removeSystemEventTrigger(stopped)
             await self._end()
         return self._verdict()
 
@@ -257,7 +263,8 @@
         self._reactor.callLater(duration_s, done.callback, None)
         return done
 
-    async def _end(self) -> None:
+    def end_processes(self) -> None:
+        """End what this run has started, also when it is stopped midway."""
         known = (*self._vms, *self._targets, self._store)
         running = [item for item in known if item is not None]
         for item in running:
@@ -265,6 +272,9 @@
             item.signal(signal.SIGKILL)
         for item in running:
             item.end()
+
+    async def _end(self) -> None:
+        self.end_processes()
         for port in self._ports:
             await defer.maybeDeferred(port.stopListening)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,7 +1,9 @@
 """A short soak run of the real programs."""
 
+import pathlib
 import subprocess
 import sys
+import time
 
 
 def test_short_run_keeps_all_promises() -> None:
@@ -11,3 +13,27 @@
     done = subprocess.run(command, capture_output=True, text=True, check=False)
     assert done.returncode == 0, done.stdout + done.stderr[-2000:]
     assert "breaches=0" in done.stdout
+
+
+def test_stopped_run_leaves_no_process() -> None:
+    """Somebody stops a run midway.
+
+    Processes that go on would hold the addresses which the next run uses, and its
+    verdict would be about nothing.
+    """
+    command = [sys.executable, "-m", "eelgrasswick.soak", "--seed", "2"]
+    with subprocess.Popen(command, stdout=subprocess.DEVNULL) as running:
+        children: list[int] = []
+        limit_s = time.monotonic() + 30
+        while len(children) < 5 and time.monotonic() < limit_s:
+            time.sleep(0.1)
+            children = _children(running.pid)
+        assert len(children) >= 5
+        running.terminate()
+        running.wait(timeout=30)
+    assert not [pid for pid in children if pathlib.Path(f"/proc/{pid}").exists()]
+
+
+def _children(pid: int) -> list[int]:
+    path = pathlib.Path(f"/proc/{pid}/task/{pid}/children")
+    return [int(word) for word in path.read_text().split()]
