Draw both pictures of service over time in one place; sort the stand-ins' packets

The soak and the model of loads each drew stacked counts with marks. The packets of the stand-ins serve both and stand with the emulation.

--- a/eelgrasswick/emulation/cookie_load.py
+++ b/eelgrasswick/emulation/cookie_load.py
@@ -19,8 +19,7 @@
     observations,
     steering,
 )
-from eelgrasswick.emulation import cookie_scenario
-from eelgrasswick.soak import packets
+from eelgrasswick.emulation import cookie_scenario, packets
 
 HOP_MS: typing.Final = 1
 SYN_AFTER_MS: typing.Final = (0, 200, 600)
--- a/eelgrasswick/soak/caller.py
+++ b/eelgrasswick/soak/caller.py
@@ -7,7 +7,8 @@
 
 from twisted.internet import protocol
 
-from eelgrasswick.soak import history, packets
+from eelgrasswick.emulation import packets
+from eelgrasswick.soak import history
 
 SYN_AFTER_S: typing.Final = (0.0, 0.2, 0.6)
 OPEN_S: typing.Final = 1.4
--- a/eelgrasswick/soak/target.py
+++ b/eelgrasswick/soak/target.py
@@ -14,7 +14,8 @@
 import treq
 from twisted.internet import protocol, reactor, task
 
-from eelgrasswick.soak import history, packets
+from eelgrasswick.emulation import packets
+from eelgrasswick.soak import history
 
 HEARTBEAT_S: typing.Final = 1.2
 RESEND_S: typing.Final = 0.2
--- a/eelgrasswick/trials/trial_steering.py
+++ b/eelgrasswick/trials/trial_steering.py
@@ -4,7 +4,7 @@
 import pathlib
 import typing
 
-from eelgrasswick import errors
+from eelgrasswick import errors, picture
 from eelgrasswick.emulation import cookie_load, cookie_scenario
 from eelgrasswick.platform import segments
 
@@ -95,19 +95,15 @@
         path: Where the picture goes; its ending tells the format.
         title: What stands above it.
     """
-    # Imported here: only developers have the library, and few runs need it.
-    from matplotlib import figure
-
-    made = figure.Figure(figsize=(10, 4), layout="constrained")
-    axes = made.add_subplot()
-    at_s = [number * BIN_MS / 1000 for number in range(len(seconds))]
-    parts = list(zip(*seconds, strict=True))
     colors = ("tab:green", "tab:orange", "tab:red")
-    axes.stackplot(at_s, parts, labels=Second._fields, colors=colors, step="post")
-    for trouble in load.troubles:
-        axes.axvspan(
-            trouble.at_ms / 1000, trouble.until_ms / 1000, alpha=0.1, color="black"
+    parts = [
+        picture.Series(label, color, counts)
+        for label, color, counts in zip(
+            Second._fields, colors, zip(*seconds, strict=True), strict=True
         )
-    axes.set(title=title, xlabel="seconds", ylabel="requests in half a second")
-    axes.legend(loc="lower left")
-    made.savefig(path)
+    ]
+    marks = [
+        picture.Mark(item.kind, item.at_ms / 1000, item.until_ms / 1000)
+        for item in load.troubles
+    ]
+    picture.draw(path, title, BIN_MS / 1000, parts, marks)
--- a/tests/test_soak_history.py
+++ b/tests/test_soak_history.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from eelgrasswick.soak import faults, history, packets
+from eelgrasswick.emulation import packets
+from eelgrasswick.soak import faults, history
 
 K = history.Kind
 ANSWER = history.digest(history.answer_to("r1", 100))
--- a/tests/test_soak_plot.py
+++ b/tests/test_soak_plot.py
@@ -17,9 +17,9 @@
         _event(10.7, history.Kind.OPENED),
     ]
     found = plot.counts(events, 10.0)
-    assert found[history.Kind.ANSWERED] == {0: 2}
-    assert found[history.Kind.LOST] == {1: 1}
-    assert found[history.Kind.REFUSED] == {}
+    assert found[history.Kind.ANSWERED] == [2, 0]
+    assert found[history.Kind.LOST] == [0, 1]
+    assert found[history.Kind.REFUSED] == [0, 0]
 
 
 def test_picture_is_written(tmp_path: pathlib.Path) -> None:
