--- a/eelgrasswick/picture.py
+++ b/eelgrasswick/picture.py
@@ -3,6 +3,10 @@
 import pathlib
 import typing
 
+# How wide a mark is that has no length, and over how many lines labels are spread.
+LINE_S: typing.Final = 0.02
+MARK_LINES: typing.Final = 16
+
 
 class Series(typing.NamedTuple):
     """Requests that ended in one way.
@@ -66,9 +70,13 @@
             align="edge",
         )
         below = [sum(pair) for pair in zip(below, item.counts, strict=True)]
-    for mark in marks:
-        axes.axvspan(mark.at_s, max(mark.until_s, mark.at_s + 0.02), alpha=0.15)
-        axes.text(mark.at_s, 1.0, mark.label, rotation=90, fontsize=6)
+    for number, mark in enumerate(marks):
+        end_s = max(mark.until_s, mark.at_s + LINE_S)
+        axes.axvspan(mark.at_s, end_s, color="black", alpha=0.08, zorder=0)
+        # One above the other, as several things may go wrong at once.
+        height = number % MARK_LINES / MARK_LINES
+        place = axes.get_xaxis_transform()
+        axes.text(mark.at_s, height, mark.label, fontsize=7, transform=place)
     axes.set(title=title, xlabel="seconds", ylabel=f"requests in {bin_s} s")
     axes.legend(loc="upper right")
     made.savefig(path)
