--- a/eelgrasswick/cookie/tracker.py
+++ b/eelgrasswick/cookie/tracker.py
@@ -152,7 +152,9 @@
         return sight
 
     def overdue(self, now_ms: int) -> list[int]:
-        """Return the targets of requests that wait for too long, each once.
+        """Return the targets of requests that wait for too long.
+
+        A request is told of once, and again when its packet was sent again since.
 
         A flow that was reset by its target, or whose target hangs, is silent: its
         caller gave it up, and no packet that is sent again tells of it.
