Begin the probe of a target in one place; cut one VM in a soak run

Four places asked for the probe of a target with the same two calls, and the soak's cut took a list that always held one VM.

--- a/eelgrasswick/cookie/forwarding.py
+++ b/eelgrasswick/cookie/forwarding.py
@@ -219,8 +219,7 @@
         target = self._catalog.by_cookie(cookie)
         if target is None or not self._observations.tracker.open_on(cookie):
             return
-        path_ms = self._observations.path_ms(target)
-        if self._observations.liveness.begin(clock.now_ms(), cookie, path_ms):
+        if self._observations.probe_due(clock.now_ms(), target):
             defer.ensureDeferred(self._probe(target))
 
     def abandon(self, target: model.Target) -> None:
--- a/eelgrasswick/cookie/observations.py
+++ b/eelgrasswick/cookie/observations.py
@@ -77,7 +77,7 @@
         self._silence.unanswered(now_ms, target.cookie)
         # A VM of a large fleet has one flow on a target, and a second sign takes
         # 400 ms more; asking for a connection costs little and decides.
-        return self.liveness.begin(now_ms, target.cookie, self.path_ms(target))
+        return self.probe_due(now_ms, target)
 
     def overdue(self, now_ms: int) -> list[model.Target]:
         """Note requests that wait for too long; return the targets to probe.
@@ -91,14 +91,17 @@
             if target is None:
                 continue
             self._stalled.unanswered(now_ms, cookie)
-            if self.liveness.begin(now_ms, cookie, self.path_ms(target)):
+            if self.probe_due(now_ms, target):
                 found.append(target)
         return found
 
     def recheck(self, now_ms: int, target: model.Target) -> bool:
         """Tell whether to probe a target that was dead and may be back."""
-        if not self.liveness.lapsed(now_ms, target.cookie):
-            return False
+        lapsed = self.liveness.lapsed(now_ms, target.cookie)
+        return lapsed and self.probe_due(now_ms, target)
+
+    def probe_due(self, now_ms: int, target: model.Target) -> bool:
+        """Take up the check of a target in doubt; True when to probe it now."""
         return self.liveness.begin(now_ms, target.cookie, self.path_ms(target))
 
     def path_ms(self, target: model.Target) -> int:
--- a/eelgrasswick/soak/actions.py
+++ b/eelgrasswick/soak/actions.py
@@ -142,15 +142,15 @@
 
     def vm_cut(self, item: faults.Fault) -> None:
         """Cut a VM off from all other VMs."""
-        self._cut([self._number(item)], item.for_s, mute=True, deaf=True)
+        self._cut(item, mute=True, deaf=True)
 
     def vm_mute(self, item: faults.Fault) -> None:
         """Let a VM's datagrams to the others vanish."""
-        self._cut([self._number(item)], item.for_s, mute=True)
+        self._cut(item, mute=True)
 
     def vm_deaf(self, item: faults.Fault) -> None:
         """Let the datagrams of the others to a VM vanish."""
-        self._cut([self._number(item)], item.for_s, deaf=True)
+        self._cut(item, deaf=True)
 
     def zone_cut(self, item: faults.Fault) -> None:
         """Cut all VMs of a zone off from all others and the store."""
@@ -208,20 +208,16 @@
             for n in range(count)
         ]
 
-    def _number(self, item: faults.Fault) -> int:
-        return int(item.pick * len(self._parts.vms))
-
-    def _cut(
-        self, numbers: list[int], for_s: float, mute: bool = False, deaf: bool = False
-    ) -> None:
+    def _cut(self, item: faults.Fault, mute: bool = False, deaf: bool = False) -> None:
         peers = self._parts.peers
+        number = int(item.pick * len(self._parts.vms))
         for wanted, cut in ((mute, peers.mute), (deaf, peers.deaf)):
             if wanted:
-                cut.update(numbers)
-                self._reactor.callLater(for_s, cut.difference_update, numbers)
-        for number in numbers if deaf else ():
+                cut.add(number)
+                self._reactor.callLater(item.for_s, cut.discard, number)
+        if deaf:
             mood = proxy.Mood(forward=False, back=False)
-            self._mood(peers.connections[number], for_s, mood)
+            self._mood(peers.connections[number], item.for_s, mood)
 
     def _peers_mood(self, item: faults.Fault, mood: peer_links.Mood) -> None:
         peers = self._parts.peers
