Give the model of steered flows a fleet of VMs and an agenda of their own

The next load needs callers that arrive whether or not earlier requests are answered, on the same VMs. Behaviour is as it was: tests of the loads pass unchanged.

--- a/eelgrasswick/emulation/cookie_load.py
+++ b/eelgrasswick/emulation/cookie_load.py
@@ -7,29 +7,17 @@
 """
 
 import collections
-import heapq
 import random
 import typing
 
-from eelgrasswick.cookie import (
-    catalog,
-    codec,
-    knowledge,
-    model,
-    observations,
-    steering,
-)
-from eelgrasswick.emulation import cookie_scenario, packets
+from eelgrasswick.cookie import codec, steering
+from eelgrasswick.emulation import agenda, cookie_scenario, packets, steered_fleet
 
 HOP_MS: typing.Final = 1
 SYN_AFTER_MS: typing.Final = (0, 200, 600)
 OPEN_MS: typing.Final = 1400
 RESEND_MS: typing.Final = 200
-# VMs hear of each other's reports about this often.
-REPORT_MS: typing.Final = 1000
-TICK_MS: typing.Final = 250
 QUEUE: typing.Final = 8
-ZONES: typing.Final = ("z1", "z2", "z3")
 
 
 class Result(typing.NamedTuple):
@@ -68,6 +56,7 @@
     def __init__(self, number: int, server: cookie_scenario.Server) -> None:
         self.number = number
         self.server = server
+        self.zone = server.zone
         self.dark = False
         self.busy = 0
         self.queue: collections.deque[_Flow] = collections.deque()
@@ -110,20 +99,18 @@
         """
         self._load = load
         self._rng = random.Random(seed)
-        self._now_ms = 0
-        self._count = 0
-        self._events: list[tuple[int, int, typing.Callable[..., None], typing.Any]] = []
+        self._due = agenda.Agenda()
         self._targets = [_Target(n, item) for n, item in enumerate(load.servers)]
-        self._by_cookie: dict[int, _Target] = {}
-        self._codec = wire
-        self._vms: list[tuple[str, steering.Steering, observations.Observations]] = []
-        self._vms_per_zone = vms_per_zone
-        self._start_vms()
+        self._fleet = steered_fleet.Fleet(
+            self._due,
+            cookie_scenario.Reader(load),
+            wire,
+            self._targets,
+            vms_per_zone,
+        )
         self._ends: list[End] = []
         self._asked = self._opened = self._crossed = 0
         self._port = 1000
-        self._cut = ""
-        self._off = False
 
     @property
     def ends(self) -> typing.Sequence[End]:
@@ -132,87 +119,47 @@
 
     def run(self) -> Result:
         """Play the load to its end."""
-        for zone in ZONES:
+        for zone in steered_fleet.ZONES:
             for _ in range(self._load.flows):
-                self._later(self._rng.randrange(1000), self._new_flow, zone)
+                self._due.later(self._rng.randrange(1000), self._new_flow, zone)
         for trouble in self._load.troubles:
-            self._later(trouble.at_ms, self._begin, trouble)
-        self._later(TICK_MS, self._tick)
-        self._later(REPORT_MS, self._exchange_reports)
-        while self._events and self._events[0][0] <= self._load.length_ms:
-            self._now_ms, _, call, arguments = heapq.heappop(self._events)
-            call(*arguments)
+            self._due.later(trouble.at_ms, self._begin, trouble)
+        self._due.run(self._load.length_ms)
         return self._result()
 
-    def _start_vms(self) -> None:
-        self._vms.clear()
-        for zone in ZONES * self._vms_per_zone:
-            self._add_vm(zone)
-
-    def _add_vm(self, zone: str) -> None:
-        reader = cookie_scenario.Reader(self._load)
-        known = catalog.Catalog(reader)
-        known.update(0, knowledge.Merge(reader.rows(), 0))
-        seen = observations.Observations(zone, known)
-        for number, target in enumerate(known.targets):
-            self._by_cookie[target.cookie] = self._targets[number]
-        made = steering.Steering(zone, self._codec, known, seen)
-        self._vms.append((zone, made, seen))
-
-    def _later(
-        self, delay_ms: float, call: typing.Callable[..., None], *arguments: typing.Any
-    ) -> None:
-        self._count += 1
-        at_ms = self._now_ms + int(delay_ms)
-        heapq.heappush(self._events, (at_ms, self._count, call, arguments))
-
     def _begin(self, trouble: cookie_scenario.Trouble) -> None:
         if trouble.kind == "dark":
             self._targets[int(trouble.which)].dark = True
         elif trouble.kind == "cut":
-            self._cut = str(trouble.which)
+            self._fleet.cut = str(trouble.which)
         elif trouble.kind == "power_off":
-            self._off = True
+            self._fleet.off = True
         else:
             zone = str(trouble.which)
             for _ in range(int((trouble.factor - 1) * self._load.flows)):
                 self._new_flow(zone)
-        self._later(trouble.until_ms - trouble.at_ms, self._end_trouble, trouble)
+        self._due.later(trouble.until_ms - trouble.at_ms, self._end_trouble, trouble)
 
     def _end_trouble(self, trouble: cookie_scenario.Trouble) -> None:
         if trouble.kind == "dark":
             self._targets[int(trouble.which)].dark = False
         elif trouble.kind == "cut":
-            self._cut = ""
+            self._fleet.cut = ""
         elif trouble.kind == "power_off":
-            self._off = False
-            self._start_vms()
-
-    def _tick(self) -> None:
-        for _, _, seen in self._vms:
-            seen.tick(self._now_ms)
-        self._later(TICK_MS, self._tick)
-
-    def _exchange_reports(self) -> None:
-        for number, (zone, _, seen) in enumerate(self._vms):
-            report = seen.report()
-            for other, (other_zone, _, heard) in enumerate(self._vms):
-                apart = zone != other_zone and self._cut in (zone, other_zone)
-                if other != number and not apart:
-                    heard.reports.take(self._now_ms, f"vm{number}", report)
-        self._later(REPORT_MS, self._exchange_reports)
+            self._fleet.off = False
+            self._fleet.start()
 
     def _new_flow(self, zone: str, asked_ms: int | None = None) -> None:
         self._port += 1
-        near = [n for n, (vm_zone, _, _) in enumerate(self._vms) if vm_zone == zone]
-        flow = _Flow(self._port, zone, self._rng.choice(near), self._load.requests)
+        vm = self._rng.choice(self._fleet.near(zone))
+        flow = _Flow(self._port, zone, vm, self._load.requests)
         # The first request of a flow waits for it to open; one that is asked
         # again counts from its first try.
-        flow.asked_ms = self._now_ms if asked_ms is None else asked_ms
+        flow.asked_ms = self._due.now_ms if asked_ms is None else asked_ms
         self._asked += asked_ms is None
         for copies, delay_ms in enumerate(SYN_AFTER_MS):
-            self._later(delay_ms, self._open, flow, copies)
-        self._later(OPEN_MS, self._give_up_opening, flow)
+            self._due.later(delay_ms, self._open, flow, copies)
+        self._due.later(OPEN_MS, self._give_up_opening, flow)
 
     def _open(self, flow: _Flow, copies: int) -> None:
         if flow.target is not None or flow.ended:
@@ -226,7 +173,7 @@
             flow.cookie = decision.target.cookie
             self._opened += 1
             self._crossed += target.server.zone != flow.zone
-            self._later(2 * HOP_MS, self._ask, flow)
+            self._due.later(2 * HOP_MS, self._ask, flow)
 
     def _give_up_opening(self, flow: _Flow) -> None:
         if flow.target is None and not flow.ended:
@@ -238,7 +185,7 @@
         flow.left -= 1
         flow.waiting += 1
         self._send_request(flow, flow.waiting, RESEND_MS)
-        self._later(self._load.limit_ms, self._time_out, flow, flow.waiting)
+        self._due.later(self._load.limit_ms, self._time_out, flow, flow.waiting)
 
     def _send_request(self, flow: _Flow, waiting: int, wait_ms: int) -> None:
         if flow.ended or flow.waiting != waiting:
@@ -251,7 +198,7 @@
         if target is not None and flow.arrived != waiting:
             flow.arrived = waiting
             self._arrive(target, flow)
-        self._later(wait_ms, self._send_request, flow, waiting, 2 * wait_ms)
+        self._due.later(wait_ms, self._send_request, flow, waiting, 2 * wait_ms)
 
     def _arrive(self, target: _Target, flow: _Flow) -> None:
         if target.busy < target.server.slots:
@@ -266,16 +213,18 @@
         target.ran += 1
         work_ms = self._rng.lognormvariate(0, 0.5) / 1.133 * self._load.work_ms
         took_ms = work_ms * target.server.slowness
-        self._later(took_ms, self._done, target, flow, flow.waiting)
+        self._due.later(took_ms, self._done, target, flow, flow.waiting)
 
     def _done(self, target: _Target, flow: _Flow, waiting: int) -> None:
         target.busy -= 1
         if target.queue:
             self._work(target, target.queue.popleft())
-        cut = self._apart(flow.zone, target.server.zone)
+        cut = self._fleet.apart(flow.zone, target.server.zone)
         if target.dark or cut or flow.ended or flow.waiting != waiting:
             return
-        self._ends.append(End(self._now_ms, self._now_ms + HOP_MS - flow.asked_ms))
+        self._ends.append(
+            End(self._due.now_ms, self._due.now_ms + HOP_MS - flow.asked_ms)
+        )
         flow.waiting += 1
         flow.sequence += 4
         flow.acknowledged += 2400
@@ -283,13 +232,13 @@
         if flow.left <= 0:
             self._steer(flow, packets.FIN | packets.ACK, flow.acknowledged, b"")
             flow.ended = True
-            self._later(self._pause(), self._new_flow, flow.zone)
+            self._due.later(self._pause(), self._new_flow, flow.zone)
             return
-        self._later(self._pause(), self._ask_next, flow)
+        self._due.later(self._pause(), self._ask_next, flow)
 
     def _ask_next(self, flow: _Flow) -> None:
         self._asked += 1
-        flow.asked_ms = self._now_ms
+        flow.asked_ms = self._due.now_ms
         self._ask(flow)
 
     def _time_out(self, flow: _Flow, waiting: int) -> None:
@@ -302,9 +251,9 @@
         self._new_flow(flow.zone, flow.asked_ms)
 
     def _fail(self, flow: _Flow) -> None:
-        self._ends.append(End(self._now_ms, None))
+        self._ends.append(End(self._due.now_ms, None))
         flow.ended = True
-        self._later(self._pause(), self._new_flow, flow.zone)
+        self._due.later(self._pause(), self._new_flow, flow.zone)
 
     def _pause(self) -> float:
         return self._rng.expovariate(1 / self._load.pause_ms)
@@ -323,38 +272,15 @@
             flow.cookie,
             data,
         )
-        if self._off:
-            return steering.Decision(steering.Outcome.NOT_READY, None, None, None)
-        raw = packets.encode(item)
-        _, made, seen = self._vms[flow.vm]
-        decision = made.steer(self._now_ms, 0, self._codec.decode(raw), raw)
-        if decision.probe is not None:
-            self._later(250, self._probed, seen, made, flow.zone, decision.probe)
-        return decision
-
-    def _probed(
-        self,
-        seen: observations.Observations,
-        made: steering.Steering,
-        zone: str,
-        target: model.Target,
-    ) -> None:
-        found = self._by_cookie[target.cookie]
-        accepted = not found.dark and not self._apart(zone, found.server.zone)
-        path_ms = seen.path_ms(target)
-        if seen.liveness.probed(self._now_ms, target.cookie, accepted, path_ms):
-            made.abandon(target)
+        return self._fleet.steer(flow.vm, item)
 
     def _reached(self, flow: _Flow, decision: steering.Decision) -> _Target | None:
         if decision.target is None:
             return None
-        target = self._by_cookie[decision.target.cookie]
-        cut = self._apart(flow.zone, target.server.zone)
+        target = self._targets[self._fleet.number(decision.target)]
+        cut = self._fleet.apart(flow.zone, target.server.zone)
         return None if target.dark or cut else target
 
-    def _apart(self, first: str, second: str) -> bool:
-        return first != second and self._cut in (first, second)
-
     def _result(self) -> Result:
         times_ms = sorted(
             item.took_ms for item in self._ends if item.took_ms is not None
--- a/eelgrasswick/emulation/cookie_scenario.py
+++ b/eelgrasswick/emulation/cookie_scenario.py
@@ -8,6 +8,7 @@
 import typing
 
 from eelgrasswick.cookie import model, source
+from eelgrasswick.emulation import steered_fleet
 
 SERVICE: typing.Final = "desk"
 SERVICE_IP: typing.Final = bytes((198, 18, 0, 1))
@@ -103,7 +104,7 @@
 }
 
 
-class Reader(source.Reader):
+class Reader(steered_fleet.Rows):
     """Rows of a load: its one route, and one row for each server."""
 
     def __init__(self, load: Load) -> None:
--- /dev/null
+++ b/eelgrasswick/emulation/steered_fleet.py
@@ -0,0 +1,148 @@
+"""Entry VMs in virtual time: real steering, and what the VMs tell each other."""
+
+import abc
+import typing
+
+from eelgrasswick.cookie import (
+    catalog,
+    codec,
+    knowledge,
+    model,
+    observations,
+    source,
+    steering,
+)
+from eelgrasswick.emulation import agenda, packets
+
+# VMs hear of each other's reports about this often.
+REPORT_MS: typing.Final = 1000
+TICK_MS: typing.Final = 250
+PROBE_MS: typing.Final = 250
+ZONES: typing.Final = ("z1", "z2", "z3")
+
+
+class Rows(source.Reader):
+    """A reader that knows all rows of its store."""
+
+    @abc.abstractmethod
+    def rows(self) -> tuple[source.Row, ...]:
+        """Return all rows, the configuration first."""
+
+
+class Vm(typing.NamedTuple):
+    """One entry VM."""
+
+    zone: str
+    steering: steering.Steering
+    seen: observations.Observations
+
+
+class Reachable(typing.Protocol):
+    """A target of a load, as the VMs' probes find it."""
+
+    dark: bool
+
+    @property
+    def zone(self) -> str:
+        """Its availability zone."""
+
+
+class Fleet:
+    """The VMs of all zones, and what they can reach.
+
+    Attributes:
+        vms: The VMs.
+        cut: Zone that is cut off from the others; empty for none.
+        off: True while all VMs are without power.
+    """
+
+    def __init__(
+        self,
+        due: agenda.Agenda,
+        reader: Rows,
+        wire: codec.SegmentCodec,
+        targets: typing.Sequence[Reachable],
+        vms_per_zone: int,
+    ) -> None:
+        """Start the VMs.
+
+        Args:
+            due: Virtual time.
+            reader: Rows of the store.
+            wire: Reads and writes packets.
+            targets: What the rows of targets stand for, in their order.
+            vms_per_zone: Entry VMs in each zone.
+        """
+        self.vms: list[Vm] = []
+        self.cut = ""
+        self.off = False
+        self._due = due
+        self._reader = reader
+        self._codec = wire
+        self._targets = targets
+        self._vms_per_zone = vms_per_zone
+        self._by_cookie: dict[int, int] = {}
+        self.start()
+        due.later(TICK_MS, self._tick)
+        due.later(REPORT_MS, self._exchange_reports)
+
+    def start(self) -> None:
+        """Start all VMs anew; they know the store and nothing of flows."""
+        self.vms.clear()
+        for zone in ZONES * self._vms_per_zone:
+            self._add_vm(zone)
+
+    def near(self, zone: str) -> list[int]:
+        """Return the numbers of a zone's VMs."""
+        return [number for number, vm in enumerate(self.vms) if vm.zone == zone]
+
+    def number(self, target: model.Target) -> int:
+        """Return the place of a target in the load."""
+        return self._by_cookie[target.cookie]
+
+    def apart(self, first: str, second: str) -> bool:
+        """Tell whether two zones can't reach each other."""
+        return first != second and self.cut in (first, second)
+
+    def steer(self, number: int, item: packets.Packet) -> steering.Decision:
+        """Hand a packet to a VM; probe what it wants probed."""
+        if self.off:
+            return steering.Decision(steering.Outcome.NOT_READY, None, None, None)
+        raw = packets.encode(item)
+        vm = self.vms[number]
+        decision = vm.steering.steer(self._due.now_ms, 0, self._codec.decode(raw), raw)
+        if decision.probe is not None:
+            self._due.later(PROBE_MS, self._probed, vm, decision.probe)
+        return decision
+
+    def _add_vm(self, zone: str) -> None:
+        known = catalog.Catalog(self._reader)
+        known.update(0, knowledge.Merge(self._reader.rows(), 0))
+        seen = observations.Observations(zone, known)
+        for number, target in enumerate(known.targets):
+            self._by_cookie[target.cookie] = number
+        made = steering.Steering(zone, self._codec, known, seen)
+        self.vms.append(Vm(zone, made, seen))
+
+    def _tick(self) -> None:
+        for vm in self.vms:
+            vm.seen.tick(self._due.now_ms)
+        self._due.later(TICK_MS, self._tick)
+
+    def _exchange_reports(self) -> None:
+        for number, vm in enumerate(self.vms):
+            report = vm.seen.report()
+            for other, heard in enumerate(self.vms):
+                if other != number and not self.apart(vm.zone, heard.zone):
+                    heard.seen.reports.take(self._due.now_ms, f"vm{number}", report)
+        self._due.later(REPORT_MS, self._exchange_reports)
+
+    def _probed(self, vm: Vm, target: model.Target) -> None:
+        found = self._targets[self.number(target)]
+        accepted = not found.dark and not self.apart(vm.zone, found.zone)
+        path_ms = vm.seen.path_ms(target)
+        dead = vm.seen.liveness.probed(
+            self._due.now_ms, target.cookie, accepted, path_ms
+        )
+        if dead:
+            vm.steering.abandon(target)
