--- a/eelgrasswick/cookie/model.py
+++ b/eelgrasswick/cookie/model.py
@@ -68,10 +68,15 @@
     Attributes:
         name: The operators' name for it.
         shares: Services that take its new flows.
+        objective_ms: Within what time its requests should be answered; 0 when
+            the operators set none.
+        priority: 0 is the most urgent.
     """
 
     name: str
     shares: tuple[Share, ...]
+    objective_ms: int = 0
+    priority: int = 0
 
 
 class Config(typing.NamedTuple):
--- a/eelgrasswick/emulation/cookie_load.py
+++ b/eelgrasswick/emulation/cookie_load.py
@@ -103,7 +103,7 @@
         self._targets = [_Target(n, item) for n, item in enumerate(load.servers)]
         self._fleet = steered_fleet.Fleet(
             self._due,
-            cookie_scenario.Reader(load),
+            cookie_scenario.Reader(load.servers),
             wire,
             self._targets,
             vms_per_zone,
--- a/eelgrasswick/emulation/cookie_scenario.py
+++ b/eelgrasswick/emulation/cookie_scenario.py
@@ -107,13 +107,13 @@
 class Reader(steered_fleet.Rows):
     """Rows of a load: its one route, and one row for each server."""
 
-    def __init__(self, load: Load) -> None:
-        """Read the rows of a load."""
-        self._load = load
+    def __init__(self, servers: tuple[Server, ...]) -> None:
+        """Read the rows of some servers."""
+        self._servers = servers
 
     def rows(self) -> tuple[source.Row, ...]:
         """Return all rows, the configuration first."""
-        numbers = range(len(self._load.servers))
+        numbers = range(len(self._servers))
         targets = [source.Row(f"{TARGET_PREFIX}{n}", b"", n + 2) for n in numbers]
         return (source.Row(CONFIG_KEY, b"", 1), *targets)
 
@@ -133,7 +133,7 @@
     def target(self, row: source.Row) -> model.Target:
         """Return the target that a row stands for."""
         number = int(row.key.removeprefix(TARGET_PREFIX))
-        server = self._load.servers[number]
+        server = self._servers[number]
         identity = number + FIRST_ID
         return model.Target(
             f"i-{identity:x}",
--- a/eelgrasswick/platform/entries.py
+++ b/eelgrasswick/platform/entries.py
@@ -66,7 +66,12 @@
         )
     else:
         shares = (model.Share(_text(item["service"]), 1.0),)
-    return model.Route(_text(item["name"]), shares)
+    return model.Route(
+        _text(item["name"]),
+        shares,
+        _number(item.get("target_latency_ms", 0)),
+        _number(item.get("priority", 0)),
+    )
 
 
 def _target(name: str, body: _Body) -> model.Target:
--- a/eelgrasswick/trials/trial.py
+++ b/eelgrasswick/trials/trial.py
@@ -10,10 +10,11 @@
 from eelgrasswick import errors
 from eelgrasswick.commands import console
 from eelgrasswick.decisions import placement
-from eelgrasswick.emulation import cookie_scenario
+from eelgrasswick.emulation import cookie_scenario, open_scenario
 from eelgrasswick.trials import (
     trial_engine,
     trial_load,
+    trial_overload,
     trial_placement,
     trial_spread,
     trial_steering,
@@ -108,12 +109,36 @@
             console.fail(error)
 
 
+@cappa.command(name="overload", help="what callers get when requests keep coming")
+@dataclasses.dataclass
+class Overload:
+    """Arguments of ``trial overload``."""
+
+    loads: typing.Annotated[list[str], cappa.Arg(help=", ".join(open_scenario.LOADS))]
+    seed: Seed = 1
+    seeds: typing.Annotated[
+        int, cappa.Arg(long="--seeds", help="how many seeds, from the first on")
+    ] = 1
+    plot: typing.Annotated[
+        pathlib.Path | None, cappa.Arg(long="--plot", help="picture of the last run")
+    ] = None
+
+    def __call__(self) -> None:
+        """Print one line for each load and seed."""
+        try:
+            for name in self.loads:
+                for seed in range(self.seed, self.seed + self.seeds):
+                    print_row(trial_overload.play(name, seed, self.plot))
+        except errors.ScenarioInvalidError as error:
+            console.fail(error)
+
+
 @cappa.command(name="trial", help="run a trial in virtual time")
 @dataclasses.dataclass
 class Trial:
     """The group of trials."""
 
-    part: cappa.Subcommands[Spread | Placement | Steering]
+    part: cappa.Subcommands[Spread | Placement | Steering | Overload]
 
 
 def print_row(row: typing.Any) -> None:
--- a/tests/test_placing_cost.py
+++ b/tests/test_placing_cost.py
@@ -44,7 +44,7 @@
 def seen() -> observations.Observations:
     """Return what a VM sees that has the reports of sixty others."""
     servers = (cookie_scenario.Server("z1", 2, 1.0),) * 60
-    reader = cookie_scenario.Reader(cookie_scenario.ORDINARY._replace(servers=servers))
+    reader = cookie_scenario.Reader(servers)
     known = catalog.Catalog(reader)
     known.update(0, knowledge.Merge(reader.rows(), 0))
     made = observations.Observations("z1", known)
@@ -92,7 +92,7 @@
 
 def test_report_names_targets_with_flows_only() -> None:
     """A VM sees a small part of thousands of targets."""
-    reader = cookie_scenario.Reader(cookie_scenario.ORDINARY)
+    reader = cookie_scenario.Reader(cookie_scenario.ORDINARY.servers)
     known = catalog.Catalog(reader)
     known.update(0, knowledge.Merge(reader.rows(), 0))
     made = observations.Observations("z1", known)
