Forget the silence of a zone's targets when the way there is back

Cause: VMs of a zone that was cut off found every other target silent, and held that against each until it had answered them; their reports made VMs that were never cut off pass over those targets, too. Ruled out: the share of flows that spill over (the same with spill switched off for the two other zones). Conclusion: an overload that outlived its cause by as long as the load lasted.

--- a/eelgrasswick/cookie/observations.py
+++ b/eelgrasswick/cookie/observations.py
@@ -62,8 +62,18 @@
         """Note that a target answered."""
         self._answered_ms[target.zone] = now_ms
         self.liveness.answered(target.cookie)
-        self._zone_silence.answered(target.zone)
         self._silence.answered(target.cookie)
+        if self._zone_silence.answered(target.zone):
+            self._way_is_back(target.zone)
+
+    def _way_is_back(self, zone: str) -> None:
+        # It was the way to the zone that was cut, not its targets that were silent.
+        # Held against them, each would get no flow until it has answered one, and
+        # the VMs that this one tells would pass them over, too.
+        for target in self._catalog.targets:
+            if target.zone == zone:
+                self._silence.answered(target.cookie)
+                self._stalled.answered(target.cookie)
 
     def served(self, target: model.Target, answer_ms: int) -> None:
         """Note how long a target took for an answer."""
@@ -132,13 +142,21 @@
         told.sort(key=lambda item: (item.silent, item.flows), reverse=True)
         return tuple(told[: reports.MAX_ENTRIES])
 
+    def _silent(self, cookie: int) -> bool:
+        target = self._catalog.by_cookie(cookie)
+        if target is not None and self._zone_silence.silent(target.zone):
+            # The way there is cut. VMs with another way would pass over targets
+            # that answer them.
+            return False
+        return self._silence.silent(cookie) or self._stalled.silent(cookie)
+
     def _entry(self, cookie: int) -> reports.Entry:
         mean_ms = self.speeds.mean_ms(cookie)
         return reports.Entry(
             cookie,
             self.tracker.flows_on(cookie),
             int(mean_ms) if mean_ms is not None else 0,
-            self._silence.silent(cookie) or self._stalled.silent(cookie),
+            self._silent(cookie),
         )
 
     def _suspected(self, now_ms: int, target: model.Target) -> bool:
