Ask a neighbour for a connection when none has answered a VM lately

Cause: a dead server is told from a cut by an answer of another target of its zone. A VM with few flows there hears none in time, drops its finding, and the callers of the dead server wait for their deadlines. Ruled out: the openings, none was lost.

--- a/eelgrasswick/cookie/forwarding.py
+++ b/eelgrasswick/cookie/forwarding.py
@@ -183,9 +183,7 @@
         missing = self._catalog.missing(target, now_ms)
         accepted = await probing.accepts(self._reactor, target.address)
         if not accepted and not missing:
-            await probing.path_known(
-                self._reactor, lambda: self._observations.path_ms(target) > now_ms
-            )
+            await self._look_for_path(now_ms, target)
         path_ms = self._observations.path_ms(target)
         ended_ms = clock.now_ms()
         if self._stalls.since(now_ms, ended_ms):
@@ -206,6 +204,21 @@
         if dead:
             self.on_dead(target.cookie)
 
+    async def _look_for_path(self, since_ms: int, target: model.Target) -> None:
+        # Only an answer of a neighbour tells a dead target from a cut. A VM with few
+        # flows in the zone hears none for seconds, and its callers would wait for
+        # their deadlines; so it asks a neighbour for a connection, too.
+        if self._observations.path_ms(target) > since_ms:
+            return
+        neighbour = self._observations.neighbour(clock.now_ms(), target)
+        if neighbour is not None:
+            if await probing.accepts(self._reactor, neighbour.address):
+                self._observations.path_seen(clock.now_ms(), target.zone)
+            return
+        await probing.path_known(
+            self._reactor, lambda: self._observations.path_ms(target) > since_ms
+        )
+
     def check_overdue(self, now_ms: int) -> None:
         """Probe the targets whose answers are overdue."""
         for target in self._observations.overdue(now_ms):
--- a/eelgrasswick/cookie/observations.py
+++ b/eelgrasswick/cookie/observations.py
@@ -118,6 +118,18 @@
         """Return when a target of the same zone last answered."""
         return self._answered_ms.get(target.zone, knowledge.NEVER_MS)
 
+    def path_seen(self, now_ms: int, zone: str) -> None:
+        """Note that a target of a zone has answered."""
+        self._answered_ms[zone] = now_ms
+
+    def neighbour(self, now_ms: int, target: model.Target) -> model.Target | None:
+        """Return another target of the same zone that is not in doubt."""
+        for item in self._catalog.targets:
+            apart = item.zone != target.zone or item.cookie == target.cookie
+            if not apart and not self._suspected(now_ms, item):
+                return item
+        return None
+
     def tick(self, now_ms: int) -> None:
         """Bring sums and speeds up to date; forget targets that are gone."""
         self.tracker.expire(now_ms)
--- a/eelgrasswick/emulation/steered_fleet.py
+++ b/eelgrasswick/emulation/steered_fleet.py
@@ -138,11 +138,17 @@
         self._due.later(REPORT_MS, self._exchange_reports)
 
     def _probed(self, vm: Vm, target: model.Target) -> None:
-        found = self._targets[self.number(target)]
-        accepted = not found.dark and not self.apart(vm.zone, found.zone)
+        accepted = self._accepts(vm, target)
+        neighbour = vm.seen.neighbour(self._due.now_ms, target)
+        if not accepted and neighbour is not None and self._accepts(vm, neighbour):
+            vm.seen.path_seen(self._due.now_ms, target.zone)
         path_ms = vm.seen.path_ms(target)
         dead = vm.seen.liveness.probed(
             self._due.now_ms, target.cookie, accepted, path_ms
         )
         if dead:
             vm.steering.abandon(target)
+
+    def _accepts(self, vm: Vm, target: model.Target) -> bool:
+        found = self._targets[self.number(target)]
+        return not found.dark and not self.apart(vm.zone, found.zone)
--- a/tests/test_cookie_load.py
+++ b/tests/test_cookie_load.py
@@ -71,6 +71,23 @@
     assert noticed.in_time > unnoticed.in_time + 0.01
 
 
+@pytest.mark.parametrize("seed", [3, 4, 5])
+def test_dead_servers_are_found_without_traffic_to_their_neighbours(
+    monkeypatch: pytest.MonkeyPatch, seed: int
+) -> None:
+    """Two of seven servers vanish, and a VM has few flows on the others of their zones.
+
+    No neighbour answers it just then, so that it can't tell the dead server from a
+    cut, resets no flow, and its callers wait until they give up.
+    """
+    dark = tuple(Trouble(5000, "dark", number, 12_000) for number in (0, 3))
+    asked = _play(_load(troubles=dark), seed)
+    monkeypatch.setattr(observations.Observations, "neighbour", lambda *_: None)
+    waited = _play(_load(troubles=dark), seed)
+    assert asked.served > waited.served
+    assert asked.served > 0.9995
+
+
 def test_cut_zone_serves_its_own() -> None:
     """A zone is cut off from the others; callers still reach it."""
     cut = (Trouble(8000, "cut", "z3", 14_000),)
--- a/tests/test_placing_cost.py
+++ b/tests/test_placing_cost.py
@@ -76,7 +76,7 @@
     Looked at one by one they cost 10 ms a flow, and the VM carries no packet.
     """
     servers = [cookie_scenario.Server(f"z{n % 3 + 1}", 2, 1.0) for n in range(400)]
-    reader = _WideReader(cookie_scenario.ORDINARY._replace(servers=tuple(servers)))
+    reader = _WideReader(tuple(servers))
     known = catalog.Catalog(reader)
     known.update(0, knowledge.Merge(reader.rows(), 0))
     accepting = known.accepting(cookie_scenario.SERVICE)
