Carry packets while the libraries of a VM that starts are imported

What decides about packets needs none of them: it is imported first, reads the store with one blocking call, and carries what has come between the imports. Decisions about packets move from the forwarder to a carrier that needs no event loop, and the store's answers are decoded in one module for both callers.

--- /dev/null
+++ b/eelgrasswick/cookie/carrying.py
@@ -0,0 +1,263 @@
+"""What is done with each packet of a caller, apart from the sockets.
+
+Nothing here needs an event loop, so that a VM that starts carries packets before
+its libraries are imported.
+"""
+
+import typing
+
+from eelgrasswick import errors
+from eelgrasswick.cookie import (
+    catalog,
+    clock,
+    codec,
+    event_log,
+    knowledge,
+    model,
+    observations,
+    settings,
+    source,
+    stall,
+    stats,
+    steering,
+)
+from eelgrasswick.decisions import overload
+
+# How long it then takes to read what waits in the socket: 200 KB, 2,000 packets
+# of 100 bytes, at 25 us each.
+BACKLOG_MS: typing.Final = 50
+# More copies of an opening packet than any caller sends: all of them are dropped.
+NO_COPY: typing.Final = 1 << 32
+# Forwarding is counted; a line for each packet would take the time of packets.
+_QUIET_OUTCOMES: typing.Final = frozenset({steering.Outcome.FORWARDED})
+
+
+Send = typing.Callable[[bytes, model.Address], None]
+
+
+class Parts(typing.NamedTuple):
+    """What packets are carried by.
+
+    Attributes:
+        codec: Reads and writes the fabric's packets.
+        knowledge: Says how old the rest is.
+        catalog: Routes and targets.
+        observations: What was seen of flows and targets.
+        log: The log.
+        stats: The counters.
+    """
+
+    codec: codec.SegmentCodec
+    knowledge: knowledge.Knowledge
+    catalog: catalog.Catalog
+    observations: observations.Observations
+    log: event_log.EventLog
+    stats: stats.Stats
+
+
+class Carrier:
+    """Decides about each packet, has it sent, and accounts for it.
+
+    Attributes:
+        parts: What packets are carried by.
+        steering: Decides about them.
+        stalls: When this VM stood still.
+        began: True once packets are read that waited during the start.
+        packet_ms: When the last packet came.
+        send: Sends a datagram to an address.
+        probe: Told of targets to probe.
+    """
+
+    def __init__(self, zone: str, caller_port: int, parts: Parts) -> None:
+        """Carry packets for a VM.
+
+        Args:
+            zone: Availability zone of the VM.
+            caller_port: UDP port at which callers take packets.
+            parts: What packets are carried by.
+        """
+        self.parts = parts
+        self.steering = steering.Steering(
+            zone, parts.codec, parts.catalog, parts.observations
+        )
+        self.stalls = stall.Stalls(clock.now_ms())
+        self.began = False
+        self.packet_ms = 0
+        self.send: Send = _ignore_datagram
+        self.probe: typing.Callable[[model.Target], None] = _ignore_target
+        self._caller_port = caller_port
+        self._codec = parts.codec
+        self._knowledge = parts.knowledge
+        self._catalog = parts.catalog
+        self._observations = parts.observations
+        self._log = parts.log
+        self._stats = parts.stats
+        self._backlog_until_ms = 0
+        self._backlog_keeps = NO_COPY
+
+    def wake(self) -> int:
+        """Return the present time; notice when this VM has stood still."""
+        now_ms = clock.now_ms()
+        gap_ms = self.stalls.awake(now_ms)
+        if gap_ms > stall.STALL_MS:
+            # Opening packets that waited are old. Their flows may be open by
+            # now, through other VMs; placed here, they would be open twice.
+            self._backlog_until_ms = now_ms + BACKLOG_MS
+            self._backlog_keeps = NO_COPY
+            self._observations.woke(now_ms)
+            self._log.write("woke", stood_still_ms=gap_ms)
+        return now_ms
+
+    def begin(self, waited_ms: int) -> None:
+        """Note that packets are read from now on, which may have waited."""
+        self.stalls = stall.Stalls(clock.now_ms() - waited_ms)
+        self._log.write("packets_taken", waited_ms=waited_ms)
+        self.began = True
+        self.wake()
+        # A caller sends its last copy only if nobody has answered before, and
+        # no further one; dropped, its attempt would be over.
+        self._backlog_keeps = steering.LAST_COPY
+
+    def take(self, raw: bytes, host: str) -> None:
+        """Carry a packet that came from a host."""
+        now_ms = self.wake()
+        self.packet_ms = now_ms
+        try:
+            segment = self._codec.decode(raw)
+        except errors.PacketMalformedError as error:
+            self._stats.counts["packets_malformed"] += 1
+            self._log.write("packet_dropped", source=host, detail=error.detail)
+            return
+        if segment.opening and self._too_old(now_ms, segment):
+            self._stats.counts["packets_dropped_old"] += 1
+            self._log.write("flow_dropped_old", flow=segment.flow)
+            return
+        age_ms = self._knowledge.age_ms(now_ms)
+        decision = self.steering.steer(now_ms, age_ms, segment, raw)
+        self._send(segment, decision)
+        self._account(age_ms, segment, decision)
+        if decision.probe is not None:
+            self.probe(decision.probe)
+
+    def _too_old(self, now_ms: int, segment: model.Segment) -> bool:
+        waited = now_ms < self._backlog_until_ms
+        return waited and segment.acknowledged < self._backlog_keeps
+
+    def _send(self, segment: model.Segment, decision: steering.Decision) -> None:
+        if decision.datagram is None:
+            return
+        address = decision.address or self.caller(segment.flow)
+        self.send(decision.datagram, address)
+
+    def caller(self, flow: model.FlowId) -> model.Address:
+        """Return where the caller of a flow takes packets."""
+        host = ".".join(map(str, flow.caller_ip))
+        return model.Address(host, self._caller_port)
+
+    def _account(
+        self,
+        age_ms: int,
+        segment: model.Segment,
+        decision: steering.Decision,
+    ) -> None:
+        outcome = decision.outcome
+        self._stats.counts[f"packets_{outcome.value}"] += 1
+        if decision.answer_ms is not None:
+            self._stats.observe("answer", decision.answer_ms)
+        if outcome in _QUIET_OUTCOMES:
+            return
+        target = decision.target
+        self._log.write(
+            f"flow_{outcome.value}",
+            flow=segment.flow,
+            copy=segment.acknowledged if segment.opening else "-",
+            cookie=segment.cookie,
+            target=target.name if target is not None else "-",
+            zone=target.zone if target is not None else "-",
+            on_target=self._flows_on(target),
+            revision=self._knowledge.revision,
+            age_ms=knowledge.shown_ms(age_ms),
+            **self._overload_fields(target),
+        )
+
+    def _overload_fields(self, target: model.Target | None) -> dict[str, object]:
+        if target is None:
+            return {}
+        pool = overload.Pool(target.service, target.zone)
+        refusals = self._observations.refusals
+        if not refusals.limiting(pool):
+            return {}
+        # What a refusal is decided by; a flow that was let in meanwhile has it, too.
+        return {
+            "of_objective": f"{refusals.ratio(pool):.2f}",
+            "refused_part": f"{refusals.refused(pool):.2f}",
+        }
+
+    def tell_overloads(self) -> None:
+        """Log which overloads have begun and ended."""
+        refusals = self._observations.refusals
+        while refusals.changed:
+            pool = refusals.changed.pop()
+            begun = refusals.limiting(pool)
+            self._log.write(
+                "overload_begun" if begun else "overload_over",
+                service=pool.service,
+                zone=pool.zone,
+                of_objective=f"{refusals.ratio(pool):.2f}",
+            )
+
+    def _flows_on(self, target: model.Target | None) -> int:
+        if target is None:
+            return 0
+        own = self._observations.tracker.flows_on(target.cookie)
+        return own + self._observations.reports.flows_on(target.cookie)
+
+    def learned(self, now_ms: int, merge: knowledge.Merge, origin: str) -> None:
+        """Follow rows that are new to this VM.
+
+        Args:
+            now_ms: Present time.
+            merge: The rows.
+            origin: Who told of them.
+        """
+        if not merge.rows:
+            return
+        gap_ms = knowledge.shown_ms(merge.gap_ms)
+        for note in self._catalog.update(now_ms, merge):
+            self._log.write(note.event, **note.fields, origin=origin, gap_ms=gap_ms)
+
+
+def assemble(
+    loaded: settings.Settings,
+    wire: codec.SegmentCodec,
+    reader: source.Reader,
+    descriptor: int,
+) -> Carrier:
+    """Build what carries packets.
+
+    Args:
+        loaded: Checked settings.
+        wire: Reads and writes the fabric's packets.
+        reader: Decodes the rows of the store.
+        descriptor: File descriptor of the log.
+    """
+    vm = loaded.vm
+    counted = stats.Stats()
+    known = catalog.Catalog(reader)
+    parts = Parts(
+        wire,
+        knowledge.Knowledge(),
+        known,
+        observations.Observations(vm.zone, known, loaded.policy.refuse),
+        event_log.EventLog(descriptor, vm.name, loaded.log.lines_per_s, counted),
+        counted,
+    )
+    return Carrier(vm.zone, vm.data.port, parts)
+
+
+def _ignore_datagram(datagram: bytes, address: model.Address) -> None:
+    """Send nothing."""
+
+
+def _ignore_target(target: model.Target) -> None:
+    """Probe nothing."""
--- a/eelgrasswick/cookie/entry.py
+++ b/eelgrasswick/cookie/entry.py
@@ -8,20 +8,17 @@
 
 from eelgrasswick import errors
 from eelgrasswick.cookie import (
-    catalog,
+    carrying,
     clock,
-    codec,
-    event_log,
     forwarding,
     gossip,
     knowledge,
-    observations,
     settings,
     source,
-    stats,
     stopping,
     store_watch,
     transfer,
+    twisted_errors,
     web,
 )
 
@@ -39,18 +36,16 @@
     """What the composition root gives an entry VM.
 
     Attributes:
-        codec: Reads and writes the fabric's packets.
+        carrier: Decides about callers' packets.
         source: The store.
-        reader: Decodes its rows.
         ready_path: Path of the readiness probe.
         waiting: A bound socket that callers' packets wait in until this VM can
             carry them; None to open one at the start.
         bound_ms: When that socket was bound; the libraries are imported since.
     """
 
-    codec: codec.SegmentCodec
+    carrier: carrying.Carrier
     source: source.ChangeSource
-    reader: source.Reader
     ready_path: str
     waiting: socket.socket | None = None
     bound_ms: int = 0
@@ -65,7 +60,6 @@
         loaded: settings.Settings,
         parts: Parts,
         rng: random.Random,
-        descriptor: int,
     ) -> None:
         """Build the tasks; nothing is opened before ``start``.
 
@@ -74,26 +68,20 @@
             loaded: Checked settings.
             parts: What differs between platforms.
             rng: Source of randomness.
-            descriptor: File descriptor of the log.
         """
         self._reactor = reactor
         self._settings = loaded
         self._ready_path = parts.ready_path
         self._waiting = parts.waiting
         self._bound_ms = parts.bound_ms
-        self._stats = stats.Stats()
+        self._carrier = parts.carrier
+        self._stats = parts.carrier.parts.stats
+        self._log = parts.carrier.parts.log
+        self._knowledge = parts.carrier.parts.knowledge
+        self._catalog = parts.carrier.parts.catalog
+        self._observations = parts.carrier.parts.observations
+        self._forwarder = forwarding.Forwarder(reactor, parts.carrier, self._on_unsent)
         vm = loaded.vm
-        self._log = event_log.EventLog(
-            descriptor, vm.name, loaded.log.lines_per_s, self._stats
-        )
-        self._knowledge = knowledge.Knowledge()
-        self._catalog = catalog.Catalog(parts.reader)
-        self._observations = observations.Observations(
-            vm.zone, self._catalog, loaded.policy.refuse
-        )
-        self._forwarder = forwarding.Forwarder(
-            reactor, vm.zone, vm.data.port, self._carried_by(parts), self._on_unsent
-        )
         self._gossip = gossip.Gossip(
             reactor, vm.peer, vm.zone, self._told(), rng, self._on_unsent
         )
@@ -107,20 +95,10 @@
         self._loops: list[task.LoopingCall] = []
         self._listening: list[typing.Any] = []
 
-    def _carried_by(self, parts: Parts) -> forwarding.Parts:
-        return forwarding.Parts(
-            parts.codec,
-            self._knowledge,
-            self._catalog,
-            self._observations,
-            self._log,
-            self._stats,
-        )
-
     def _told(self) -> gossip.Parts:
         return gossip.Parts(
             self._knowledge,
-            self._catalog,
+            self._carrier.learned,
             self._observations.reports,
             self._log,
             self._stats,
@@ -131,7 +109,7 @@
         """Open the sockets and begin."""
         vm = self._settings.vm
         now_ms = clock.now_ms()
-        self._log.take_twisted()
+        twisted_errors.take(self._log, self._stats)
         self._log.write("started", zone=vm.zone, seeds=len(self._settings.fleet.seeds))
         self._gossip.peers.named(now_ms, self._settings.fleet.seeds)
         self._listen()
@@ -197,13 +175,14 @@
         vm = self._settings.vm
         port = self._forwarder.port
         if self._waiting is None:
+            self._forwarder.begin()
             taken = self._reactor.listenUDP(
                 vm.data.port, port, vm.data.host, DATAGRAM_BYTES
             )
         elif self._catalog.ready:
-            waited_ms = clock.now_ms() - self._bound_ms
-            self._log.write("packets_taken", waited_ms=waited_ms)
-            self._forwarder.begin(waited_ms)
+            if not self._carrier.began:
+                self._carrier.begin(clock.now_ms() - self._bound_ms)
+            self._forwarder.begin()
             taken = self._reactor.adoptDatagramPort(
                 self._waiting.fileno(), socket.AF_INET, port, DATAGRAM_BYTES
             )
@@ -217,12 +196,12 @@
         now_ms = clock.now_ms()
         self._observations.tick(now_ms)
         self._forwarder.check_overdue(now_ms)
-        self._forwarder.tell_overloads()
+        self._carrier.tell_overloads()
         self._catalog.tick(now_ms, self._knowledge.confirmed_ms)
         self._gossip.ask(now_ms, self._observations.report(), self._store_watch.answers)
 
     def _check(self) -> None:
-        now_ms = self._forwarder.wake()
+        now_ms = self._carrier.wake()
         self._store_watch.check(now_ms, self._gossip.peers.rank())
         ready = self._ready
         if ready != self._was_ready:
@@ -235,7 +214,7 @@
 
     def _end_if_done(self, now_ms: int, asked_ms: int) -> None:
         grace_ms = int(self._settings.stop.grace_s * 1000)
-        if stopping.may_end(now_ms, asked_ms, self._forwarder.packet_ms, grace_ms):
+        if stopping.may_end(now_ms, asked_ms, self._carrier.packet_ms, grace_ms):
             self._log.write("stopped", after_ms=now_ms - asked_ms)
             self._log.flush()
             self._reactor.stop()
--- a/eelgrasswick/cookie/event_log.py
+++ b/eelgrasswick/cookie/event_log.py
@@ -4,15 +4,11 @@
 import time
 import typing
 
-from twisted import logger
-
 from eelgrasswick import log_line
 from eelgrasswick.cookie import clock, stats
 
 # What may wait for whoever reads standard output. Beyond it lines are left out.
 MAX_PENDING_BYTES: typing.Final = 256_000
-# The innermost frames of a traceback, which name the fault.
-TRACE_CHARACTERS: typing.Final = 600
 
 
 class EventLog:
@@ -51,28 +47,6 @@
         if self._bound.allows(event):
             self._line(event, fields)
 
-    def take_twisted(self) -> None:
-        """Write errors that Twisted reports as events of this log.
-
-        An error in a callback that nobody waits for would otherwise go to
-        standard error in many lines, where no search by event finds it.
-        """
-
-        def observer(event: typing.Any) -> None:
-            if event.get("log_level") in (
-                logger.LogLevel.error,
-                logger.LogLevel.critical,
-            ):
-                self._stats.counts["internal_errors"] += 1
-                detail = logger.formatEvent(event)
-                failure = event.get("log_failure")
-                where = failure.getTraceback()[-TRACE_CHARACTERS:] if failure else ""
-                self.write("internal_error", detail=detail, where=where)
-
-        logger.globalLogBeginner.beginLoggingTo(
-            [typing.cast(typing.Any, observer)], redirectStandardIO=False
-        )
-
     def flush(self) -> None:
         """Write what waits, as far as the reader takes it."""
         while self._pending:
--- a/eelgrasswick/cookie/gossip.py
+++ b/eelgrasswick/cookie/gossip.py
@@ -7,7 +7,6 @@
 
 from eelgrasswick import errors
 from eelgrasswick.cookie import (
-    catalog,
     clock,
     event_log,
     exchange,
@@ -26,7 +25,7 @@
 
     Attributes:
         knowledge: Rows of the store.
-        catalog: Follows the rows that are new.
+        learned: Follows the rows that are new.
         reports: Takes what others say of targets.
         log: The log.
         stats: The counters.
@@ -34,7 +33,7 @@
     """
 
     knowledge: knowledge.Knowledge
-    catalog: catalog.Catalog
+    learned: typing.Callable[[int, knowledge.Merge, str], None]
     reports: reports.Reports
     log: event_log.EventLog
     stats: stats.Stats
@@ -73,7 +72,7 @@
         self._reactor = reactor
         self._peer_port = me.port
         self._knowledge = parts.knowledge
-        self._catalog = parts.catalog
+        self._learned = parts.learned
         self._log = parts.log
         self._stats = parts.stats
         self._check = parts.check
@@ -145,12 +144,5 @@
         now_ms = clock.now_ms()
         self.merged(now_ms, self._knowledge.merge(now_ms, changes), host)
 
-    def _learned(self, now_ms: int, merge: knowledge.Merge, origin: str) -> None:
-        if not merge.rows:
-            return
-        gap_ms = knowledge.shown_ms(merge.gap_ms)
-        for note in self._catalog.update(now_ms, merge):
-            self._log.write(note.event, **note.fields, origin=origin, gap_ms=gap_ms)
-
     def _send_peer(self, item: exchange.Outgoing) -> None:
         self.port.send(item.payload, model.Address(item.host, self._peer_port))
--- a/eelgrasswick/cookie/store_watch.py
+++ b/eelgrasswick/cookie/store_watch.py
@@ -40,7 +40,8 @@
         self._rng = rng
         self._policy = watch_policy.WatchPolicy()
         self._busy = False
-        self._listing = True
+        # A VM may have read all rows before the libraries were imported.
+        self._listing = not known.revision
         self._rank = 0
 
     @property
--- a/eelgrasswick/platform/__main__.py
+++ b/eelgrasswick/platform/__main__.py
@@ -1,9 +1,8 @@
 """Starts the program that runs on the users' platform.
 
-The socket for callers' packets is bound before the libraries are imported. Their
-import takes 0.3 s; after a loss of power of all VMs the routers send packets
-meanwhile, and those that find no socket are lost. Their callers would wait for a
-retransmission 0.6 s later or more, beyond many deadlines.
+The socket for callers' packets is bound first of all. After a loss of power of all
+VMs the routers send packets at once, and those that find no socket are lost. Their
+callers would wait for a retransmission 0.6 s later or more, beyond many deadlines.
 """
 
 import importlib
@@ -22,7 +21,7 @@
 
 
 def main() -> None:
-    """Bind the socket, then import and run the program."""
+    """Bind the socket, carry packets while the rest is imported, then run it."""
     path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, ""))
     try:
         file = settings_file.SettingsFile(path)
@@ -33,8 +32,22 @@
     waiting.setblocking(False)
     waiting.bind(file.settings.vm.data)
     bound_ms = clock.now_ms()
+    _run(file, waiting, bound_ms)
+
+
+def _run(
+    file: settings_file.SettingsFile, waiting: socket.socket, bound_ms: int
+) -> None:
+    # Imported only now, as the socket must not wait for them.
+    from eelgrasswick.cookie import carrying
+    from eelgrasswick.platform import early, entries, segments
+
+    carrier = carrying.assemble(
+        file.settings, segments.Codec(), entries.Reader(), sys.stdout.fileno()
+    )
+    early.Early(carrier, waiting, bound_ms).run(file.settings.store.address)
     program: typing.Any = importlib.import_module("eelgrasswick.platform.program")
-    program.run(file, waiting, bound_ms)
+    program.run(file, carrier, waiting, bound_ms)
 
 
 main()
--- a/eelgrasswick/platform/program.py
+++ b/eelgrasswick/platform/program.py
@@ -9,8 +9,8 @@
 from twisted.internet import epollreactor, task
 
 from eelgrasswick import errors
-from eelgrasswick.cookie import entry
-from eelgrasswick.platform import entries, segments, settings_file, store
+from eelgrasswick.cookie import carrying, entry
+from eelgrasswick.platform import settings_file, store
 
 READY_PATH: typing.Final = "/api/readyz"
 # How often the settings file is looked at; it may change without a signal.
@@ -33,12 +33,16 @@
 
 
 def run(
-    file: settings_file.SettingsFile, waiting: socket.socket, bound_ms: int
+    file: settings_file.SettingsFile,
+    carrier: carrying.Carrier,
+    waiting: socket.socket,
+    bound_ms: int,
 ) -> None:
     """Run an entry VM until SIGTERM.
 
     Args:
         file: Its settings, read already.
+        carrier: Decides about callers' packets.
         waiting: The bound socket that callers' packets wait in.
         bound_ms: When it was bound.
     """
@@ -47,15 +51,13 @@
     epollreactor.install()
     reactor: typing.Any = sys.modules["twisted.internet.reactor"]
     parts = entry.Parts(
-        segments.Codec(),
+        carrier,
         store.Store(reactor, file.settings.store.address),
-        entries.Reader(),
         READY_PATH,
         waiting,
         bound_ms,
     )
-    descriptor = sys.stdout.fileno()
-    vm = entry.EntryVm(reactor, file.settings, parts, random.Random(), descriptor)
+    vm = entry.EntryVm(reactor, file.settings, parts, random.Random())
     signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(vm.stop))
     signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(_reload, file, vm))
     reactor.callWhenRunning(vm.start)
--- a/tests/entry_parts.py
+++ b/tests/entry_parts.py
@@ -10,7 +10,7 @@
 from twisted.internet import reactor as default_reactor
 
 from eelgrasswick import errors
-from eelgrasswick.cookie import clock, entry, settings, source
+from eelgrasswick.cookie import carrying, clock, entry, settings, source
 from eelgrasswick.platform import entries, segments
 from eelgrasswick.soak import layout
 from tests import turning
@@ -99,20 +99,22 @@
         text += f"[store]\naddress = {host}:1\n[fleet]\nseeds = {named}\n"
         self.text = text
         self._read, self._write = os.pipe()
+        loaded = settings.read(text)
+        carrier = carrying.assemble(
+            loaded, segments.Codec(), entries.Reader(), self._write
+        )
         parts = entry.Parts(
-            segments.Codec(),
+            carrier,
             store,
-            entries.Reader(),
             READY_PATH,
             waiting,
             clock.now_ms() - waited_ms,
         )
         self.vm = entry.EntryVm(
             default_reactor,
-            settings.read(text),
+            loaded,
             parts,
             random.Random(1),
-            self._write,
         )
         self.vm.start()
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -7,8 +7,8 @@
 import pytest
 
 from eelgrasswick.cookie import (
+    carrying,
     clock,
-    forwarding,
     probing,
     settings,
     source,
@@ -168,7 +168,7 @@
     with pytest.raises(BlockingIOError):
         server.recv(2000)
     turning.until(lambda: lines.extend(vm.log()) or "event=woke" in str(lines))
-    time.sleep(forwarding.BACKLOG_MS / 1000)
+    time.sleep(carrying.BACKLOG_MS / 1000)
     _send(vm, cookie_parts.packet(cookie_parts.SYN, 40_002))
     assert _await_datagram(server)
 
