--- a/eelgrasswick/cookie/catalog.py
+++ b/eelgrasswick/cookie/catalog.py
@@ -14,9 +14,8 @@
 # VM's knowledge is at most two seconds old.
 OUTAGE_MS: typing.Final = 2500
 # From this age on, entries that go together are due to an outage too: half of a
-# service's or more. The shortest heartbeat of the sheets is 770 ms, entries last for
-# three, and two missed in a row make a lapse; targets that crash are seldom noticed
-# in one answer of the store.
+# service's or more. Entries last for three heartbeats, and two that are missed in a
+# row make a lapse; targets that crash are seldom noticed in one answer of the store.
 SHORT_OUTAGE_MS: typing.Final = 1200
 TOGETHER: typing.Final = 0.5
 # Confirmations that are further apart than this have an outage between them. A
--- a/eelgrasswick/cookie/liveness.py
+++ b/eelgrasswick/cookie/liveness.py
@@ -15,16 +15,14 @@
 import enum
 import typing
 
-# How lately another target of the zone must have answered. On the smallest
-# sheet a VM hears three answers a second from each target of its zone.
+# How lately another target of the zone must have answered for a probe to make sense.
 PATH_MS: typing.Final = 1000
 # A target that accepted a connection is not asked again for so long.
 AGAIN_MS: typing.Final = 1500
 # How long a target stays dead by one probe. A server whose own link was cut looks
 # just like one that crashed, and is back without a new start. Each flow that was
-# opened on it since would be reset here; on a day with such cuts 674 of 7,164
-# check-ins were lost to that, up to half a minute after the last cut. The next
-# probe of a server that stays dead costs its callers 250 ms each two seconds.
+# opened on it since would be reset here. The next probe of a server that stays dead
+# costs its callers a quarter of a second.
 DEAD_MS: typing.Final = 2000
 
 
--- a/eelgrasswick/cookie/owners.py
+++ b/eelgrasswick/cookie/owners.py
@@ -9,9 +9,6 @@
 A new start under the same name proves no such thing. Flows that were opened since,
 by VMs that had not heard of it, bear the cookie of the former start and are open:
 the server takes what is addressed to its name.
-
-Measured on a day with 15 of 60 servers replaced under their addresses: 66 probes
-found the successor and 114 of 5,500 requests failed in the ten seconds after.
 """
 
 import typing
--- a/eelgrasswick/cookie/placing.py
+++ b/eelgrasswick/cookie/placing.py
@@ -4,9 +4,12 @@
 flow stays in its own availability zone unless that zone's targets are much
 fuller than those elsewhere: a cut between zones then breaks few flows, and a
 burst in one zone, or a zone that has lost targets, is carried by the others.
-Inside a zone the less full of two targets gets it (Mitzenmacher, "The Power of
-Two Choices in Randomized Load Balancing", 2001): all VMs know late figures, and
-if each chose the least full of all they would fill it in turn.
+Inside a zone one of two targets gets it (Mitzenmacher, "The Power of Two Choices in
+Randomized Load Balancing", 2001): all VMs know late figures, and if each chose the
+best of all they would fill it in turn. It is the one where it waits the shortest by
+the requests of this VM, which are known at once. Flows of other VMs count little:
+those that last for one request are over when they are heard of, and VMs that follow
+the same old counts send all flows to the same target until the next ones.
 """
 
 import typing
@@ -16,17 +19,17 @@
 # How much fuller than elsewhere the own zone may be: by half, and two flows for
 # each slot. Of two zones with two and three targets for the same callers the
 # first is fuller by half; that alone should not send flows over a link that may
-# be cut, as targets are half busy on the heaviest days of the sheets.
+# be cut.
 SPILL_FACTOR: typing.Final = 1.5
 SPILL_SLACK: typing.Final = 2.0
 # Part of the time for which a flow waits for an answer: callers pause for some
 # hundred milliseconds between the requests of a long flow.
 DUTY: typing.Final = 0.1
 # So many targets of the own zone, and of the others, are looked at for one flow. Two
-# are compared, and the mean fill of 64 with a spread of a half is known within 6%.
-# Looking at all 2,400 of a service took 9.6 ms a flow, at 128 it is 0.5 ms.
+# are compared, and the mean fill of so many is known well enough to spill by. Looking
+# at thousands would hold up the packets behind.
 WINDOW: typing.Final = 64
-# A cold server works 1.6 times slower, by the platform's sheets.
+# Part of its usual speed at which a server works that has just started.
 COLD_FACTOR: typing.Final = 0.6
 
 
--- a/eelgrasswick/cookie/reports.py
+++ b/eelgrasswick/cookie/reports.py
@@ -93,8 +93,8 @@
     def silent_for(self, now_ms: int, cookie: int) -> int:
         """Return how many other VMs lately found a target silent.
 
-        It is asked for each target at each opening packet. Searched for in 60
-        reports it took 9 ms a packet with 75 targets, and 232 ms with 3,000.
+        It is asked for each target at each opening packet; a search of all reports
+        would hold up the packets behind.
         """
         found = self._silent_ms.get(cookie)
         if found is None:
--- a/eelgrasswick/cookie/speed.py
+++ b/eelgrasswick/cookie/speed.py
@@ -8,7 +8,7 @@
 ``SMOOTHING`` 0.1 makes about twenty answers count. ``ENOUGH`` answers are
 awaited first; work times differ by half of their mean, so the mean of eight is
 right within a fifth. ``LOWEST`` and ``HIGHEST`` bound what a target can gain
-or lose: speeds on the sheets differ by 0.7 to 1.7.
+or lose by answers that are few or late for other reasons.
 """
 
 import typing
--- a/eelgrasswick/cookie/stats.py
+++ b/eelgrasswick/cookie/stats.py
@@ -5,7 +5,7 @@
 import typing
 
 PREFIX: typing.Final = "eelgrasswick_"
-# From well below a local round trip to the longest deadline of the sheets.
+# From well below a local round trip to the longest usual deadline.
 BOUNDS_MS: typing.Final = (1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000)
 
 
--- a/eelgrasswick/cookie/tracker.py
+++ b/eelgrasswick/cookie/tracker.py
@@ -11,17 +11,16 @@
 
 from eelgrasswick.cookie import model
 
-# Bounds memory at about 6 MB (300 bytes a flow, measured with sys.getsizeof).
+# Bounds the memory of flows, at some hundred bytes each.
 MAX_FLOWS: typing.Final = 20_000
 # A flow that other VMs carry now is not seen here any more. Callers pause for
 # about a second between the requests of a long flow.
 IDLE_MS: typing.Final = 4000
-# An answer of one packet is acknowledged only with the next request. Samples
-# above this are pauses of the caller, not work of the target.
+# Longer times are pauses of the caller, not work of the target.
 MAX_SAMPLE_MS: typing.Final = 2000
 # A request that waits longer than this is overdue, if its flow's answers came
-# sooner before. On the sheets 99% of the answers come within 180 ms. Answers of one
-# packet are acknowledged a second later, so their flows can't tell.
+# sooner before. Where an answer is acknowledged only with the next request, its flow
+# can't tell.
 OVERDUE_MS: typing.Final = 300
 # A caller that waits longer has given up, or its flow passes another VM by now.
 # Counted on, requests that nobody waits for would make their target look full.
--- a/eelgrasswick/cookie/watch_policy.py
+++ b/eelgrasswick/cookie/watch_policy.py
@@ -11,14 +11,12 @@
 import typing
 
 # A watch is answered after this time even if nothing changed. Together with
-# ``GAP_MS`` it is how old a watcher's knowledge gets in good times, 1 s. Asking
-# more rarely costs calls instead of saving them: with 1.5 s the ages of others
-# passed ``STALE_MS`` (test in virtual time), so that they called as well, 1,156
-# calls on a day with 62 VMs.
+# ``GAP_MS`` it is how old a watcher's knowledge gets in good times. Asking more
+# rarely costs calls instead of saving them: the ages of others would pass
+# ``STALE_MS``, and they would call as well.
 WAIT_MS: typing.Final = 600
 # A watch is asked again only after this, so that changes which come close
-# together cost one call: 9,060 calls without and 1,533 with 0.7 s, measured on
-# a day with 62 VMs that all watched.
+# together cost one call.
 GAP_MS: typing.Final = 400
 # From this age a VM calls the store itself. It lies above the usual age and
 # what the talk between VMs adds, 0.5 s, and leaves 0.7 s of the three seconds.
--- a/eelgrasswick/decisions/concurrency.py
+++ b/eelgrasswick/decisions/concurrency.py
@@ -17,17 +17,13 @@
 Lifetimes also differ because requests do. A lifetime counts as late only when it
 passes the best one by ``QUEUE_MS`` and by ``SPREAD`` times what two flows that
 ended one after the other differ by: the median of the last ``STEPS``, once there
-are ``STEPS_LEAST``; with fewer a queue that builds up could pass for it. Targets
-that answer at once had 9,031 of 12,135 flows refused without that, and 2,281 with
-it (``trial placement --vms 8 --rate-per-s 2000 --duration-s 6 --engines``); at
-500 flows a second for 20 s, none of 10,065.
-
-``WINDOW`` is small because a home sees three flows a second of a weak target.
-With the lower quartile of 8 and 150 ms, scenario saturation_20 had 245 late
-answers and goodput 0.970 (3 seeds), with the shortest of 4 and 100 ms 69 and
-0.990 (2 seeds). ``FIRST`` weighs a burst of requests against one of boards, which
-look alike until some have ended: with 2 in place of 4 there are 2 late answers,
-but 60 boards that open at once are partly refused; with 8 there are 168.
+are ``STEPS_LEAST``; with fewer a queue that builds up could pass for it. Without
+that, targets that answer at once would have most of their flows refused.
+
+``WINDOW`` is small because a home sees few flows a second of a weak target.
+``FIRST`` weighs a burst of requests against one of boards, which look alike until
+some have ended: lower, boards that open at once are refused; higher, more answers
+are late.
 """
 
 import collections
--- a/eelgrasswick/decisions/placement.py
+++ b/eelgrasswick/decisions/placement.py
@@ -8,8 +8,7 @@
 flows stay where hashing alone puts them and need no message.
 
 ``BUSY_SLACK`` is half a flow, so that a second young flow of the same home is
-sent on while others are idle: p99 wait 64 ms in scenario steady, with one flow
-86 ms. Without ``OPEN_PER_SLOT`` weak targets got a tenth too little there.
+sent on while others are idle. Without ``OPEN_PER_SLOT`` weak targets get too little.
 """
 
 import abc
--- a/eelgrasswick/decisions/strength.py
+++ b/eelgrasswick/decisions/strength.py
@@ -13,7 +13,7 @@
 claimed weights make of it. Evidence of weakness counts down to ``LOWEST``;
 evidence of strength only up to ``HIGHEST``, because a failing target looks
 fast. Resets after the opening count against it. Below ``TOLERANCE`` a difference
-is chance: at 1.3 strong targets were taken for weak in scenario steady.
+is chance.
 """
 
 import collections
