Count two packets at most of what a first acknowledgement covers

Where a first acknowledgement was lost the next covers far more; taken for the usual length, it made refusals of all answers after it.

--- a/eelgrasswick/decisions/overload.py
+++ b/eelgrasswick/decisions/overload.py
@@ -57,6 +57,9 @@
 CALM_LATE: typing.Final = 0.1
 # By how much the quickest answer is forgotten with each further one.
 QUICKEST_RISE: typing.Final = 1.005
+# What a first acknowledgement covers at most, two full packets. One that covers more
+# comes after another that was lost; by its length all others would look short.
+FIRST_BYTES: typing.Final = 2400
 # Answers shorter than this part of the longest ones are refusals, and part of that
 # length that is remembered from answer to answer.
 SHORT_PART: typing.Final = 0.25
@@ -107,7 +110,8 @@
             route: What was asked.
             answer_bytes: How much of the answer the caller acknowledged first.
         """
-        longest = max(answer_bytes, self._longest.get(route, 0.0) * SIZE_KEPT)
+        first = min(answer_bytes, FIRST_BYTES)
+        longest = max(first, self._longest.get(route, 0.0) * SIZE_KEPT)
         self._longest[route] = longest
         return answer_bytes < SHORT_PART * longest
 
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -120,6 +120,21 @@
     assert not sizes.refused("r2", 150)
 
 
+def test_lost_acknowledgement_makes_no_refusals() -> None:
+    """A caller's first acknowledgement of a long answer is lost on the way.
+
+    The next one covers far more than usual. Were that taken for the usual length,
+    every answer after it would pass for a refusal, and callers would be turned away
+    from targets that have room.
+    """
+    sizes = overload.Sizes()
+    sizes.refused("r1", 2400)
+    assert not sizes.refused("r1", 40_000)
+    assert not sizes.refused("r1", 2400)
+    assert not sizes.refused("r1", 700)
+    assert sizes.refused("r1", 150)
+
+
 def test_priorities_without_traffic_do_not_count() -> None:
     """Routes that nobody uses are listed with all priorities there are."""
     levels = overload.Levels()
