Tell of an overdue request once, however often it is sent again

Cause: each packet of a request that was sent again put it back among those to be told of, and with its first time it was overdue at once; one flow whose packets are lost could so keep all new flows from a target that answers others. The test fails first.

--- a/eelgrasswick/cookie/tracker.py
+++ b/eelgrasswick/cookie/tracker.py
@@ -173,13 +173,11 @@
         answer_ms, repeated = _timing(now_ms, record, segment)
         sight = Sight(opened, answer_ms, answer_bytes, record.resent, repeated)
         record.resent = repeated
-        if not record.asked_ms:
-            self._asked.pop(segment.flow, None)
-        else:
-            self._asked.setdefault(segment.flow, record.asked_ms)
         if record.asked_ms != before_ms:
+            self._asked.pop(segment.flow, None)
             self._answered(segment.flow, record.cookie)
             if record.asked_ms:
+                self._asked[segment.flow] = record.asked_ms
                 self._wait(now_ms, segment.flow, record)
         if segment.ending or segment.reset:
             self._drop(segment.flow)
@@ -188,7 +186,7 @@
     def overdue(self, now_ms: int) -> list[int]:
         """Return the targets of requests that wait for too long.
 
-        A request is told of once, and again when its packet was sent again since.
+        A request is told of once, however often its packet is sent again.
 
         A flow that was reset by its target, or whose target hangs, is silent: its
         caller gave it up, and no packet that is sent again tells of it.
--- a/tests/test_tracker.py
+++ b/tests/test_tracker.py
@@ -90,6 +90,61 @@
     assert flows.overdue(1000 + tracker.OVERDUE_MS + 1) == []
 
 
+def test_request_that_is_sent_again_is_told_of_once(flows: tracker.Tracker) -> None:
+    """A link loses the packets of one flow, and its caller sends them again and again.
+
+    Told of with each of them, the one flow would keep all new flows away from a
+    target that answers everybody else.
+    """
+    _asked(flows, 10, 1, 100)
+    flows.passed(40, _segment(acknowledged=2500), 7)
+    _asked(flows, 1000, 4, 4100)
+    assert flows.overdue(1000 + tracker.OVERDUE_MS) == [7]
+    _asked(flows, 1600, 4, 4100)
+    assert flows.overdue(1600 + tracker.OVERDUE_MS) == []
+
+
+def test_waiting_flows_count_until_they_are_answered(flows: tracker.Tracker) -> None:
+    flows.placed(0, cookie_parts.flow(), 7, 0)
+    assert flows.in_hand == {7: 1}
+    flows.passed(4, _segment(acknowledged=100), 7)
+    assert flows.in_hand == {}
+    _asked(flows, 5, 1, 100)
+    assert flows.in_hand == {7: 1}
+    flows.passed(30, _segment(acknowledged=2500), 7)
+    assert flows.in_hand == {}
+
+
+def test_flow_whose_opening_goes_elsewhere_waits_there(
+    flows: tracker.Tracker,
+) -> None:
+    flows.placed(0, cookie_parts.flow(), 7, 0)
+    flows.placed(200, cookie_parts.flow(), 8, 1)
+    assert flows.in_hand == {8: 1}
+
+
+def test_caller_that_gave_up_does_not_wait_for_ever(flows: tracker.Tracker) -> None:
+    """A caller gives a request up without a packet that says so.
+
+    Counted on, such requests would make their target look full.
+    """
+    _asked(flows, 5, 1, 100)
+    flows.expire(5 + tracker.WAITING_MS)
+    assert flows.in_hand == {}
+
+
+def test_answer_after_a_resent_request_is_marked(flows: tracker.Tracker) -> None:
+    """A request is lost on the way, and answered once it was sent again.
+
+    Its time tells of the loss, not of the target.
+    """
+    _asked(flows, 5, 1, 100)
+    _asked(flows, 205, 1, 100)
+    sight = flows.passed(240, _segment(acknowledged=2500), 7)
+    assert sight.resent
+    assert sight.answer_bytes == 2400
+
+
 def test_answers_of_one_packet_are_never_overdue(flows: tracker.Tracker) -> None:
     """A caller acknowledges a short answer only with its next request.
 
