--- a/eelgrasswick/platform/__main__.py
+++ b/eelgrasswick/platform/__main__.py
@@ -14,15 +14,14 @@
 
 from eelgrasswick import errors
 from eelgrasswick.cookie import clock
-from eelgrasswick.platform import settings_file
+from eelgrasswick.platform import names, settings_file
 
-SETTINGS_VARIABLE: typing.Final = "EELGRASSWICK_CONFIG"
 _USAGE: typing.Final = 2
 
 
 def main() -> None:
     """Bind the socket, carry packets while the rest is imported, then run it."""
-    path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, ""))
+    path = pathlib.Path(os.environ.get(names.SETTINGS_VARIABLE, ""))
     try:
         file = settings_file.SettingsFile(path)
     except errors.SettingsInvalidError as error:
--- a/eelgrasswick/platform/answers.py
+++ b/eelgrasswick/platform/answers.py
@@ -9,9 +9,9 @@
 
 from eelgrasswick import errors
 from eelgrasswick.cookie import source
+from eelgrasswick.platform import names
 
 MAX_BODY_BYTES: typing.Final = 16_000_000
-RANGE: typing.Final = "kv-range"
 _OK: typing.Final = 200
 _GONE: typing.Final = 410
 FAULTS: typing.Final = (ValueError, TypeError, LookupError)
@@ -51,7 +51,7 @@
             self._revision = self._revision or number(body["store_revision"])
             more = bool(body["has_more"])
         except FAULTS as fault:
-            raise errors.StoreError(f"{RANGE}: {fault!r}") from fault
+            raise errors.StoreError(f"{names.RANGE_PATH}: {fault!r}") from fault
         self._rows += page
         last = {"prefix": "", "after": page[-1].key} if page else None
         self.query = last if more else None
@@ -61,14 +61,14 @@
         return source.Changes(tuple(self._rows), self._revision, 0)
 
 
-def path(name: str, query: dict[str, str]) -> str:
-    """Return the path of a call."""
-    return f"/api/{name}?{urllib.parse.urlencode(query)}"
+def target(path: str, query: dict[str, str]) -> str:
+    """Return what a call asks for: its path and query."""
+    return f"{path}?{urllib.parse.urlencode(query)}"
 
 
-def request(http: h11.Connection, host: str, target: str) -> bytes:
+def request(http: h11.Connection, host: str, asked: str) -> bytes:
     """Return a call's bytes."""
-    head = h11.Request(method="GET", target=target, headers=[("Host", host)])
+    head = h11.Request(method="GET", target=asked, headers=[("Host", host)])
     return (http.send(head) or b"") + (http.send(h11.EndOfMessage()) or b"")
 
 
--- a/eelgrasswick/platform/early.py
+++ b/eelgrasswick/platform/early.py
@@ -19,7 +19,7 @@
 
 from eelgrasswick import errors
 from eelgrasswick.cookie import carrying, clock, model
-from eelgrasswick.platform import answers
+from eelgrasswick.platform import answers, names
 
 # What the store may take for all of its answers. A VM that it does not answer goes
 # on without, and hears from other VMs once it has started.
@@ -118,11 +118,11 @@
     with socket.create_connection(store, timeout=READ_S) as connection:
         http = h11.Connection(h11.CLIENT, answers.MAX_BODY_BYTES)
         while listing.query is not None:
-            path = answers.path(answers.RANGE, listing.query)
+            asked = answers.target(names.RANGE_PATH, listing.query)
             host = f"{store.host}:{store.port}"
-            connection.sendall(answers.request(http, host, path))
+            connection.sendall(answers.request(http, host, asked))
             answer = _receive(connection, http, end_s)
-            listing.add(answers.read(answers.RANGE, answer))
+            listing.add(answers.read(names.RANGE_PATH, answer))
             http.start_next_cycle()
     return listing.changes()
 
--- a/eelgrasswick/platform/entries.py
+++ b/eelgrasswick/platform/entries.py
@@ -7,9 +7,8 @@
 
 from eelgrasswick import errors
 from eelgrasswick.cookie import model, source
+from eelgrasswick.platform import names
 
-CONFIG_KEY: typing.Final = "op/config"
-TARGET_PREFIX: typing.Final = "servers/"
 _ID: typing.Final = re.compile(r"(?:.*[^0-9a-f])?([0-9a-f]{1,16})")
 _STATES: typing.Final = frozenset({"ready", "draining"})
 _FAULTS: typing.Final = (ValueError, TypeError, LookupError, OSError, RecursionError)
@@ -21,11 +20,11 @@
 
     def is_config(self, key: str) -> bool:
         """Tell whether a key holds the configuration."""
-        return key == CONFIG_KEY
+        return key == names.CONFIG_KEY
 
     def is_target(self, key: str) -> bool:
         """Tell whether a key holds a target."""
-        return key.startswith(TARGET_PREFIX)
+        return key.startswith(names.TARGET_PREFIX)
 
     def config(self, row: source.Row) -> model.Config:
         """Return the configuration in a row; see the base class."""
@@ -37,7 +36,7 @@
     def target(self, row: source.Row) -> model.Target:
         """Return the target in a row; see the base class."""
         try:
-            return _target(row.key.removeprefix(TARGET_PREFIX), _body(row))
+            return _target(row.key.removeprefix(names.TARGET_PREFIX), _body(row))
         except _FAULTS as error:
             raise errors.EntryInvalidError(f"server: {error!r}") from error
 
--- /dev/null
+++ b/eelgrasswick/platform/names.py
@@ -0,0 +1,13 @@
+"""Names of the users' platform that more than one program spells.
+
+The stand-ins of the soak use them too, so that each name stands once.
+"""
+
+import typing
+
+SETTINGS_VARIABLE: typing.Final = "EELGRASSWICK_CONFIG"
+READY_PATH: typing.Final = "/api/readyz"
+RANGE_PATH: typing.Final = "/api/kv-range"
+WATCH_PATH: typing.Final = "/api/kv-watch"
+CONFIG_KEY: typing.Final = "op/config"
+TARGET_PREFIX: typing.Final = "servers/"
--- a/eelgrasswick/platform/program.py
+++ b/eelgrasswick/platform/program.py
@@ -10,9 +10,8 @@
 
 from eelgrasswick import errors
 from eelgrasswick.cookie import carrying, entry
-from eelgrasswick.platform import settings_file, store
+from eelgrasswick.platform import names, settings_file, store
 
-READY_PATH: typing.Final = "/api/readyz"
 # How often the settings file is looked at; it may change without a signal.
 LOOK_S: typing.Final = 1.0
 
@@ -53,7 +52,7 @@
     parts = entry.Parts(
         carrier,
         store.Store(reactor, file.settings.store.address),
-        READY_PATH,
+        names.READY_PATH,
         waiting,
         bound_ms,
     )
--- a/eelgrasswick/platform/store.py
+++ b/eelgrasswick/platform/store.py
@@ -7,7 +7,7 @@
 
 from eelgrasswick import errors
 from eelgrasswick.cookie import model, source
-from eelgrasswick.platform import answers
+from eelgrasswick.platform import answers, names
 
 # The store answers in about 4 ms, and in 0.25 s when it is slow (60 times).
 ANSWER_MS: typing.Final = 700
@@ -103,25 +103,25 @@
         """Return all rows; see the base class."""
         listing = answers.Listing()
         while listing.query is not None:
-            listing.add(await self._call(answers.RANGE, listing.query, ANSWER_MS))
+            listing.add(await self._call(names.RANGE_PATH, listing.query, ANSWER_MS))
         return listing.changes()
 
     async def changes(self, after: int, wait_ms: int) -> source.Changes:
         """Return what changed after a revision; see the base class."""
         query = {"prefix": "", "after": str(after), "wait_ms": str(wait_ms)}
-        body = await self._call("kv-watch", query, wait_ms + ANSWER_MS)
+        body = await self._call(names.WATCH_PATH, query, wait_ms + ANSWER_MS)
         try:
             rows = tuple(answers.row(item) for item in body["events"])
             revision = answers.number(body["store_revision"])
         except answers.FAULTS as fault:
-            raise errors.StoreError(f"kv-watch: {fault!r}") from fault
+            raise errors.StoreError(f"{names.WATCH_PATH}: {fault!r}") from fault
         return source.Changes(rows, revision, after)
 
     async def _call(
         self, name: str, query: dict[str, str], timeout_ms: int
     ) -> answers.Body:
         connection = await self._connected()
-        call = connection.call(answers.path(name, query)).addTimeout(
+        call = connection.call(answers.target(name, query)).addTimeout(
             timeout_ms / 1000, self._reactor
         )
         try:
--- a/eelgrasswick/soak/processes.py
+++ b/eelgrasswick/soak/processes.py
@@ -9,6 +9,8 @@
 import time
 import typing
 
+from eelgrasswick.platform import names
+
 END_S: typing.Final = 8.0
 
 
@@ -88,4 +90,4 @@
     path = folder / f"{name}.ini"
     path.write_text(ini)
     arguments = ("-m", "eelgrasswick.platform")
-    return Process(name, arguments, folder, {"EELGRASSWICK_CONFIG": str(path)})
+    return Process(name, arguments, folder, {names.SETTINGS_VARIABLE: str(path)})
--- a/eelgrasswick/soak/run.py
+++ b/eelgrasswick/soak/run.py
@@ -9,6 +9,7 @@
 import treq
 from twisted.internet import defer, task
 
+from eelgrasswick.platform import names
 from eelgrasswick.soak import (
     actions,
     caller,
@@ -23,7 +24,6 @@
     proxy,
 )
 
-READY_PATH: typing.Final = "/api/readyz"
 # A machine with as many cores as a laptop starts two processes a second or more.
 START_S: typing.Final = 20.0
 START_EACH_S: typing.Final = 0.5
@@ -242,7 +242,7 @@
         return len(ready)
 
     def _ready(self, host: str) -> "defer.Deferred[bool]":
-        url = f"http://{host}:{layout.READY_PORT}{READY_PATH}"
+        url = f"http://{host}:{layout.READY_PORT}{names.READY_PATH}"
         call = treq.get(url, timeout=0.4, persistent=False)
         call.addCallback(lambda response: bool(response.code == 200))
         return typing.cast("defer.Deferred[bool]", call.addErrback(lambda _: False))
--- a/eelgrasswick/soak/store.py
+++ b/eelgrasswick/soak/store.py
@@ -9,6 +9,8 @@
 from twisted.internet import defer, reactor, task
 from twisted.web import resource, server
 
+from eelgrasswick.platform import names
+
 HISTORY: typing.Final = 2000
 TTL_S: typing.Final = 3.6
 
@@ -118,14 +120,16 @@
         return bool(fault)
 
     async def _call(self, path: str, request: server.Request) -> tuple[int, object]:
-        if path == "/api/kv-range":
+        if path == names.RANGE_PATH:
             return 200, self._range()
-        if path == "/api/kv-watch":
+        if path == names.WATCH_PATH:
             return await self._watch(request)
         if path == "/own/entry":
             return self._entry(request)
         if path == "/own/config":
-            return 200, self._store.put("op/config", _known(request.content).read())
+            return 200, self._store.put(
+                names.CONFIG_KEY, _known(request.content).read()
+            )
         if path == "/own/fault":
             return self._fault(json.loads(_known(request.content).read()))
         return 404, {}
--- a/eelgrasswick/soak/target.py
+++ b/eelgrasswick/soak/target.py
@@ -15,6 +15,7 @@
 from twisted.internet import protocol, reactor, task
 
 from eelgrasswick.emulation import packets
+from eelgrasswick.platform import names
 from eelgrasswick.soak import history
 
 HEARTBEAT_S: typing.Final = 1.2
@@ -249,8 +250,8 @@
     def __init__(self, settings: Settings, target: Target) -> None:
         """Keep a target's entry up."""
         self._target = target
-        self._url = f"http://{settings['store']}/own/entry?key=servers/"
-        self._url += settings["name"]
+        self._url = f"http://{settings['store']}/own/entry?key="
+        self._url += names.TARGET_PREFIX + settings["name"]
 
     def beat(self) -> typing.Any:
         """Write the entry; a store that is away is tried at the next beat."""
--- a/eelgrasswick/trials/trial.py
+++ b/eelgrasswick/trials/trial.py
@@ -1,5 +1,6 @@
 """The command that runs the trials on which the design rests."""
 
+import abc
 import dataclasses
 import json
 import pathlib
@@ -85,12 +86,11 @@
             print_row(row)
 
 
-@cappa.command(name="steering", help="what callers get when flows name their target")
 @dataclasses.dataclass
-class Steering:
-    """Arguments of ``trial steering``."""
+class _Loads(abc.ABC):
+    """Arguments of a trial that plays loads by name."""
 
-    loads: typing.Annotated[list[str], cappa.Arg(help=", ".join(cookie_scenario.LOADS))]
+    loads: typing.Annotated[list[str], cappa.Arg(help="names of loads")]
     seed: Seed = 1
     seeds: typing.Annotated[
         int, cappa.Arg(long="--seeds", help="how many seeds, from the first on")
@@ -104,33 +104,39 @@
         try:
             for name in self.loads:
                 for seed in range(self.seed, self.seed + self.seeds):
-                    print_row(trial_steering.play(name, seed, self.plot))
+                    print_row(self._play(name, seed))
         except errors.ScenarioInvalidError as error:
             console.fail(error)
 
+    @abc.abstractmethod
+    def _play(self, name: str, seed: int) -> typing.NamedTuple:
+        """Play one load and return its row."""
+
 
-@cappa.command(name="overload", help="what callers get when requests keep coming")
+@cappa.command(
+    name="steering",
+    help="what callers get when flows name their target; loads: "
+    + ", ".join(cookie_scenario.LOADS),
+)
 @dataclasses.dataclass
-class Overload:
-    """Arguments of ``trial overload``."""
+class Steering(_Loads):
+    """Arguments of ``trial steering``."""
 
-    loads: typing.Annotated[list[str], cappa.Arg(help=", ".join(open_scenario.LOADS))]
-    seed: Seed = 1
-    seeds: typing.Annotated[
-        int, cappa.Arg(long="--seeds", help="how many seeds, from the first on")
-    ] = 1
-    plot: typing.Annotated[
-        pathlib.Path | None, cappa.Arg(long="--plot", help="picture of the last run")
-    ] = None
+    def _play(self, name: str, seed: int) -> typing.NamedTuple:
+        return trial_steering.play(name, seed, self.plot)
 
-    def __call__(self) -> None:
-        """Print one line for each load and seed."""
-        try:
-            for name in self.loads:
-                for seed in range(self.seed, self.seed + self.seeds):
-                    print_row(trial_overload.play(name, seed, self.plot))
-        except errors.ScenarioInvalidError as error:
-            console.fail(error)
+
+@cappa.command(
+    name="overload",
+    help="what callers get when requests keep coming; loads: "
+    + ", ".join(open_scenario.LOADS),
+)
+@dataclasses.dataclass
+class Overload(_Loads):
+    """Arguments of ``trial overload``."""
+
+    def _play(self, name: str, seed: int) -> typing.NamedTuple:
+        return trial_overload.play(name, seed, self.plot)
 
 
 @cappa.command(name="trial", help="run a trial in virtual time")
