--- a/eelgrasswick/emulation/cookie_load.py
+++ b/eelgrasswick/emulation/cookie_load.py
@@ -261,18 +261,16 @@
     def _steer(
         self, flow: _Flow, flags: int, acknowledged: int, data: bytes
     ) -> steering.Decision:
-        item = packets.Packet(
-            bytes((100, 64, flow.vm, 1)),
+        stream = steered_fleet.Stream(
+            flow.vm,
+            1,
             flow.port,
             cookie_scenario.SERVICE_IP,
             cookie_scenario.PORT,
-            flags,
             flow.sequence,
-            acknowledged,
             flow.cookie,
-            data,
         )
-        return self._fleet.steer(flow.vm, item)
+        return self._fleet.steer(stream, flags, acknowledged, data)
 
     def _reached(self, flow: _Flow, decision: steering.Decision) -> _Target | None:
         if decision.target is None:
--- a/eelgrasswick/emulation/open_load.py
+++ b/eelgrasswick/emulation/open_load.py
@@ -297,18 +297,16 @@
         self, flow: _Flow, flags: int, acknowledged: int, data: bytes
     ) -> steering.Decision:
         number = self._load.kinds.index(flow.kind)
-        item = packets.Packet(
-            bytes((100, 64, flow.vm, flow.client)),
+        stream = steered_fleet.Stream(
+            flow.vm,
+            flow.client,
             flow.port,
             open_scenario.SERVICE_IP,
             open_scenario.FIRST_PORT + number,
-            flags,
             flow.sequence,
-            acknowledged,
             flow.cookie,
-            data,
         )
-        return self._fleet.steer(flow.vm, item)
+        return self._fleet.steer(stream, flags, acknowledged, data)
 
     def _reached(self, flow: _Flow, decision: steering.Decision) -> _Target | None:
         if decision.target is None:
--- a/eelgrasswick/emulation/steered_fleet.py
+++ b/eelgrasswick/emulation/steered_fleet.py
@@ -29,6 +29,28 @@
         """Return all rows, the configuration first."""
 
 
+class Stream(typing.NamedTuple):
+    """Where a flow stands, as its caller's next packet says.
+
+    Attributes:
+        vm: Number of the VM that its packets come to.
+        caller: Last part of the caller's address.
+        caller_port: The caller's port.
+        service_ip: Address of the service.
+        service_port: Its port.
+        sequence: Position in the caller's stream.
+        cookie: What the target last said, 0 for nothing.
+    """
+
+    vm: int
+    caller: int
+    caller_port: int
+    service_ip: bytes
+    service_port: int
+    sequence: int
+    cookie: int
+
+
 class Vm(typing.NamedTuple):
     """One entry VM."""
 
@@ -104,12 +126,32 @@
         """Tell whether two zones can't reach each other."""
         return first != second and self.cut in (first, second)
 
-    def steer(self, number: int, item: packets.Packet) -> steering.Decision:
-        """Hand a packet to a VM; probe what it wants probed."""
+    def steer(
+        self, stream: Stream, flags: int, acknowledged: int, data: bytes
+    ) -> steering.Decision:
+        """Hand a packet of a flow to its VM; probe what it wants probed.
+
+        Args:
+            stream: The flow.
+            flags: Flags of the packet.
+            acknowledged: What its caller has received.
+            data: What the caller sends.
+        """
         if self.off:
             return steering.Decision(steering.Outcome.NOT_READY, None, None, None)
+        item = packets.Packet(
+            bytes((100, 64, stream.vm, stream.caller)),
+            stream.caller_port,
+            stream.service_ip,
+            stream.service_port,
+            flags,
+            stream.sequence,
+            acknowledged,
+            stream.cookie,
+            data,
+        )
         raw = packets.encode(item)
-        vm = self.vms[number]
+        vm = self.vms[stream.vm]
         decision = vm.steering.steer(self._due.now_ms, 0, self._codec.decode(raw), raw)
         if decision.probe is not None:
             self._due.later(PROBE_MS, self._probed, vm, decision.probe)
