Keep the levels of priority by service, and forget services and routes that are gone

Each answer summed the flows of all services to find the levels of one, thousands at the size to design for, and what was learned of pools and routes was kept for good.

--- a/eelgrasswick/cookie/observations.py
+++ b/eelgrasswick/cookie/observations.py
@@ -15,6 +15,10 @@
 )
 from eelgrasswick.decisions import overload
 
+# How often services and routes that are gone are looked for; they are few a day, and
+# thousands are walked for them.
+FORGET_MS: typing.Final = 10_000
+
 
 class Observations:
     """Flows, answer times and silence of all targets."""
@@ -35,6 +39,7 @@
         self.levels = overload.Levels()
         self._sizes = overload.Sizes()
         self._woke_ms = 0
+        self._kept_ms = 0
         self._silence: silence.SilenceBook[int] = silence.SilenceBook()
         self._stalled: silence.SilenceBook[int] = silence.SilenceBook()
         self._zone_silence: silence.SilenceBook[str] = silence.SilenceBook()
@@ -177,12 +182,23 @@
         self._silence.keep(cookies)
         self._stalled.keep(cookies)
         self.liveness.keep(self._catalog.remembered)
+        self._keep_refusals(now_ms)
         self._factors = {}
         for service in {item.service for item in self._catalog.targets}:
             accepting = self._catalog.accepting(service)
             means_ms = {item.cookie: self._mean_ms(item.cookie) for item in accepting}
             self._factors.update(speed.factors(means_ms))
 
+    def _keep_refusals(self, now_ms: int) -> None:
+        if now_ms - self._kept_ms < FORGET_MS:
+            return
+        self._kept_ms = now_ms
+        targets = self._catalog.targets
+        self.refusals.keep({overload.Pool(item.service, item.zone) for item in targets})
+        config = self._catalog.config
+        if config is not None:
+            self._sizes.keep({item.name for item in config.routes.values()})
+
     def report(self) -> reports.Report:
         """Return what the other VMs should know, the fullest targets in front."""
         # Of thousands of targets a VM has flows on some; the rest is not looked at.
--- a/eelgrasswick/decisions/overload.py
+++ b/eelgrasswick/decisions/overload.py
@@ -69,7 +69,8 @@
 LEVEL_PART: typing.Final = 0.05
 LEVELS_MS: typing.Final = 5000
 
-_Counts = collections.Counter[tuple[str, int]]
+# Flows by service and priority.
+_Counts = dict[str, collections.Counter[int]]
 
 
 class Pool(typing.NamedTuple):
@@ -115,6 +116,11 @@
         self._longest[route] = longest
         return answer_bytes < SHORT_PART * longest
 
+    def keep(self, routes: typing.Collection[str]) -> None:
+        """Forget all other routes."""
+        for route in [item for item in self._longest if item not in routes]:
+            del self._longest[route]
+
 
 class Levels:
     """The levels of priority that flows of each service lately had.
@@ -126,21 +132,21 @@
     def __init__(self) -> None:
         """Begin without flows."""
         self._since_ms = 0
-        self._flows: _Counts = collections.Counter()
-        self._before: _Counts = collections.Counter()
+        self._flows: _Counts = {}
+        self._before: _Counts = {}
 
     def opened(self, now_ms: int, service: str, priority: int) -> None:
         """Note a new flow."""
         if now_ms - self._since_ms >= LEVELS_MS:
             self._since_ms = now_ms
-            self._before, self._flows = self._flows, collections.Counter()
-        self._flows[service, priority] += 1
+            self._before, self._flows = self._flows, {}
+        self._flows.setdefault(service, collections.Counter())[priority] += 1
 
     def rank(self, service: str, priority: int) -> Rank:
         """Return the rank of a priority among the flows of a service."""
-        lately = self._before + self._flows
-        levels = {level: n for (name, level), n in lately.items() if name == service}
-        least = sum(levels.values()) * LEVEL_PART
+        nothing: collections.Counter[int] = collections.Counter()
+        levels = self._before.get(service, nothing) + self._flows.get(service, nothing)
+        least = levels.total() * LEVEL_PART
         others = [level for level, n in levels.items() if n >= least]
         above = sum(level < priority for level in others)
         below = sum(level > priority for level in others)
@@ -226,6 +232,11 @@
         part = state.part * math.exp(-silent_ms / FADE_MS)
         return min(1.0, max(0.0, part - (rank.levels - 1 - rank.above)))
 
+    def keep(self, pools: typing.Collection[Pool]) -> None:
+        """Forget all other pools."""
+        for pool in [item for item in self._states if item not in pools]:
+            del self._states[pool]
+
     def refused(self, pool: Pool) -> float:
         """Return the refused part, up to the number of levels of priority."""
         state = self._states.get(pool)
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -120,6 +120,18 @@
     assert not sizes.refused("r2", 150)
 
 
+def test_what_is_gone_is_forgotten(refusals: overload.Refusals, calm: int) -> None:
+    """Routes and services come and go for weeks, and a VM must not grow with them."""
+    now_ms = _answers(refusals, 1.5, 60, calm)
+    refusals.keep([])
+    assert refusals.part(now_ms, POOL, FEED) == 0
+    assert not refusals.limiting(POOL)
+    sizes = overload.Sizes()
+    sizes.refused("r1", 2400)
+    sizes.keep(["r2"])
+    assert not sizes.refused("r1", 150)
+
+
 def test_lost_acknowledgement_makes_no_refusals() -> None:
     """A caller's first acknowledgement of a long answer is lost on the way.
 
