Refuse no copy of an opening packet

A copy may come to a VM that has not seen the first packet, which a target may have taken by another VM; its answer may be on the way. Refused then, a caller would be told that nothing has run while a flow is open. The test fails first.

--- a/eelgrasswick/cookie/steering.py
+++ b/eelgrasswick/cookie/steering.py
@@ -142,10 +142,10 @@
         chosen = placing.choose(candidates, self._zone, draws)
         if chosen is None:
             return self._without_target(flow)
-        if not copies:
-            self._observations.levels.opened(now_ms, service, route.priority)
         target = chosen
-        if self._is_refused(now_ms, route, chosen, draws):
+        # Only a first opening packet is refused. Where a copy comes, a target may have
+        # taken the one before, and the caller may be about to ask it.
+        if not copies and self._is_refused(now_ms, route, chosen, draws):
             calm = placing.choose(self._calm(candidates), self._zone, draws)
             if calm is None:
                 # No target saw it, so that it has not run. Let in, it would be late
@@ -185,6 +185,7 @@
         draws: placing.Draws,
     ) -> bool:
         seen = self._observations
+        seen.levels.opened(now_ms, target.service, route.priority)
         pool = overload.Pool(target.service, target.zone)
         if not seen.refusals.limiting(pool):
             return False
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -261,3 +261,18 @@
     assert decision.address is None
     assert decision.datagram is not None
     assert seen.tracker.in_hand == {}
+
+
+def test_copy_of_an_opening_packet_is_not_refused(
+    steers: steering.Steering, seen: observations.Observations
+) -> None:
+    """The first opening packet came to a target by another VM.
+
+    Its answer may be on the way to the caller. A reset would then end a flow that a
+    target holds, and tell the caller that nothing has run.
+    """
+    _overload(seen, "z1")
+    now_ms = _overload(seen, "z2")
+    raw = cookie_parts.packet(cookie_parts.SYN, acknowledged=1)
+    decision = steering_parts.steer(steers, now_ms, raw)
+    assert decision.outcome is steering.Outcome.PLACED
