Take a starting VM's first rows from another VM, and know the fleet from it

Cause: at 195 VMs each start cost the store a listing, and each VM that starts took itself for the first of its zone until it had heard the others one by one. In virtual time (195 VMs, 5 zones) 48 VMs had rank 0 one second after a start of all and 16 after three, where 5 should; a newcomer knew 64 VMs after 2 s, when it counts as settled.

Change: - A VM that starts asks a seed for an offer: all rows, their age and the list of members. Only without a fresh one does it list the store. Rows that an outage has made old are used until the store is read. - Names of VMs travel with their zone, so that a VM that was named counts for the rank before it was heard; one that was asked in vain does not. - Settling counts from the start and not from the first answer of the store, which a VM that took an offer does not need; one that knows all members is settled at once. - Reports that are held stand for all VMs (a sample, at least 16 of them). VMs are forgotten after two rounds at least.

--- /dev/null
+++ b/eelgrasswick/cookie/bootstrap.py
@@ -0,0 +1,116 @@
+"""How a VM that starts gets its first rows from another one.
+
+Answers the load of VMs that are added or restarted by the dozen while the rest of
+the fleet serves. It needs no event loop, as the libraries are not imported yet. VMs
+that start after a loss of all find nobody listening, and must not wait for long.
+"""
+
+import importlib
+import socket
+import struct
+import time
+import typing
+
+from eelgrasswick import errors
+from eelgrasswick.cookie import clock, event_log, model
+
+if typing.TYPE_CHECKING:
+    from eelgrasswick.cookie import offer
+
+# What another VM may take to accept the connection, and for its answer.
+CONNECT_S: typing.Final = 0.02
+ANSWER_S: typing.Final = 0.1
+# VMs that are asked, one after the other.
+MAX_ASKED: typing.Final = 2
+_LENGTH: typing.Final = struct.Struct(">I")
+_ALL_ROWS: typing.Final = b"0"
+_CHUNK_BYTES: typing.Final = 65_536
+
+
+class Answer(typing.NamedTuple):
+    """Another VM's answer.
+
+    Attributes:
+        host: Who answered.
+        asked_ms: When it was asked.
+        offer: Its rows, their age, and the VMs that it knows.
+    """
+
+    host: str
+    asked_ms: int
+    offer: "offer.Offer"
+
+
+def ask(
+    seeds: typing.Sequence[model.Address], log: event_log.EventLog
+) -> Answer | None:
+    """Ask some VMs for all rows, until one has some.
+
+    Args:
+        seeds: Whom to ask, at the addresses where they answer.
+        log: Told of those that give no answer.
+
+    Returns:
+        The first answer with rows; None without one.
+    """
+    for address in _in_turn(seeds):
+        asked_ms = clock.now_ms()
+        try:
+            taken = _ask(address)
+        except (errors.MessageInvalidError, OSError) as fault:
+            detail = f"{type(fault).__name__}: {fault}"
+            log.write("bootstrap_failed", peer=address.host, detail=detail)
+            continue
+        if taken.changes.rows:
+            return Answer(address.host, asked_ms, taken)
+    return None
+
+
+def _in_turn(seeds: typing.Sequence[model.Address]) -> list[model.Address]:
+    # All VMs have the same seeds; those that start together begin with different ones.
+    if not seeds:
+        return []
+    first = time.monotonic_ns() // 1000 % len(seeds)
+    return [*seeds[first:], *seeds[:first]][:MAX_ASKED]
+
+
+def _ask(address: model.Address) -> "offer.Offer":
+    with socket.create_connection(address, timeout=CONNECT_S) as connection:
+        connection.sendall(_LENGTH.pack(len(_ALL_ROWS)) + _ALL_ROWS)
+        # Imported only once another VM is there to answer; after a loss of all the
+        # store is read sooner without.
+        reader: typing.Any = importlib.import_module("eelgrasswick.cookie.offer")
+        end_s = time.monotonic() + ANSWER_S
+        strings = _receive(connection, end_s, reader.STRINGS, reader.MAX_BYTES)
+    decoded: offer.Offer = reader.decode(*strings)
+    return decoded
+
+
+def _receive(
+    connection: socket.socket, end_s: float, count: int, max_bytes: int
+) -> list[bytes]:
+    strings: list[bytes] = []
+    data = bytearray()
+    while len(strings) < count:
+        connection.settimeout(max(0.001, end_s - time.monotonic()))
+        chunk = connection.recv(_CHUNK_BYTES)
+        if not chunk:
+            raise errors.MessageInvalidError("the connection ended early")
+        data += chunk
+        strings += _strings(data, max_bytes)
+    return strings
+
+
+def _strings(data: bytearray, max_bytes: int) -> list[bytes]:
+    """Take the whole strings from the front of what was received."""
+    found: list[bytes] = []
+    while len(data) >= _LENGTH.size:
+        (length,) = _LENGTH.unpack_from(data)
+        if length > max_bytes:
+            raise errors.MessageInvalidError(f"a string of {length} bytes")
+        end = _LENGTH.size + length
+        if len(data) < end:
+            break
+        found.append(bytes(data[_LENGTH.size : end]))
+        del data[:end]
+    return found
--- a/eelgrasswick/cookie/entry.py
+++ b/eelgrasswick/cookie/entry.py
@@ -13,6 +13,8 @@
     forwarding,
     gossip,
     knowledge,
+    offer,
+    peers,
     settings,
     source,
     stopping,
@@ -42,6 +44,7 @@
         waiting: A bound socket that callers' packets wait in until this VM can
             carry them; None to open one at the start.
         bound_ms: When that socket was bound; the libraries are imported since.
+        members: The other VMs, if one of them has told of all already.
     """
 
     carrier: carrying.Carrier
@@ -49,6 +52,7 @@
     ready_path: str
     waiting: socket.socket | None = None
     bound_ms: int = 0
+    members: tuple[peers.Member, ...] = ()
 
 
 class EntryVm:
@@ -74,6 +78,7 @@
         self._ready_path = parts.ready_path
         self._waiting = parts.waiting
         self._bound_ms = parts.bound_ms
+        self._members = parts.members
         self._carrier = parts.carrier
         self._stats = parts.carrier.parts.stats
         self._log = parts.carrier.parts.log
@@ -112,6 +117,9 @@
         twisted_errors.take(self._log, self._stats)
         self._log.write("started", zone=vm.zone, seeds=len(self._settings.fleet.seeds))
         self._gossip.peers.named(now_ms, self._settings.fleet.seeds)
+        if self._members:
+            self._gossip.peers.introduced(now_ms, self._members)
+            self._store_watch.settle(now_ms)
         self._listen()
         self._take_packets()
         self._repeat(self._check, CHECK_S)
@@ -154,7 +162,9 @@
     def _listen(self) -> None:
         vm = self._settings.vm
         reactor = self._reactor
-        answers = transfer.ServerFactory(self._knowledge.since)
+        answers = transfer.ServerFactory(
+            offer.Offers(self._knowledge.since, self._gossip.standing)
+        )
         probe = web.WebFactory({self._ready_path: self._ready_page})
         pages = web.WebFactory({METRICS_PATH: self._metrics_page})
         self._listening = [
@@ -234,6 +244,7 @@
             flows=len(self._observations.tracker),
             flows_waiting=sum(self._observations.tracker.in_hand.values()),
             peers=len(self._gossip.peers),
+            peer_reports=len(self._observations.reports),
             targets=len(self._catalog.targets),
             revision=self._knowledge.revision,
             knowledge_age_ms=knowledge.shown_ms(self._knowledge.age_ms(now_ms)),
--- a/eelgrasswick/cookie/exchange.py
+++ b/eelgrasswick/cookie/exchange.py
@@ -67,7 +67,7 @@
     revision: int
     age_ms: int
     changes: source.Changes | None
-    hosts: tuple[str, ...]
+    members: tuple[peers.Member, ...]
     report: reports.Report
 
 
@@ -145,7 +145,7 @@
         """
         item = _decode(payload)
         joined = self._peers.heard(now_ms, host, item.zone, item.reads_store)
-        self._peers.named(now_ms, item.hosts)
+        self._peers.introduced(now_ms, item.members)
         if item.kind in (_ASK, _ANSWER):
             self._reports.take(now_ms, host, item.report)
         merge, fetch = self._merge(now_ms, host, item)
@@ -213,7 +213,7 @@
         kind: int,
         number: int,
         changes: source.Changes | None,
-        report: reports.Report,
+        entries: reports.Report,
     ) -> bytes:
         item = [
             kind,
@@ -223,8 +223,8 @@
             self._knowledge.revision,
             min(self._knowledge.age_ms(now_ms), 2**31),
             list(changes) if changes is not None else None,
-            self._peers.sample(),
-            [list(entry) for entry in report],
+            [list(member) for member in self._peers.sample()],
+            [list(entry) for entry in entries],
         ]
         return cbor2.dumps(item)
 
@@ -251,11 +251,12 @@
     """
     try:
         return _changes(cbor2.loads(payload))
-    except _FAULTS as error:
+    except FAULTS as error:
         raise errors.MessageInvalidError(f"changes: {error}") from error
 
 
-_FAULTS: typing.Final = (
+# What decoding raises when a message holds something else.
+FAULTS: typing.Final = (
     cbor2.CBORDecodeError,
     ValueError,
     TypeError,
@@ -275,21 +276,21 @@
             revision,
             age_ms,
             changes,
-            hosts,
-            report,
+            members,
+            entries,
         ) = cbor2.loads(payload)
         item = _Message(
-            _integer(kind),
-            _integer(number),
+            integer(kind),
+            integer(number),
             _text(zone),
             bool(reads),
-            _integer(revision),
-            _integer(age_ms),
+            integer(revision),
+            integer(age_ms),
             None if changes is None else _changes(changes),
-            tuple(_text(host) for host in hosts[: peers.SAMPLE]),
-            tuple(_entry(entry) for entry in report[: reports.MAX_ENTRIES]),
+            tuple(map(member, members[: peers.SAMPLE])),
+            tuple(map(_entry, entries[: reports.MAX_ENTRIES])),
         )
-    except _FAULTS as error:
+    except FAULTS as error:
         raise errors.MessageInvalidError(f"peer message: {error}") from error
     if item.kind not in (_ASK, _ANSWER, _NEWS, _DEAD):
         raise errors.MessageInvalidError(f"peer message of kind {item.kind}")
@@ -299,7 +300,7 @@
 def _changes(item: typing.Any) -> source.Changes:
     rows, revision, base = item
     return source.Changes(
-        tuple(_row(row) for row in rows), _integer(revision), _integer(base)
+        tuple(_row(row) for row in rows), integer(revision), integer(base)
     )
 
 
@@ -307,17 +308,24 @@
     key, value, revision = item
     if value is not None and not isinstance(value, bytes):
         raise TypeError("a row's value is no bytes")
-    return source.Row(_text(key), value, _integer(revision))
+    return source.Row(_text(key), value, integer(revision))
 
 
 def _entry(item: typing.Any) -> reports.Entry:
     cookie, flows, answer_ms, silent = item
     return reports.Entry(
-        _integer(cookie), _integer(flows), _integer(answer_ms), bool(silent)
+        integer(cookie), integer(flows), integer(answer_ms), bool(silent)
     )
 
 
-def _integer(value: object) -> int:
+def member(item: typing.Any) -> peers.Member:
+    """Return the member that a decoded value stands for."""
+    host, zone = item
+    return peers.Member(_text(host), _text(zone))
+
+
+def integer(value: object) -> int:
+    """Return a decoded value that must be a count."""
     if not isinstance(value, int) or isinstance(value, bool) or value < 0:
         raise TypeError(f"{value!r} is no count")
     return value
--- a/eelgrasswick/cookie/gossip.py
+++ b/eelgrasswick/cookie/gossip.py
@@ -12,6 +12,7 @@
     exchange,
     knowledge,
     model,
+    offer,
     peers,
     ports,
     reports,
@@ -75,12 +76,19 @@
         self._learned = parts.learned
         self._log = parts.log
         self._stats = parts.stats
+        self._reports = parts.reports
         self._check = parts.check
         self._exchange = exchange.Exchange(
             zone, parts.knowledge, self.peers, parts.reports, rng
         )
         self._fetching: set[str] = set()
 
+    def standing(self) -> offer.Standing:
+        """Return how this VM stands, for VMs that lack rows."""
+        age_ms = self._knowledge.age_ms(clock.now_ms())
+        members = self.peers.members()
+        return offer.Standing(knowledge.shown_ms(age_ms), tuple(members))
+
     def ask(self, now_ms: int, report: reports.Report, reads_store: bool) -> None:
         """Ask the VMs that are next.
 
@@ -89,6 +97,7 @@
             report: What this VM says of targets.
             reads_store: False while the store does not answer it.
         """
+        self._reports.others = len(self.peers)
         self._exchange.report = report
         self._exchange.reads_store = reads_store
         requests, gone = self._exchange.ask(now_ms)
@@ -130,9 +139,10 @@
 
     async def _fetch(self, host: str) -> None:
         self._fetching.add(host)
+        asked_ms = clock.now_ms()
         address = model.Address(host, self._peer_port)
         try:
-            changes = await transfer.fetch(
+            taken = await transfer.fetch(
                 self._reactor, address, self._knowledge.revision
             )
         except errors.EelgrasswickError as error:
@@ -142,7 +152,8 @@
         finally:
             self._fetching.discard(host)
         now_ms = clock.now_ms()
-        self.merged(now_ms, self._knowledge.merge(now_ms, changes), host)
+        self.merged(now_ms, taken.learn(now_ms, asked_ms, self._knowledge), host)
+        self.peers.introduced(now_ms, taken.standing.members)
 
     def _send_peer(self, item: exchange.Outgoing) -> None:
         self.port.send(item.payload, model.Address(item.host, self._peer_port))
--- a/eelgrasswick/cookie/peers.py
+++ b/eelgrasswick/cookie/peers.py
@@ -13,8 +13,11 @@
 
 # A VM that left two requests unanswered counts as gone until it is heard.
 MAX_UNANSWERED: typing.Final = 2
-# A VM that was not heard for so long is forgotten; addresses are used anew.
+# A VM that was not heard for so long is forgotten; addresses are used anew. In a
+# large fleet each is heard once or twice while all are asked in turn, so that the
+# span is no shorter than some of these rounds.
 FORGET_MS: typing.Final = 30_000
+FORGET_ROUNDS: typing.Final = 2
 # Addresses that ride on each answer.
 SAMPLE: typing.Final = 6
 # One of this many VMs with the freshest knowledge is asked each time, so that
@@ -28,12 +31,19 @@
 RETRY_SHARE: typing.Final = 0.25
 
 
+class Member(typing.NamedTuple):
+    """An entry VM as another one names it."""
+
+    host: str
+    zone: str
+
+
 class Peer:
     """Another entry VM.
 
     Attributes:
         host: Its IP address.
-        zone: Its availability zone; empty until it was heard.
+        zone: Its availability zone; empty until it was heard or introduced.
         heard_ms: When it was last heard; 0 for never.
         unanswered: Requests in a row that it left unanswered.
         reads_store: False when the store does not answer it.
@@ -65,6 +75,11 @@
         """True when it was heard and answers."""
         return self.heard_ms > 0 and self.unanswered < MAX_UNANSWERED
 
+    @property
+    def expected(self) -> bool:
+        """True when it is alive, or another VM says so and nothing speaks against."""
+        return self.alive or (not self.heard_ms and not self.unanswered)
+
 
 class Peers:
     """All other entry VMs that this one has heard of."""
@@ -82,6 +97,8 @@
         self._rng = rng
         self._peers: dict[str, Peer] = {}
         self._round: list[str] = []
+        self._turns = 0
+        self._began_ms: int | None = None
 
     def __len__(self) -> int:
         """Return the number of VMs that are alive."""
@@ -96,6 +113,14 @@
                 # knowing only itself it would call the store for its zone.
                 self._round.insert(0, host)
 
+    def introduced(self, now_ms: int, members: typing.Iterable[Member]) -> None:
+        """Take VMs that another VM takes for alive."""
+        for item in members:
+            self.named(now_ms, (item.host,))
+            peer = self._peers.get(item.host)
+            if peer is not None and not peer.heard_ms:
+                peer.zone = item.zone
+
     def heard(self, now_ms: int, host: str, zone: str, reads_store: bool) -> bool:
         """Note a message of a VM; True when it was not alive before."""
         self.named(now_ms, (host,))
@@ -130,6 +155,7 @@
         would take an age of knowledge through the fleet in seconds; asking only
         the freshest VM would have all VMs ask the one that watches the store.
         """
+        self._turns += 1
         chosen = self._next_in_turn()
         fresh = self._some(self._freshest(), 1)
         return chosen + [host for host in fresh if host not in chosen]
@@ -165,9 +191,17 @@
         others = [peer.host for peer in alive if peer.zone != self._zone]
         return [*self._some(own, count), *self._some(others, count)]
 
-    def sample(self) -> list[str]:
-        """Return some addresses of live VMs to name to others."""
-        return self._some([p.host for p in self._peers.values() if p.alive], SAMPLE)
+    def members(self) -> list[Member]:
+        """Return all live VMs, this one among them."""
+        alive = [peer for peer in self._peers.values() if peer.alive]
+        others = [Member(peer.host, peer.zone) for peer in alive]
+        return [Member(self._host, self._zone), *others]
+
+    def sample(self) -> list[Member]:
+        """Return some live VMs to name to others."""
+        alive = [peer for peer in self._peers.values() if peer.alive]
+        some = self._rng.sample(alive, min(SAMPLE, len(alive)))
+        return [Member(peer.host, peer.zone) for peer in some]
 
     def rank(self) -> int:
         """Return this VM's place among those of its zone that read the store.
@@ -176,7 +210,7 @@
         """
         mine = _order(self._host)
         return sum(
-            peer.alive
+            peer.expected
             and peer.reads_store
             and peer.zone == self._zone
             and _order(peer.host) < mine
@@ -185,8 +219,12 @@
 
     def forget(self, now_ms: int) -> None:
         """Forget VMs that were not heard for long."""
+        if self._began_ms is None:
+            self._began_ms = now_ms
+        turn_ms = (now_ms - self._began_ms) / max(1, self._turns)
+        span_ms = max(FORGET_MS, FORGET_ROUNDS * turn_ms * len(self._peers))
         for peer in list(self._peers.values()):
-            if now_ms - max(peer.heard_ms, peer.listed_ms) > FORGET_MS:
+            if now_ms - max(peer.heard_ms, peer.listed_ms) > span_ms:
                 del self._peers[peer.host]
 
     def _some(self, hosts: list[str], count: int) -> list[str]:
--- a/eelgrasswick/cookie/reports.py
+++ b/eelgrasswick/cookie/reports.py
@@ -13,8 +13,10 @@
 
 import typing
 
-# VMs of a fleet of 62 hear from each other directly about every ten seconds.
 KEEP_MS: typing.Final = 10_000
+# In a large fleet a VM holds recent reports of a part of the others only, which is
+# taken for a sample of all. Fewer than these are none.
+LEAST_SAMPLE: typing.Final = 16
 # News of silence is acted on only while it is new.
 SILENT_MS: typing.Final = 1500
 # Bounds a report at about 600 bytes, half of a datagram.
@@ -41,10 +43,16 @@
 
 
 class Reports:
-    """The last report of each other VM."""
+    """The last report of each other VM.
+
+    Attributes:
+        others: How many other VMs there are.
+    """
 
     def __init__(self) -> None:
         """Begin without reports."""
+        self.others = 0
+        self._scale = 1.0
         self._reports: dict[str, tuple[Report, int]] = {}
         self._flows: dict[int, int] = {}
         self._answers_ms: dict[int, list[int]] = {}
@@ -73,6 +81,8 @@
             self.forget(host)
         self._flows = {}
         self._answers_ms = {}
+        held = len(self._reports)
+        self._scale = max(1.0, self.others / held) if held >= LEAST_SAMPLE else 1.0
         for report, _ in self._reports.values():
             for entry in report:
                 self._flows[entry.cookie] = (
@@ -82,9 +92,13 @@
                     times_ms = self._answers_ms.setdefault(entry.cookie, [])
                     times_ms.append(entry.answer_ms)
 
+    def __len__(self) -> int:
+        """Return of how many VMs a recent report is held."""
+        return len(self._reports)
+
     def flows_on(self, cookie: int) -> int:
-        """Return how many flows the other VMs have on a target."""
-        return self._flows.get(cookie, 0)
+        """Return about how many flows the other VMs have on a target."""
+        return round(self._scale * self._flows.get(cookie, 0))
 
     def answers_ms(self, cookie: int) -> typing.Sequence[int]:
         """Return the answer times that other VMs see of a target."""
--- a/eelgrasswick/cookie/store_watch.py
+++ b/eelgrasswick/cookie/store_watch.py
@@ -44,6 +44,10 @@
         self._listing = not known.revision
         self._rank = 0
 
+    def settle(self, now_ms: int) -> None:
+        """Note that this VM knows its rank from the start."""
+        self._policy.settle(now_ms)
+
     @property
     def answers(self) -> bool:
         """False while the store does not answer this VM."""
--- a/eelgrasswick/cookie/transfer.py
+++ b/eelgrasswick/cookie/transfer.py
@@ -1,36 +1,31 @@
 """What does not fit a datagram, over a connection between two VMs."""
 
 import typing
-import zlib
 
 from twisted.internet import defer, endpoints, error, protocol
 from twisted.protocols import basic, policies
 
 from eelgrasswick import errors
-from eelgrasswick.cookie import exchange, model, source
+from eelgrasswick.cookie import model, offer
 
 # A configuration of 640 routes is about 110 KB and goes at a tenth of that; the
 # thinnest link takes 5 Mbit/s.
 TIMEOUT_MS: typing.Final = 1000
-MAX_BYTES: typing.Final = 8_000_000
-_LEVEL: typing.Final = 3
-
-Answerer = typing.Callable[[int], source.Changes]
 
 
 class _Server(basic.Int32StringReceiver, policies.TimeoutMixin):
     MAX_LENGTH = 64
 
-    def __init__(self, answerer: Answerer) -> None:
-        self._answerer = answerer
+    def __init__(self, offers: offer.Offers) -> None:
+        self._offers = offers
 
     def connectionMade(self) -> None:  # noqa: N802
         self.setTimeout(TIMEOUT_MS / 1000)
 
     def stringReceived(self, string: bytes) -> None:  # noqa: N802
         if string.isdigit():
-            changes = exchange.encode_changes(self._answerer(int(string)))
-            self.sendString(zlib.compress(changes, _LEVEL))
+            for item in self._offers.encode(int(string)):
+                self.sendString(item)
         typing.cast(typing.Any, self.transport).loseConnection()
 
     def connectionLost(self, reason: typing.Any = protocol.connectionDone) -> None:  # noqa: N802
@@ -42,28 +37,32 @@
 
     noisy = False
 
-    def __init__(self, answerer: Answerer) -> None:
-        """Answer with what ``answerer`` returns for a revision."""
-        self._answerer = answerer
+    def __init__(self, offers: offer.Offers) -> None:
+        """Answer with offers."""
+        self._offers = offers
 
     def buildProtocol(self, addr: object) -> _Server:  # noqa: N802
         """Return the protocol of a new connection."""
-        return _Server(self._answerer)
+        return _Server(self._offers)
 
 
 class _Client(basic.Int32StringReceiver):
-    MAX_LENGTH = MAX_BYTES
+    MAX_LENGTH = offer.MAX_BYTES
 
     def __init__(self, revision: int) -> None:
         self._revision = revision
-        self.done: defer.Deferred[bytes] = defer.Deferred(lambda _: self._abort())
+        self._strings: list[bytes] = []
+        self.done: defer.Deferred[list[bytes]] = defer.Deferred(lambda _: self._abort())
 
     def connectionMade(self) -> None:  # noqa: N802
         self.sendString(str(self._revision).encode())
 
     def stringReceived(self, string: bytes) -> None:  # noqa: N802
+        self._strings.append(string)
+        if len(self._strings) < offer.STRINGS:
+            return
         if not self.done.called:
-            self.done.callback(string)
+            self.done.callback(self._strings)
         self._abort()
 
     def connectionLost(self, reason: typing.Any = protocol.connectionDone) -> None:  # noqa: N802
@@ -76,7 +75,7 @@
 
 async def fetch(
     reactor: typing.Any, address: model.Address, revision: int
-) -> source.Changes:
+) -> offer.Offer:
     """Ask a VM for what changed after a revision.
 
     Raises:
@@ -89,7 +88,7 @@
     )
     try:
         await endpoints.connectProtocol(end, client)
-        content = await client.done.addTimeout(TIMEOUT_MS / 1000, reactor)
+        strings = await client.done.addTimeout(TIMEOUT_MS / 1000, reactor)
     except (
         error.ConnectError,
         error.ConnectionClosed,
@@ -97,15 +96,4 @@
         defer.CancelledError,
     ) as fault:
         raise errors.VmSilentError(f"{address.host}: {type(fault).__name__}") from fault
-    return exchange.decode_changes(_inflate(content))
-
-
-def _inflate(content: bytes) -> bytes:
-    inflater = zlib.decompressobj()
-    try:
-        plain = inflater.decompress(content, MAX_BYTES)
-    except zlib.error as fault:
-        raise errors.MessageInvalidError(f"changes: {fault}") from fault
-    if inflater.unconsumed_tail:
-        raise errors.MessageInvalidError("changes are too long")
-    return plain
+    return offer.decode(*strings)
--- a/eelgrasswick/cookie/watch_policy.py
+++ b/eelgrasswick/cookie/watch_policy.py
@@ -43,6 +43,11 @@
         self._next_ms = 0
         self._acting_until_ms = 0
         self._settled_ms: int | None = None
+        self._has_answer = False
+
+    def settle(self, now_ms: int) -> None:
+        """Note that this VM knows the others of its zone, and so its rank."""
+        self._settled_ms = now_ms
 
     def due(self, now_ms: int, age_ms: int, rank: int) -> bool:
         """Tell whether to call the store now.
@@ -52,9 +57,11 @@
             age_ms: Age of what this VM knows.
             rank: Its place among the VMs of its zone.
         """
+        if self._settled_ms is None:
+            self._settled_ms = now_ms + SETTLE_MS
         if now_ms < self._next_ms:
             return False
-        settled = self._settled_ms is not None and now_ms >= self._settled_ms
+        settled = now_ms >= self._settled_ms
         if settled and (rank == 0 or now_ms < self._acting_until_ms):
             return True
         return age_ms >= STALE_MS + STAGGER_MS * min(rank, STAGGER_MOST)
@@ -64,8 +71,10 @@
         self.failures = 0
         self._next_ms = now_ms + GAP_MS
         if self._settled_ms is None:
-            # The first answer is the listing of a VM that starts.
             self._settled_ms = now_ms + SETTLE_MS
+        if not self._has_answer:
+            # The listing of a VM that starts takes nothing over from others.
+            self._has_answer = True
             return
         if rank > 0 and now_ms >= self._acting_until_ms:
             self._acting_until_ms = now_ms + ACTING_MS
--- a/eelgrasswick/platform/__main__.py
+++ b/eelgrasswick/platform/__main__.py
@@ -38,15 +38,22 @@
     file: settings_file.SettingsFile, waiting: socket.socket, bound_ms: int
 ) -> None:
     # Imported only now, as the socket must not wait for them.
-    from eelgrasswick.cookie import carrying
+    from eelgrasswick.cookie import carrying, model
     from eelgrasswick.platform import early, entries, segments
 
     carrier = carrying.assemble(
         file.settings, segments.Codec(), entries.Reader(), sys.stdout.fileno()
     )
-    early.Early(carrier, waiting, bound_ms).run(file.settings.store.address)
+    vm = file.settings.vm
+    seeds = [
+        model.Address(host, vm.peer.port)
+        for host in file.settings.fleet.seeds
+        if host != vm.peer.host
+    ]
+    starting = early.Early(carrier, waiting, bound_ms, seeds)
+    starting.run(file.settings.store.address)
     program: typing.Any = importlib.import_module("eelgrasswick.platform.program")
-    program.run(file, carrier, waiting, bound_ms)
+    program.run(file, carrier, waiting, bound_ms, starting.members)
 
 
 main()
--- a/eelgrasswick/platform/early.py
+++ b/eelgrasswick/platform/early.py
@@ -4,7 +4,9 @@
 all VMs callers find nobody meanwhile, and requests with deadlines below a second are
 late or lost. What decides about packets needs none of these libraries; so it is
 imported first, the store is asked for all rows, and the libraries are imported part
-by part, with the packets that came meanwhile carried after each.
+by part, with the packets that came meanwhile carried after each. A VM that starts
+while others serve asks one of them first, which spares the store a listing and tells
+of the other VMs, too.
 
 A thread for the import would carry them sooner still, but a VM's threads may take
 turns of a tenth of a second.
@@ -18,9 +20,19 @@
 import h11
 
 from eelgrasswick import errors
-from eelgrasswick.cookie import carrying, clock, model
+from eelgrasswick.cookie import (
+    bootstrap,
+    carrying,
+    clock,
+    knowledge,
+    model,
+    steering,
+)
 from eelgrasswick.platform import answers, names
 
+if typing.TYPE_CHECKING:
+    from eelgrasswick.cookie import peers
+
 # What the store may take to connect, and for all of its answers. A VM that it does
 # not answer goes on without, and hears from other VMs once it has started; it must
 # not start much later for having asked.
@@ -55,7 +67,11 @@
     """Carries packets by a bound socket until the reactor can."""
 
     def __init__(
-        self, carrier: carrying.Carrier, waiting: socket.socket, bound_ms: int
+        self,
+        carrier: carrying.Carrier,
+        waiting: socket.socket,
+        bound_ms: int,
+        seeds: typing.Sequence[model.Address] = (),
     ) -> None:
         """Carry the packets that wait in a socket.
 
@@ -63,14 +79,18 @@
             carrier: Decides about them.
             waiting: The socket; it does not block.
             bound_ms: When it was bound.
+            seeds: Other VMs, where they answer those that lack rows.
         """
+        self.members: tuple[peers.Member, ...] = ()
+        self._seeds = seeds
         self._carrier = carrier
         self._socket = waiting
         self._bound_ms = bound_ms
 
     def run(self, store: model.Address) -> None:
-        """Read the store, then import the libraries and carry packets between them."""
-        self._learn(store)
+        """Learn all rows, then import the libraries and carry packets between them."""
+        if not self._learn_from_peer():
+            self._learn(store)
         if not self._carrier.parts.catalog.ready:
             return
         self._carrier.send = self._send
@@ -80,6 +100,27 @@
             importlib.import_module(name)
             self._take_all()
 
+    def _learn_from_peer(self) -> bool:
+        answer = bootstrap.ask(self._seeds, self._carrier.parts.log)
+        if answer is None:
+            return False
+        known = self._carrier.parts.knowledge
+        now_ms = clock.now_ms()
+        merge = answer.offer.learn(now_ms, answer.asked_ms, known)
+        self._carrier.learned(now_ms, merge, answer.host)
+        self.members = answer.offer.standing.members
+        self._carrier.parts.log.write(
+            "bootstrapped",
+            peer=answer.host,
+            took_ms=now_ms - answer.asked_ms,
+            members=len(self.members),
+            revision=known.revision,
+            age_ms=knowledge.shown_ms(known.age_ms(now_ms)),
+        )
+        # What an outage of the store has made old is better than nothing, but the
+        # store may be back by now.
+        return known.age_ms(now_ms) <= steering.SURE_MS
+
     def _learn(self, store: model.Address) -> None:
         known = self._carrier.parts.knowledge
         asked_ms = clock.now_ms()
--- a/eelgrasswick/platform/program.py
+++ b/eelgrasswick/platform/program.py
@@ -9,7 +9,7 @@
 from twisted.internet import epollreactor, task
 
 from eelgrasswick import errors
-from eelgrasswick.cookie import carrying, entry
+from eelgrasswick.cookie import carrying, entry, peers
 from eelgrasswick.platform import names, settings_file, store
 
 # How often the settings file is looked at; it may change without a signal.
@@ -36,6 +36,7 @@
     carrier: carrying.Carrier,
     waiting: socket.socket,
     bound_ms: int,
+    members: tuple[peers.Member, ...],
 ) -> None:
     """Run an entry VM until SIGTERM.
 
@@ -44,6 +45,7 @@
         carrier: Decides about callers' packets.
         waiting: The bound socket that callers' packets wait in.
         bound_ms: When it was bound.
+        members: The other VMs, if one of them has told of all already.
     """
     # Installed before anything imports the default reactor, which would bring
     # in TLS and several megabytes that an entry VM does not use.
@@ -55,6 +57,7 @@
         names.READY_PATH,
         waiting,
         bound_ms,
+        members,
     )
     vm = entry.EntryVm(reactor, file.settings, parts, random.Random())
     signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(vm.stop))
--- a/tests/test_early.py
+++ b/tests/test_early.py
@@ -6,12 +6,21 @@
 import json
 import os
 import socket
+import struct
 import threading
 import typing
 
 import pytest
 
-from eelgrasswick.cookie import carrying, clock, model, settings, source
+from eelgrasswick.cookie import (
+    carrying,
+    clock,
+    model,
+    offer,
+    peers,
+    settings,
+    source,
+)
 from eelgrasswick.platform import early, entries, segments
 from tests import cookie_parts, entry_parts
 
@@ -151,6 +160,105 @@
     assert b"early_read_failed" in os.read(log[0], 65536)
 
 
+class Peer:
+    """Another VM that answers one that lacks rows."""
+
+    def __init__(self, *strings: bytes) -> None:
+        """Listen, and answer once in a thread."""
+        self._strings = strings
+        self._socket = socket.create_server((HOST, 0))
+        self._thread = threading.Thread(target=self._run)
+        self._thread.start()
+
+    @property
+    def address(self) -> model.Address:
+        """Where it listens."""
+        return model.Address(HOST, self._socket.getsockname()[1])
+
+    def end(self) -> None:
+        """Wait for the question and close."""
+        self._thread.join()
+        self._socket.close()
+
+    def _run(self) -> None:
+        connection, _ = self._socket.accept()
+        with connection:
+            connection.recv(64)
+            for item in self._strings:
+                connection.sendall(struct.pack(">I", len(item)) + item)
+
+
+def _offer(age_ms: int, *rows: source.Row) -> tuple[bytes, bytes]:
+    members = (peers.Member("10.0.0.8", "z1"),)
+    changes = source.Changes(rows, 7, 0)
+    made = offer.Offers(lambda _: changes, lambda: offer.Standing(age_ms, members))
+    return made.encode(0)
+
+
+ROWS: typing.Final = (
+    cookie_parts.config_row(1),
+    cookie_parts.target_row("i-0a", 2),
+)
+
+
+def _unused() -> model.Address:
+    with socket.create_server((HOST, 0)) as made:
+        return model.Address(HOST, made.getsockname()[1])
+
+
+def test_vm_that_starts_while_others_serve_asks_no_store(
+    bound: socket.socket, log: tuple[int, int], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a listing of the store for each of hundreds of restarts."""
+    monkeypatch.setattr(early, "LIBRARIES", ())
+    peer = Peer(*_offer(300, *ROWS))
+    carrier = _carrier(log[1])
+    starting = early.Early(carrier, bound, clock.now_ms(), [peer.address])
+    starting.run(_unused())
+    peer.end()
+    known = carrier.parts.knowledge
+    assert known.revision == 7
+    assert 300 <= known.age_ms(clock.now_ms()) < 2000
+    assert starting.members == (peers.Member("10.0.0.8", "z1"),)
+    assert carrier.began
+    assert b"early_read_failed" not in os.read(log[0], 65536)
+
+
+def test_old_rows_are_used_while_the_store_is_away(
+    bound: socket.socket, log: tuple[int, int], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a VM that serves nobody until the store is back."""
+    monkeypatch.setattr(early, "LIBRARIES", ())
+    peer = Peer(*_offer(9000, *ROWS))
+    carrier = _carrier(log[1])
+    early.Early(carrier, bound, clock.now_ms(), [peer.address]).run(_unused())
+    peer.end()
+    assert carrier.began
+    assert carrier.parts.knowledge.age_ms(clock.now_ms()) >= 9000
+    assert b"early_read_failed" in os.read(log[0], 65536)
+
+
+@pytest.mark.parametrize(
+    "strings", [(), (b"x", b"y"), _offer(0), (b"\xff" * 40,)], ids=repr
+)
+def test_peer_without_an_answer_leaves_the_store(
+    bound: socket.socket,
+    log: tuple[int, int],
+    monkeypatch: pytest.MonkeyPatch,
+    strings: tuple[bytes, ...],
+) -> None:
+    """Guards against a peer that knows nothing or sends garbage."""
+    monkeypatch.setattr(early, "LIBRARIES", ())
+    peer, pages = Peer(*strings), Pages(*ROWS)
+    carrier = _carrier(log[1])
+    starting = early.Early(carrier, bound, clock.now_ms(), [_unused(), peer.address])
+    starting.run(pages.address)
+    peer.end()
+    pages.end()
+    assert carrier.parts.knowledge.revision == 7
+    assert starting.members == ()
+
+
 def test_libraries_are_all_there() -> None:
     """A library's next release may move a module.
 
--- /dev/null
+++ b/tests/test_offer.py
@@ -0,0 +1,54 @@
+"""What a VM tells one that lacks rows."""
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from eelgrasswick import errors
+from eelgrasswick.cookie import knowledge, offer, peers, source
+
+ROW = source.Row("servers/i-0a", b"v", 5)
+STANDING = offer.Standing(300, (peers.Member("10.0.0.8", "z1"),))
+
+
+@pytest.fixture
+def known() -> knowledge.Knowledge:
+    made = knowledge.Knowledge()
+    made.merge(0, source.Changes((ROW,), 5, 0))
+    return made
+
+
+@pytest.fixture
+def offers(known: knowledge.Knowledge) -> offer.Offers:
+    return offer.Offers(known.since, lambda: STANDING)
+
+
+def test_offer_is_read_as_it_was_made(offers: offer.Offers) -> None:
+    taken = offer.decode(*offers.encode(0))
+    assert taken == offer.Offer(STANDING, source.Changes((ROW,), 5, 0))
+
+
+def test_age_counts_from_the_question(offers: offer.Offers) -> None:
+    """Guards against an answer that lay in a queue and looks fresh."""
+    fresh = knowledge.Knowledge()
+    merge = offer.decode(*offers.encode(0)).learn(9000, 1000, fresh)
+    assert merge.rows == (ROW,)
+    assert fresh.age_ms(9000) == 8300
+
+
+def test_rows_are_encoded_anew_when_they_change(
+    known: knowledge.Knowledge, offers: offer.Offers
+) -> None:
+    """Guards against VMs that start with rows of an earlier revision."""
+    offers.encode(0)
+    known.merge(0, source.Changes((ROW._replace(revision=6),), 6, 5))
+    assert offer.decode(*offers.encode(0)).changes.revision == 6
+    assert offer.decode(*offers.encode(5)).changes.base == 5
+
+
+@hypothesis.given(strategies.binary(max_size=60), strategies.binary(max_size=60))
+def test_any_bytes_are_an_offer_or_refused(standing: bytes, rows: bytes) -> None:
+    try:
+        offer.decode(standing, rows)
+    except errors.MessageInvalidError as error:
+        assert error.detail
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -68,6 +68,62 @@
     assert len(others) == 1
 
 
+def test_vm_that_was_introduced_counts_for_the_rank(others: peers.Peers) -> None:
+    """Guards against VMs of a large fleet that start and all take themselves for first.
+
+    Hearing of each other one by one takes them many seconds.
+    """
+    hosts = [f"10.0.1.{number}" for number in range(20)]
+    before = others.rank()
+    others.introduced(5, [peers.Member(host, "z1") for host in hosts])
+    assert others.rank() > before
+    assert len(others) == 6
+
+
+def test_introduced_vm_that_does_not_answer_has_no_rank(others: peers.Peers) -> None:
+    """Guards against a dead VM, named by others, that would watch the store."""
+    hosts = [f"10.0.1.{number}" for number in range(20)]
+    before = others.rank()
+    others.introduced(5, [peers.Member(host, "z1") for host in hosts])
+    for host in hosts:
+        others.asked(host)
+    assert others.rank() == before
+
+
+def test_live_vms_of_a_large_fleet_are_not_forgotten() -> None:
+    """Guards against a view that shrinks when a round takes longer than the span."""
+    made = peers.Peers("10.0.0.1", "z1", random.Random(1))
+    hosts = [f"10.1.{number // 250}.{number % 250}" for number in range(400)]
+    for host in hosts:
+        made.heard(1, host, "z1", True)
+    for step in range(1, 1201):
+        now_ms = 250 * step
+        for host in made.next_hosts():
+            made.heard(now_ms, host, "z1", True)
+        made.forget(now_ms)
+    assert len(made) == 400
+
+
+def test_reports_of_a_part_stand_for_all() -> None:
+    """Guards against a large fleet whose VMs count a third of all flows."""
+    book = reports.Reports()
+    for number in range(20):
+        book.take(0, f"vm{number}", (reports.Entry(7, 3, 20, False),))
+    book.others = 60
+    book.tick(10)
+    assert book.flows_on(7) == 180
+    assert len(book) == 20
+
+
+def test_few_reports_stand_for_themselves() -> None:
+    """Guards against a VM that starts and takes one report for that of hundreds."""
+    book = reports.Reports()
+    book.take(0, "vm1", (reports.Entry(7, 3, 20, False),))
+    book.others = 200
+    book.tick(10)
+    assert book.flows_on(7) == 3
+
+
 def test_reports_of_all_vms_are_summed() -> None:
     book = reports.Reports()
     book.take(0, "a", (reports.Entry(7, 3, 20, False),))
--- a/tests/test_watch_policy.py
+++ b/tests/test_watch_policy.py
@@ -33,6 +33,21 @@
     assert turn.due(1000, watch_policy.STALE_MS, rank=0)
 
 
+def test_vm_that_knows_the_others_watches_at_once(
+    turn: watch_policy.WatchPolicy,
+) -> None:
+    """Guards against a zone without a watcher while its new first VM settles."""
+    turn.settle(0)
+    assert turn.due(0, 10, rank=0)
+    assert not turn.due(0, 10, rank=1)
+
+
+def test_vm_that_needs_no_listing_settles(turn: watch_policy.WatchPolicy) -> None:
+    """Guards against a fleet that starts at once and goes without a watcher."""
+    assert not turn.due(0, 10, rank=0)
+    assert turn.due(watch_policy.SETTLE_MS, 10, rank=0)
+
+
 def test_changes_that_come_close_together_cost_one_call(
     turn: watch_policy.WatchPolicy,
 ) -> None:
