Eject targets that hang by the word of several VMs of a zone

Cause: a target that hangs accepts flows and connections and answers nothing, so that only overdue requests tell.

Change: a VM with an overdue request at a target tells its zone; three such VMs within 1.5 s eject the target for all of them, for 2 to 3 s, then up to 6 s, each VM until another moment, so that one flow is the trial of all. No more than half of the targets of a service and zone are ejected. The word stays in the zone, as across a cut targets look overdue that are well. A VM that paused, a zone that is cut, and a service that often takes longer than 0.3 s give no sign; a request whose data still comes is not overdue.

Ruled out: resets of flows that are open on an ejected target. They would save callers the wait, but a wrong verdict breaks flows of a target that is well.

--- a/eelgrasswick/cookie/carrying.py
+++ b/eelgrasswick/cookie/carrying.py
@@ -99,6 +99,8 @@
         """Return the present time; notice when this VM has stood still."""
         now_ms = clock.now_ms()
         gap_ms = self.stalls.awake(now_ms)
+        if gap_ms > stall.PROBE_GAP_MS:
+            self._observations.paused(now_ms)
         if gap_ms > stall.STALL_MS:
             # Opening packets that waited are old. Their flows may be open by
             # now, through other VMs; placed here, they would be open twice.
@@ -206,6 +208,22 @@
                 of_objective=f"{refusals.ratio(pool):.2f}",
             )
 
+    def tell_ejections(self) -> None:
+        """Log which targets were ejected."""
+        fresh = self._observations.ejections.fresh
+        while fresh:
+            item = fresh.pop()
+            self._stats.counts["targets_ejected"] += 1
+            target = self._catalog.by_cookie(item.cookie)
+            self._log.write(
+                "target_ejected",
+                target=target.name if target is not None else "-",
+                zone=target.zone if target is not None else "-",
+                cookie=item.cookie,
+                witnesses=item.witnesses,
+                lasts_ms=item.lasts_ms,
+            )
+
     def _flows_on(self, target: model.Target | None) -> int:
         if target is None:
             return 0
@@ -248,7 +266,7 @@
         wire,
         knowledge.Knowledge(),
         known,
-        observations.Observations(vm.zone, known, loaded.policy.refuse),
+        observations.Observations(vm.zone, known, loaded.policy.refuse, vm.peer.host),
         event_log.EventLog(descriptor, vm.name, loaded.log.lines_per_s, counted),
         counted,
     )
--- a/eelgrasswick/cookie/entry.py
+++ b/eelgrasswick/cookie/entry.py
@@ -108,6 +108,7 @@
             self._log,
             self._stats,
             self._forwarder.check,
+            self._observations.witness,
         )
 
     def start(self) -> None:
@@ -205,13 +206,14 @@
     def _ask(self) -> None:
         now_ms = clock.now_ms()
         self._observations.tick(now_ms)
-        self._forwarder.check_overdue(now_ms)
         self._carrier.tell_overloads()
         self._catalog.tick(now_ms, self._knowledge.confirmed_ms)
         self._gossip.ask(now_ms, self._observations.report(), self._store_watch.answers)
 
     def _check(self) -> None:
         now_ms = self._carrier.wake()
+        self._gossip.witnesses(now_ms, self._forwarder.check_overdue(now_ms))
+        self._carrier.tell_ejections()
         self._store_watch.check(now_ms, self._gossip.peers.rank())
         ready = self._ready
         if ready != self._was_ready:
--- a/eelgrasswick/cookie/exchange.py
+++ b/eelgrasswick/cookie/exchange.py
@@ -13,6 +13,7 @@
 
 from eelgrasswick import errors
 from eelgrasswick.cookie import knowledge, peers, reports, source
+from eelgrasswick.decisions import ejection
 
 # Fits one datagram beside the headers at every link's packet size.
 MAX_BYTES: typing.Final = 1200
@@ -25,6 +26,11 @@
 # Word of a dead target is passed on once in this time. Flooded by six VMs each, it
 # is through a fleet of 62 in three hops, some milliseconds.
 TOLD_MS: typing.Final = 5000
+# Witnesses go to so many VMs of the own zone, as many as fit a datagram, and so many
+# wait at most.
+WITNESS_SPREAD: typing.Final = 4
+MAX_WITNESSES: typing.Final = 60
+MAX_WAITING: typing.Final = 500
 # An answer later than this is no answer.
 ANSWER_MS: typing.Final = 600
 
@@ -32,6 +38,7 @@
 _ANSWER: typing.Final = 2
 _NEWS: typing.Final = 3
 _DEAD: typing.Final = 4
+_WITNESS: typing.Final = 5
 
 
 class Outgoing(typing.NamedTuple):
@@ -50,6 +57,7 @@
         fetch_from: A VM that knows more than fits a datagram; empty for none.
         joined: True when the sender was not alive before.
         dead: Cookies of targets that another VM has found dead.
+        witnesses: VMs of the own zone with overdue requests at targets.
     """
 
     sends: tuple[Outgoing, ...]
@@ -57,6 +65,7 @@
     fetch_from: str
     joined: bool
     dead: tuple[int, ...]
+    witnesses: tuple[ejection.Witness, ...] = ()
 
 
 class _Message(typing.NamedTuple):
@@ -69,6 +78,7 @@
     changes: source.Changes | None
     members: tuple[peers.Member, ...]
     report: reports.Report
+    witnesses: tuple[ejection.Witness, ...]
 
 
 class Exchange:
@@ -101,6 +111,8 @@
         self._number = rng.getrandbits(31)
         self._asked: dict[int, tuple[str, int]] = {}
         self._told_ms: dict[int, int] = {}
+        # Witnesses to tell of, and when each was added.
+        self._witnesses: list[tuple[ejection.Witness, int]] = []
 
     def ask(self, now_ms: int) -> tuple[list[Outgoing], list[str]]:
         """Return the requests that are due, and VMs that count as gone now."""
@@ -137,6 +149,28 @@
         payload = self._encode(now_ms, _DEAD, 0, None, word)
         return [Outgoing(host, payload) for host in self._peers.spread(SPREAD)]
 
+    def add_witness(self, now_ms: int, item: ejection.Witness) -> None:
+        """Have a witness told to other VMs of the zone with the next ones."""
+        if len(self._witnesses) < MAX_WAITING:
+            self._witnesses.append((item, now_ms))
+
+    def witnesses(self, now_ms: int) -> list[Outgoing]:
+        """Return the datagrams that tell some VMs of the zone of witnesses.
+
+        Targets are mostly used from their own zone, and VMs of another zone may see
+        them across a cut.
+        """
+        if not self._witnesses:
+            return []
+        told = self._witnesses[:MAX_WITNESSES]
+        del self._witnesses[:MAX_WITNESSES]
+        aged = [
+            item._replace(age_ms=item.age_ms + now_ms - at_ms) for item, at_ms in told
+        ]
+        payload = self._encode(now_ms, _WITNESS, 0, None, aged)
+        hosts = self._peers.neighbours(WITNESS_SPREAD)
+        return [Outgoing(host, payload) for host in hosts]
+
     def receive(self, now_ms: int, host: str, payload: bytes) -> Heard:
         """Take a datagram of another VM.
 
@@ -161,7 +195,9 @@
             dead = tuple(entry.cookie for entry in item.report)
         for cookie in dead:
             sends += self.dead(now_ms, cookie)
-        return Heard(tuple(sends), merge, fetch, joined, dead)
+        near = item.zone == self._zone
+        witnesses = item.witnesses if near else ()
+        return Heard(tuple(sends), merge, fetch, joined, dead, witnesses)
 
     def _request(self, now_ms: int, host: str) -> Outgoing:
         self._number += 1
@@ -213,7 +249,7 @@
         kind: int,
         number: int,
         changes: source.Changes | None,
-        entries: reports.Report,
+        entries: typing.Iterable[reports.Entry | ejection.Witness],
     ) -> bytes:
         item = [
             kind,
@@ -279,6 +315,7 @@
             members,
             entries,
         ) = cbor2.loads(payload)
+        told = kind == _WITNESS
         item = _Message(
             integer(kind),
             integer(number),
@@ -288,11 +325,12 @@
             integer(age_ms),
             None if changes is None else _changes(changes),
             tuple(map(member, members[: peers.SAMPLE])),
-            tuple(map(_entry, entries[: reports.MAX_ENTRIES])),
+            () if told else tuple(map(_entry, entries[: reports.MAX_ENTRIES])),
+            tuple(map(_witness, entries[:MAX_WITNESSES])) if told else (),
         )
     except FAULTS as error:
         raise errors.MessageInvalidError(f"peer message: {error}") from error
-    if item.kind not in (_ASK, _ANSWER, _NEWS, _DEAD):
+    if item.kind not in (_ASK, _ANSWER, _NEWS, _DEAD, _WITNESS):
         raise errors.MessageInvalidError(f"peer message of kind {item.kind}")
     return item
 
@@ -324,6 +362,11 @@
     return peers.Member(_text(host), _text(zone))
 
 
+def _witness(item: typing.Any) -> ejection.Witness:
+    cookie, vm, age_ms = item
+    return ejection.Witness(integer(cookie), integer(vm), integer(age_ms))
+
+
 def integer(value: object) -> int:
     """Return a decoded value that must be a count."""
     if not isinstance(value, int) or isinstance(value, bool) or value < 0:
--- a/eelgrasswick/cookie/forwarding.py
+++ b/eelgrasswick/cookie/forwarding.py
@@ -12,6 +12,7 @@
     ports,
     probing,
 )
+from eelgrasswick.decisions import ejection
 
 
 class Forwarder:
@@ -90,10 +91,16 @@
             self._reactor, lambda: self._observations.path_ms(target) > since_ms
         )
 
-    def check_overdue(self, now_ms: int) -> None:
-        """Probe the targets whose answers are overdue."""
-        for target in self._observations.overdue(now_ms):
+    def check_overdue(self, now_ms: int) -> list[ejection.Witness]:
+        """Probe the targets whose answers are overdue.
+
+        Returns:
+            What other VMs of the zone should hear.
+        """
+        targets, witnesses = self._observations.overdue(now_ms)
+        for target in targets:
             defer.ensureDeferred(self._probe(target))
+        return witnesses
 
     def check(self, cookie: int) -> None:
         """Probe a target that another VM has found dead, if flows are open on it.
--- a/eelgrasswick/cookie/gossip.py
+++ b/eelgrasswick/cookie/gossip.py
@@ -19,6 +19,7 @@
     stats,
     transfer,
 )
+from eelgrasswick.decisions import ejection
 
 
 class Parts(typing.NamedTuple):
@@ -31,6 +32,7 @@
         log: The log.
         stats: The counters.
         check: Looks after a target that another VM has found dead.
+        witness: Takes a witness against a target; True to pass it on.
     """
 
     knowledge: knowledge.Knowledge
@@ -39,6 +41,7 @@
     log: event_log.EventLog
     stats: stats.Stats
     check: typing.Callable[[int], None]
+    witness: typing.Callable[[int, ejection.Witness], bool]
 
 
 class Gossip:
@@ -78,6 +81,7 @@
         self._stats = parts.stats
         self._reports = parts.reports
         self._check = parts.check
+        self._witness = parts.witness
         self._exchange = exchange.Exchange(
             zone, parts.knowledge, self.peers, parts.reports, rng
         )
@@ -118,6 +122,16 @@
         for item in self._exchange.dead(clock.now_ms(), cookie):
             self._send_peer(item)
 
+    def witnesses(self, now_ms: int, items: typing.Iterable[ejection.Witness]) -> None:
+        """Tell some VMs of the zone of overdue requests, and pass on what they told.
+
+        Called regularly, so that what comes close together goes in one datagram.
+        """
+        for item in items:
+            self._exchange.add_witness(now_ms, item)
+        for outgoing in self._exchange.witnesses(now_ms):
+            self._send_peer(outgoing)
+
     def _on_peer(self, payload: bytes, host: str) -> None:
         now_ms = clock.now_ms()
         try:
@@ -130,6 +144,9 @@
             self._send_peer(item)
         for cookie in heard.dead:
             self._check(cookie)
+        for witness in heard.witnesses:
+            if self._witness(now_ms, witness):
+                self._exchange.add_witness(now_ms, witness)
         if heard.joined:
             self._log.write("peer_regained", peer=host, alive=len(self.peers))
         if heard.merge is not None:
--- a/eelgrasswick/cookie/observations.py
+++ b/eelgrasswick/cookie/observations.py
@@ -1,6 +1,7 @@
 """What is known of the targets when a flow is placed, own sight and reports."""
 
 import typing
+import zlib
 
 from eelgrasswick.cookie import (
     catalog,
@@ -13,32 +14,41 @@
     speed,
     tracker,
 )
-from eelgrasswick.decisions import overload
+from eelgrasswick.decisions import ejection, overload, response_time
 
 # How often services and routes that are gone are looked for; they are few a day, and
 # thousands are walked for them.
 FORGET_MS: typing.Final = 10_000
+# After a pause of this VM, requests look overdue whose answers lie in the socket.
+AWAKE_MS: typing.Final = 1000
 
 
 class Observations:
     """Flows, answer times and silence of all targets."""
 
-    def __init__(self, zone: str, known: catalog.Catalog, refuse: bool = True) -> None:
+    def __init__(
+        self, zone: str, known: catalog.Catalog, refuse: bool = True, vm: str = ""
+    ) -> None:
         """Look at the targets of a catalog from a zone.
 
         Args:
             zone: Availability zone of this VM.
             known: The catalog.
             refuse: False to refuse no flow in an overload.
+            vm: Identifies this VM among those of the fleet.
         """
         self._zone = zone
+        self._vm = zlib.crc32(vm.encode())
         self._catalog = known
         self.tracker = tracker.Tracker()
         self.speeds = speed.SpeedBook()
+        self.response_times = response_time.ResponseTimes()
+        self.ejections = ejection.OutlierEjection()
         self.refusals = overload.Refusals(refuse)
         self.levels = overload.Levels()
         self._sizes = overload.Sizes()
         self._woke_ms = 0
+        self._paused_ms = 0
         self._kept_ms = 0
         self._silence: silence.SilenceBook[int] = silence.SilenceBook()
         self._stalled: silence.SilenceBook[int] = silence.SilenceBook()
@@ -61,7 +71,11 @@
             part: Even over flows, 0 to 1; says which of many are looked at.
         """
         accepting = placing.windows(self._catalog.accepting(service), self._zone, part)
-        usable = [item for item in accepting if not self._suspected(now_ms, item)]
+        usable = [
+            item
+            for item in self._not_ejected(now_ms, accepting)
+            if not self._suspected(now_ms, item)
+        ]
         # With all silent it is rather this VM's link, or the callers', that is
         # broken; refusing all would make it worse.
         usable = usable or accepting
@@ -95,6 +109,7 @@
         """Note how long a target took for an answer."""
         self._stalled.answered(target.cookie)
         self.speeds.answered(target.cookie, answer_ms)
+        self.response_times.answered(target.service, answer_ms)
 
     def timed(
         self,
@@ -123,6 +138,10 @@
         """Note that this VM has stood still until now."""
         self._woke_ms = now_ms
 
+    def paused(self, now_ms: int) -> None:
+        """Note that this VM did nothing for a while, shorter than a stand-still."""
+        self._paused_ms = now_ms
+
     def unanswered(self, now_ms: int, target: model.Target) -> bool:
         """Note an unanswered packet; True when the target should be probed."""
         if target.zone != self._zone:
@@ -132,21 +151,61 @@
         # 400 ms more; asking for a connection costs little and decides.
         return self.probe_due(now_ms, target)
 
-    def overdue(self, now_ms: int) -> list[model.Target]:
-        """Note requests that wait for too long; return the targets to probe.
+    def overdue(self, now_ms: int) -> tuple[list[model.Target], list[ejection.Witness]]:
+        """Note requests that wait for too long.
 
         A target that hangs still opens flows, so that openings are no sign of life
         here; only answers are.
+
+        Returns:
+            The targets to probe, and what other VMs of the zone should hear.
         """
         found = []
-        for cookie in self.tracker.overdue(now_ms):
-            target = self._catalog.by_cookie(cookie)
+        witnesses = []
+        for request in self.tracker.overdue(now_ms):
+            target = self._catalog.by_cookie(request.cookie)
             if target is None:
                 continue
-            self._stalled.unanswered(now_ms, cookie)
+            item = ejection.Witness(request.cookie, self._vm, 0)
+            if self._is_sign(now_ms, target) and self.witness(now_ms, item):
+                witnesses.append(item)
+            if request.first:
+                continue
+            self._stalled.unanswered(now_ms, request.cookie)
             if self.probe_due(now_ms, target):
                 found.append(target)
-        return found
+        return found, witnesses
+
+    def witness(self, now_ms: int, item: ejection.Witness) -> bool:
+        """Take a witness of this or another VM; True when others should hear of it."""
+        if self._catalog.by_cookie(item.cookie) is None:
+            return False
+        salt = f"{item.cookie} {self._vm}".encode()
+        return self.ejections.witness(now_ms, item, zlib.crc32(salt) / 2**32)
+
+    def _is_sign(self, now_ms: int, target: model.Target) -> bool:
+        """Tell whether an overdue request says something of its target.
+
+        Not when this VM did nothing for a while, when the way to the zone is cut, or
+        when the service often takes that long.
+        """
+        if now_ms - self._paused_ms < AWAKE_MS:
+            return False
+        if self._zone_silence.silent(target.zone):
+            return False
+        limit_ms = self.response_times.limit_ms(target.service)
+        return limit_ms is not None and limit_ms <= tracker.OVERDUE_MS
+
+    def _not_ejected(
+        self, now_ms: int, targets: typing.Sequence[model.Target]
+    ) -> typing.Sequence[model.Target]:
+        if not self.ejections.active:
+            return targets
+        allowed: set[int] = set()
+        for zone in {item.zone for item in targets}:
+            cookies = [item.cookie for item in targets if item.zone == zone]
+            allowed.update(self.ejections.allowed(now_ms, cookies))
+        return [item for item in targets if item.cookie in allowed]
 
     def recheck(self, now_ms: int, target: model.Target) -> bool:
         """Tell whether to probe a target that was dead and may be back."""
@@ -182,6 +241,7 @@
         self._silence.keep(cookies)
         self._stalled.keep(cookies)
         self.liveness.keep(self._catalog.remembered)
+        self.ejections.keep(now_ms, cookies)
         self._keep_refusals(now_ms)
         self._factors = {}
         for service in {item.service for item in self._catalog.targets}:
@@ -198,6 +258,7 @@
         config = self._catalog.config
         if config is not None:
             self._sizes.keep({item.name for item in config.routes.values()})
+        self.response_times.keep({item.service for item in targets})
 
     def report(self) -> reports.Report:
         """Return what the other VMs should know, the fullest targets in front."""
--- a/eelgrasswick/cookie/peers.py
+++ b/eelgrasswick/cookie/peers.py
@@ -191,6 +191,15 @@
         others = [peer.host for peer in alive if peer.zone != self._zone]
         return [*self._some(own, count), *self._some(others, count)]
 
+    def neighbours(self, count: int) -> list[str]:
+        """Return some live VMs of the own zone."""
+        own = [
+            peer.host
+            for peer in self._peers.values()
+            if peer.alive and peer.zone == self._zone
+        ]
+        return self._some(own, count)
+
     def members(self) -> list[Member]:
         """Return all live VMs, this one among them."""
         alive = [peer for peer in self._peers.values() if peer.alive]
--- a/eelgrasswick/cookie/tracker.py
+++ b/eelgrasswick/cookie/tracker.py
@@ -48,6 +48,19 @@
     repeated: bool
 
 
+class Overdue(typing.NamedTuple):
+    """A request that waits for too long.
+
+    Attributes:
+        cookie: Its target.
+        first: True when its flow had no answer before, so that nothing is known
+            of how its caller acknowledges.
+    """
+
+    cookie: int
+    first: bool
+
+
 class Record:
     """One flow.
 
@@ -58,7 +71,7 @@
         copies: Opening packets before the one that was last placed.
         placed_ms: When that one was placed.
         acknowledged: What the caller last acknowledged.
-        prompt: True when its last answer was acknowledged soon.
+        prompt: True when its last answer was acknowledged soon; None without one.
         resent: True when its present request was sent again.
     """
 
@@ -87,7 +100,7 @@
         self.asked_ack = 0
         self.data_end = 0
         self.acknowledged = 0
-        self.prompt = False
+        self.prompt: bool | None = None
         self.resent = False
 
 
@@ -179,12 +192,16 @@
             if record.asked_ms:
                 self._asked[segment.flow] = record.asked_ms
                 self._wait(now_ms, segment.flow, record)
+        elif segment.data_bytes and not repeated and segment.flow in self._asked:
+            # The request is still being sent, and its answer is not due yet.
+            self._asked[segment.flow] = now_ms
+            self._asked.move_to_end(segment.flow)
         if segment.ending or segment.reset:
             self._drop(segment.flow)
         return sight
 
-    def overdue(self, now_ms: int) -> list[int]:
-        """Return the targets of requests that wait for too long.
+    def overdue(self, now_ms: int) -> list[Overdue]:
+        """Return the requests that wait for too long.
 
         A request is told of once, however often its packet is sent again.
 
@@ -198,8 +215,8 @@
                 break
             del self._asked[flow]
             record = self._records[flow]
-            if record.prompt:
-                found.append(record.cookie)
+            if record.prompt is not False:
+                found.append(Overdue(record.cookie, record.prompt is None))
         return found
 
     def open_on(self, cookie: int) -> list[tuple[model.FlowId, int]]:
--- a/eelgrasswick/emulation/cookie_load.py
+++ b/eelgrasswick/emulation/cookie_load.py
@@ -58,6 +58,7 @@
         self.server = server
         self.zone = server.zone
         self.dark = False
+        self.hangs = False
         self.busy = 0
         self.queue: collections.deque[_Flow] = collections.deque()
         self.ran = 0
@@ -130,6 +131,8 @@
     def _begin(self, trouble: cookie_scenario.Trouble) -> None:
         if trouble.kind == "dark":
             self._targets[int(trouble.which)].dark = True
+        elif trouble.kind == "hang":
+            self._targets[int(trouble.which)].hangs = True
         elif trouble.kind == "cut":
             self._fleet.cut = str(trouble.which)
         elif trouble.kind == "power_off":
@@ -143,6 +146,8 @@
     def _end_trouble(self, trouble: cookie_scenario.Trouble) -> None:
         if trouble.kind == "dark":
             self._targets[int(trouble.which)].dark = False
+        elif trouble.kind == "hang":
+            self._targets[int(trouble.which)].hangs = False
         elif trouble.kind == "cut":
             self._fleet.cut = ""
         elif trouble.kind == "power_off":
@@ -220,7 +225,7 @@
         if target.queue:
             self._work(target, target.queue.popleft())
         cut = self._fleet.apart(flow.zone, target.server.zone)
-        if target.dark or cut or flow.ended or flow.waiting != waiting:
+        if target.dark or target.hangs or cut or flow.ended or flow.waiting != waiting:
             return
         self._ends.append(
             End(self._due.now_ms, self._due.now_ms + HOP_MS - flow.asked_ms)
--- a/eelgrasswick/emulation/cookie_scenario.py
+++ b/eelgrasswick/emulation/cookie_scenario.py
@@ -33,9 +33,10 @@
 
     Attributes:
         at_ms: When.
-        kind: ``dark`` (a server falls silent), ``cut`` (a zone is cut off from
-            the others), ``burst`` (more callers come to a zone, for good) or
-            ``power_off`` (all VMs are away and forget what they saw).
+        kind: ``dark`` (a server falls silent), ``hang`` (a server opens flows and
+            answers no request), ``cut`` (a zone is cut off from the others),
+            ``burst`` (more callers come to a zone, for good) or ``power_off`` (all
+            VMs are away and forget what they saw).
         which: Number of the server, or name of the zone; nothing for all.
         until_ms: When it is over.
         factor: How many times more flows a burst brings.
@@ -85,6 +86,18 @@
 )
 ORDINARY: typing.Final = Load(_SERVERS, 30, 400, 24, 150, 1000, 20_000, 12)
 _DARK: typing.Final = tuple(Trouble(5000, "dark", n, 12_000) for n in (0, 3))
+# Thirty servers that are nearly idle, of which six hang, before many VMs.
+HANGING: typing.Final = Load(
+    tuple(Server(f"z{n % 3 + 1}", 2, 1.0) for n in range(30)),
+    100,
+    1000,
+    24,
+    600,
+    3000,
+    16_000,
+    5,
+    tuple(Trouble(5000, "hang", n, 12_000) for n in range(6)),
+)
 LOADS: typing.Final[dict[str, Load]] = {
     "ordinary": ORDINARY,
     "dark": ORDINARY._replace(troubles=_DARK),
@@ -99,6 +112,7 @@
             *_DARK,
         ),
     ),
+    "hanging": HANGING,
     "power_off": ORDINARY._replace(troubles=(Trouble(8000, "power_off", "", 9400),)),
     "saturation": ORDINARY._replace(flows=120, pause_ms=200),
 }
--- a/eelgrasswick/emulation/steered_fleet.py
+++ b/eelgrasswick/emulation/steered_fleet.py
@@ -12,12 +12,16 @@
     source,
     steering,
 )
+from eelgrasswick.decisions import ejection
 from eelgrasswick.emulation import agenda, packets
 
 # VMs hear of each other's reports about this often.
 REPORT_MS: typing.Final = 1000
 TICK_MS: typing.Final = 250
 PROBE_MS: typing.Final = 250
+CHECK_MS: typing.Final = 100
+# What VMs of a zone tell each other of overdue requests takes about so long.
+WITNESS_MS: typing.Final = 150
 ZONES: typing.Final = ("z1", "z2", "z3")
 
 
@@ -107,12 +111,13 @@
         self.start()
         due.later(TICK_MS, self._tick)
         due.later(REPORT_MS, self._exchange_reports)
+        due.later(CHECK_MS, self._check)
 
     def start(self) -> None:
         """Start all VMs anew; they know the store and nothing of flows."""
         self.vms.clear()
         for zone in ZONES * self._vms_per_zone:
-            self._add_vm(zone)
+            self._add_vm(zone, len(self.vms))
 
     def near(self, zone: str) -> list[int]:
         """Return the numbers of a zone's VMs."""
@@ -157,10 +162,10 @@
             self._due.later(PROBE_MS, self._probed, vm, decision.probe)
         return decision
 
-    def _add_vm(self, zone: str) -> None:
+    def _add_vm(self, zone: str, vm: int) -> None:
         known = catalog.Catalog(self._reader)
         known.update(0, knowledge.Merge(self._reader.rows(), 0))
-        seen = observations.Observations(zone, known)
+        seen = observations.Observations(zone, known, vm=f"vm{vm}")
         for number, target in enumerate(known.targets):
             self._by_cookie[target.cookie] = number
         made = steering.Steering(zone, self._codec, known, seen)
@@ -171,6 +176,22 @@
             vm.seen.tick(self._due.now_ms)
         self._due.later(TICK_MS, self._tick)
 
+    def _check(self) -> None:
+        for vm in [] if self.off else self.vms:
+            targets, witnesses = vm.seen.overdue(self._due.now_ms)
+            for target in targets:
+                self._due.later(PROBE_MS, self._probed, vm, target)
+            if witnesses:
+                self._due.later(WITNESS_MS, self._tell, vm, witnesses)
+        self._due.later(CHECK_MS, self._check)
+
+    def _tell(self, teller: Vm, witnesses: list[ejection.Witness]) -> None:
+        for vm in self.vms:
+            if vm.zone == teller.zone and vm is not teller:
+                for item in witnesses:
+                    aged = item._replace(age_ms=WITNESS_MS)
+                    vm.seen.witness(self._due.now_ms, aged)
+
     def _exchange_reports(self) -> None:
         for number, vm in enumerate(self.vms):
             report = vm.seen.report()
--- a/tests/test_cookie_load.py
+++ b/tests/test_cookie_load.py
@@ -5,6 +5,7 @@
 import pytest
 
 from eelgrasswick.cookie import observations, placing, speed, tracker
+from eelgrasswick.decisions import ejection
 from eelgrasswick.emulation import cookie_load, cookie_scenario
 from eelgrasswick.platform import segments
 
@@ -67,6 +68,7 @@
     monkeypatch.setattr(observations.Observations, "unanswered", lambda *_: False)
     # Flows that wait on a silent server keep others away, too.
     monkeypatch.setattr(tracker.Tracker, "in_hand", {})
+    monkeypatch.setattr(observations.Observations, "overdue", lambda *_: ([], []))
     unnoticed = _play(_load(troubles=dark))
     assert noticed.served > 0.998
     assert noticed.served > unnoticed.served + 0.005
@@ -89,6 +91,27 @@
     assert min(asked) > 0.999
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_hanging_servers_get_few_flows(
+    monkeypatch: pytest.MonkeyPatch, seed: int
+) -> None:
+    """Guards against each VM of a large fleet finding each hanging target itself."""
+
+    def lost_later() -> int:
+        play = cookie_load.Play(cookie_scenario.HANGING, segments.Codec(), seed, 16)
+        play.run()
+        # Lost by flows that were opened after the fleet could know.
+        limit_ms = cookie_scenario.HANGING.limit_ms
+        return sum(
+            end.took_ms is None and end.at_ms > 8000 + limit_ms for end in play.ends
+        )
+
+    told = lost_later()
+    monkeypatch.setattr(ejection, "WITNESSES", 1_000_000)
+    alone = lost_later()
+    assert told <= alone
+
+
 def test_cut_zone_serves_its_own() -> None:
     """A zone is cut off from the others; callers still reach it."""
     cut = (Trouble(8000, "cut", "z3", 14_000),)
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -16,6 +16,7 @@
     source,
     watch_policy,
 )
+from eelgrasswick.decisions import ejection
 
 STEP_MS: typing.Final = 50
 ASK_MS: typing.Final = 250
@@ -256,6 +257,50 @@
     assert first.exchange.dead(talk.now_ms + exchange.TOLD_MS, 77) != []
 
 
+def test_witness_reaches_the_zone(talk: Talk) -> None:
+    """Guards against each VM finding out by itself that a target hangs."""
+    first = talk.vms["10.0.0.1"]
+    first.exchange.add_witness(talk.now_ms, ejection.Witness(77, 1, 0))
+    heard: dict[str, int] = {}
+    for _ in range(6):
+        talk.now_ms += 100
+        for vm in talk.vms.values():
+            for item in vm.exchange.witnesses(talk.now_ms):
+                told = talk.vms[item.host].exchange.receive(
+                    talk.now_ms, vm.host, item.payload
+                )
+                for witness in told.witnesses:
+                    if item.host not in heard:
+                        talk.vms[item.host].exchange.add_witness(talk.now_ms, witness)
+                        heard[item.host] = witness.age_ms
+    zone = [host for host in talk.vms if int(host.rpartition(".")[2]) % 3 == 1]
+    assert set(heard) <= set(zone)
+    assert len(heard) >= 0.9 * len(zone)
+    assert max(heard.values()) <= 600
+
+
+def test_witness_of_another_zone_is_left(talk: Talk) -> None:
+    """Guards against targets that look overdue from behind a cut."""
+    first, second = talk.vms["10.0.0.1"], talk.vms["10.0.0.2"]
+    first.exchange.add_witness(talk.now_ms, ejection.Witness(77, 1, 0))
+    payload = first.exchange.witnesses(talk.now_ms)[0].payload
+    assert not second.exchange.receive(talk.now_ms, first.host, payload).witnesses
+
+
+def test_many_witnesses_are_bounded(talk: Talk) -> None:
+    """Guards against a storm of witnesses that grows without bound."""
+    first = talk.vms["10.0.0.1"]
+    for cookie in range(2 * exchange.MAX_WAITING):
+        first.exchange.add_witness(0, ejection.Witness(2**32 - cookie, 2**32 - 1, 0))
+    told = 0
+    for _ in range(100):
+        sends = first.exchange.witnesses(1000)
+        told += len(sends)
+        assert all(len(item.payload) <= exchange.MAX_BYTES for item in sends)
+    packets = -(-exchange.MAX_WAITING // exchange.MAX_WITNESSES)
+    assert told <= packets * exchange.WITNESS_SPREAD
+
+
 def test_word_of_a_dead_target_leaves_the_sender_s_report() -> None:
     """The word is not all that the sender knows of targets."""
     talk = Talk(2, 1)
--- a/tests/test_steering_silent.py
+++ b/tests/test_steering_silent.py
@@ -1,5 +1,7 @@
 """What happens to flows of targets that are silent, dead or replaced."""
 
+import pytest
+
 from eelgrasswick.cookie import (
     catalog,
     knowledge,
@@ -261,6 +263,34 @@
     assert decision.address == first.address
 
 
+@pytest.mark.parametrize(("paused", "told"), [(False, True), (True, False)])
+def test_overdue_request_is_a_sign_only_while_awake(
+    steers: steering.Steering,
+    seen: observations.Observations,
+    paused: bool,
+    told: bool,
+) -> None:
+    """Guards against VMs that stand still together and eject targets that are well."""
+    first = steering_parts.opened(steers, 5000)
+    for now_ms, acknowledged, data in (
+        (5010, 100, b"GET"),
+        (5030, 2500, b""),
+        (5100, 4100, b"GET"),
+    ):
+        raw = cookie_parts.packet(
+            cookie_parts.ACK,
+            sequence=now_ms,
+            acknowledged=acknowledged,
+            cookie=first.cookie,
+            data=data,
+        )
+        steering_parts.steer(steers, now_ms, raw)
+    if paused:
+        seen.paused(5390)
+    witnesses = seen.overdue(5400)[1]
+    assert bool(witnesses) == told
+
+
 def test_target_that_hangs_gets_fewer_flows(
     steers: steering.Steering, seen: observations.Observations
 ) -> None:
@@ -285,7 +315,7 @@
                 data=data,
             )
             steering_parts.steer(steers, now_ms, raw)
-    assert seen.overdue(600) == [first]
+    assert seen.overdue(600)[0] == [first]
     assert all(
         steering_parts.opened(steers, 610, port=47_000 + n) != first for n in range(20)
     )
--- a/tests/test_tracker.py
+++ b/tests/test_tracker.py
@@ -86,10 +86,29 @@
     flows.passed(40, _segment(acknowledged=2500), 7)
     _asked(flows, 1000, 4, 4100)
     assert flows.overdue(1000 + tracker.OVERDUE_MS - 1) == []
-    assert flows.overdue(1000 + tracker.OVERDUE_MS) == [7]
+    assert flows.overdue(1000 + tracker.OVERDUE_MS) == [tracker.Overdue(7, False)]
     assert flows.overdue(1000 + tracker.OVERDUE_MS + 1) == []
 
 
+def test_first_request_without_an_answer_is_overdue(flows: tracker.Tracker) -> None:
+    """Guards against a target that hangs and is seen by its new flows only."""
+    _asked(flows, 10, 1, 100)
+    assert flows.overdue(10 + tracker.OVERDUE_MS) == [tracker.Overdue(7, True)]
+
+
+def test_request_that_is_still_being_sent_is_not_overdue(
+    flows: tracker.Tracker,
+) -> None:
+    """Guards against uploads that make their targets look as if they hung."""
+    for step in range(5):
+        _asked(flows, 10 + 200 * step, 1 + 3 * step, 100)
+        assert flows.overdue(10 + 200 * step) == []
+    assert flows.overdue(809 + tracker.OVERDUE_MS) == []
+    assert flows.overdue(810 + tracker.OVERDUE_MS) == [tracker.Overdue(7, True)]
+    _asked(flows, 1200, 20, 100)
+    assert flows.overdue(1200 + tracker.OVERDUE_MS) == []
+
+
 def test_request_that_is_sent_again_is_told_of_once(flows: tracker.Tracker) -> None:
     """A link loses the packets of one flow, and its caller sends them again and again.
 
@@ -99,7 +118,7 @@
     _asked(flows, 10, 1, 100)
     flows.passed(40, _segment(acknowledged=2500), 7)
     _asked(flows, 1000, 4, 4100)
-    assert flows.overdue(1000 + tracker.OVERDUE_MS) == [7]
+    assert flows.overdue(1000 + tracker.OVERDUE_MS) == [tracker.Overdue(7, False)]
     _asked(flows, 1600, 4, 4100)
     assert flows.overdue(1600 + tracker.OVERDUE_MS) == []
 
