Tell other VMs no age below zero

Cause, found by reading: a watch that ends without changes confirms what is known for its whole waiting time. Never seen in a log. The same bound now serves logs, messages and offers.

The two stand-ins that answer a starting VM share what they have in common.

--- a/eelgrasswick/cookie/exchange.py
+++ b/eelgrasswick/cookie/exchange.py
@@ -257,7 +257,7 @@
             self._zone,
             self.reads_store,
             self._knowledge.revision,
-            min(self._knowledge.age_ms(now_ms), 2**31),
+            knowledge.shown_ms(self._knowledge.age_ms(now_ms)),
             list(changes) if changes is not None else None,
             [list(member) for member in self._peers.sample()],
             [list(entry) for entry in entries],
--- a/eelgrasswick/cookie/knowledge.py
+++ b/eelgrasswick/cookie/knowledge.py
@@ -21,8 +21,8 @@
 
 
 def shown_ms(age_ms: int) -> int:
-    """Return an age as logs and metrics show it."""
-    return min(age_ms, AGE_SHOWN_MS)
+    """Return an age as logs, metrics and other VMs get it."""
+    return min(max(0, age_ms), AGE_SHOWN_MS)
 
 
 class Merge(typing.NamedTuple):
--- a/tests/test_early.py
+++ b/tests/test_early.py
@@ -1,5 +1,6 @@
 """Packets that are carried before the libraries are imported."""
 
+import abc
 import base64
 import contextlib
 import importlib
@@ -43,13 +44,11 @@
     return asked.split("\r\n", 1)[0]
 
 
-class Pages:
-    """A store that answers two calls, the configuration first."""
+class Answering(abc.ABC):
+    """Listens, and answers one connection in a thread."""
 
-    def __init__(self, *rows: source.Row) -> None:
-        """Listen, and answer in a thread."""
-        self.asked: list[str] = []
-        self._items = [_item(row) for row in rows]
+    def __init__(self) -> None:
+        """Begin to listen."""
         self._socket = socket.create_server((HOST, 0))
         self._thread = threading.Thread(target=self._run)
         self._thread.start()
@@ -60,15 +59,32 @@
         return model.Address(HOST, self._socket.getsockname()[1])
 
     def end(self) -> None:
-        """Wait for the calls and close."""
+        """Wait for the connection to be answered, and close."""
         self._thread.join()
         self._socket.close()
 
     def _run(self) -> None:
         connection, _ = self._socket.accept()
         with connection:
-            self.asked.append(_answer(connection, self._items[:1], True))
-            self.asked.append(_answer(connection, self._items[1:], False))
+            self._answer(connection)
+
+    @abc.abstractmethod
+    def _answer(self, connection: socket.socket) -> None:
+        """Answer a connection."""
+
+
+class Pages(Answering):
+    """A store that answers two calls, the configuration first."""
+
+    def __init__(self, *rows: source.Row) -> None:
+        """Answer with some rows."""
+        self.asked: list[str] = []
+        self._items = [_item(row) for row in rows]
+        super().__init__()
+
+    def _answer(self, connection: socket.socket) -> None:
+        self.asked.append(_answer(connection, self._items[:1], True))
+        self.asked.append(_answer(connection, self._items[1:], False))
 
 
 @pytest.fixture
@@ -160,32 +176,18 @@
     assert b"early_read_failed" in os.read(log[0], 65536)
 
 
-class Peer:
+class Peer(Answering):
     """Another VM that answers one that lacks rows."""
 
     def __init__(self, *strings: bytes) -> None:
-        """Listen, and answer once in a thread."""
+        """Answer with some strings."""
         self._strings = strings
-        self._socket = socket.create_server((HOST, 0))
-        self._thread = threading.Thread(target=self._run)
-        self._thread.start()
-
-    @property
-    def address(self) -> model.Address:
-        """Where it listens."""
-        return model.Address(HOST, self._socket.getsockname()[1])
+        super().__init__()
 
-    def end(self) -> None:
-        """Wait for the question and close."""
-        self._thread.join()
-        self._socket.close()
-
-    def _run(self) -> None:
-        connection, _ = self._socket.accept()
-        with connection:
-            connection.recv(64)
-            for item in self._strings:
-                connection.sendall(struct.pack(">I", len(item)) + item)
+    def _answer(self, connection: socket.socket) -> None:
+        connection.recv(64)
+        for item in self._strings:
+            connection.sendall(struct.pack(">I", len(item)) + item)
 
 
 def _offer(age_ms: int, *rows: source.Row) -> tuple[bytes, bytes]:
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -194,6 +194,16 @@
     assert second.knowledge.age_ms(5000) > 4000
 
 
+def test_vm_that_the_store_answered_early_is_heard() -> None:
+    """Guards against a watch that is cut and confirms more than has passed."""
+    talk = Talk(2, 1)
+    first, second = talk.vms.values()
+    talk.write(first.host, _row("a", 1))
+    first.knowledge.confirm(1, talk.now_ms + watch_policy.WAIT_MS)
+    requests, _ = first.exchange.ask(talk.now_ms)
+    assert second.exchange.receive(talk.now_ms, first.host, requests[0].payload).sends
+
+
 def test_reports_of_targets_reach_others(talk: Talk) -> None:
     """A zone has filled its targets and callers go on coming.
 
