Read on in a listing of the store that comes slowly, beside the imports

Cause: a VM that starts gave the store 0.1 s for all rows. After a loss of all, 195 VMs ask for some 150 KB each, 29 MB in all, which a link of 1,000 Mbit/s takes 0.23 s for, and 100 VMs before 1,000 targets 50 MB and 0.4 s; a VM's own link of 20 Mbit/s takes 60 and 200 ms. So at this size the VMs gave up, imported their libraries and listed the store once more. No log of that moment was at hand.

Change: the listing is read without a wait. The start waits while bytes come, for 0.1 s at most; then the libraries are imported, and what came is taken after each; after the last, the start waits on while bytes come. A store that says nothing costs half a second, within which the imports fall.

Two tests fail on the code before: a listing that takes 0.3 s, and packets carried before the last import.

--- a/eelgrasswick/platform/early.py
+++ b/eelgrasswick/platform/early.py
@@ -26,17 +26,21 @@
     clock,
     knowledge,
     model,
+    source,
     steering,
 )
-from eelgrasswick.platform import answers, names
+from eelgrasswick.platform import listing
 
 if typing.TYPE_CHECKING:
     from eelgrasswick.cookie import peers
 
-# What the store may take to connect, and for all of its answers. A VM that it does
-# not answer goes on without, and hears from other VMs once it has started; it must
-# not start much later for having asked.
-READ_S: typing.Final = 0.1
+# How long the start waits for the store before the libraries are imported, while no
+# bytes come and in all. A store that answers at once has then told all rows.
+IDLE_S: typing.Final = 0.03
+FIRST_S: typing.Final = 0.1
+# Without bytes for so long, and with all libraries imported, the start goes on without
+# the store and hears from other VMs.
+STALL_S: typing.Final = 0.5
 # The libraries in an order in which none brings in much more than itself.
 LIBRARIES: typing.Final = (
     "random",
@@ -57,6 +61,8 @@
     "twisted.internet.endpoints",
     "cbor2",
 )
+# A listing that comes on may take so many times as long.
+MOST_STALLS: typing.Final = 4
 # Packets between two imports at most, or a flood of them would put off the start.
 MAX_TAKEN: typing.Final = 500
 _CHUNK_BYTES: typing.Final = 65_536
@@ -83,22 +89,26 @@
         """
         self.members: tuple[peers.Member, ...] = ()
         self._seeds = seeds
+        self._reading: listing.Reading | None = None
         self._carrier = carrier
         self._socket = waiting
         self._bound_ms = bound_ms
 
     def run(self, store: model.Address) -> None:
-        """Learn all rows, then import the libraries and carry packets between them."""
+        """Learn all rows, import the libraries, and carry packets meanwhile."""
         if not self._learn_from_peer():
-            self._learn(store)
-        if not self._carrier.parts.catalog.ready:
-            return
-        self._carrier.send = self._send
-        self._carrier.begin(clock.now_ms() - self._bound_ms)
+            self._reading = listing.Reading(store)
+            self._read(IDLE_S, FIRST_S)
         self._take_all()
         for name in LIBRARIES:
             importlib.import_module(name)
+            self._read(0.0, 0.0)
             self._take_all()
+        if not self._carrier.began:
+            self._read(STALL_S, STALL_S * MOST_STALLS)
+            self._take_all()
+        if self._reading is not None:
+            self._give_up("no answer in time")
 
     def _learn_from_peer(self) -> bool:
         answer = bootstrap.ask(self._seeds, self._carrier.parts.log)
@@ -121,20 +131,49 @@
         # store may be back by now.
         return known.age_ms(now_ms) <= steering.SURE_MS
 
-    def _learn(self, store: model.Address) -> None:
+    def _read(self, idle_s: float, total_s: float) -> None:
+        """Read on in the listing, if it has not come to its end.
+
+        Args:
+            idle_s: How long to wait when no bytes come.
+            total_s: How long to wait in all.
+        """
+        end_s = time.monotonic() + total_s
+        while self._reading is not None:
+            before_s = self._reading.progress_s
+            wait_s = min(before_s + idle_s, end_s) - time.monotonic()
+            try:
+                changes = self._reading.read(max(0.0, wait_s))
+            except (errors.EelgrasswickError, OSError, h11.ProtocolError) as fault:
+                self._give_up(f"{type(fault).__name__}: {fault}")
+                return
+            if changes is not None:
+                self._learn(changes, self._reading.asked_ms)
+                self._end_reading()
+            elif wait_s <= 0 and self._reading.progress_s == before_s:
+                return
+
+    def _learn(self, changes: source.Changes, asked_ms: int) -> None:
         known = self._carrier.parts.knowledge
-        asked_ms = clock.now_ms()
-        try:
-            changes = _read_all(store)
-        except (errors.EelgrasswickError, OSError, h11.ProtocolError) as fault:
-            detail = f"{type(fault).__name__}: {fault}"
-            self._carrier.parts.log.write("early_read_failed", detail=detail)
-            return
         now_ms = clock.now_ms()
         self._carrier.learned(now_ms, known.merge(now_ms, changes), _ORIGIN)
         known.confirm(changes.revision, asked_ms)
 
+    def _give_up(self, detail: str) -> None:
+        self._carrier.parts.log.write("early_read_failed", detail=detail)
+        self._end_reading()
+
+    def _end_reading(self) -> None:
+        if self._reading is not None:
+            self._reading.close()
+        self._reading = None
+
     def _take_all(self) -> None:
+        if not self._carrier.parts.catalog.ready:
+            return
+        if not self._carrier.began:
+            self._carrier.send = self._send
+            self._carrier.begin(clock.now_ms() - self._bound_ms)
         for _ in range(MAX_TAKEN):
             try:
                 raw, address = self._socket.recvfrom(_CHUNK_BYTES)
@@ -152,38 +191,3 @@
             self._carrier.parts.log.write(
                 "datagram_unsent", to=address.host, detail=str(failure)
             )
-
-
-def _read_all(store: model.Address) -> typing.Any:
-    end_s = time.monotonic() + READ_S
-    listing = answers.Listing()
-    with socket.create_connection(store, timeout=READ_S) as connection:
-        http = h11.Connection(h11.CLIENT, answers.MAX_BODY_BYTES)
-        while listing.query is not None:
-            asked = answers.target(names.RANGE_PATH, listing.query)
-            host = f"{store.host}:{store.port}"
-            connection.sendall(answers.request(http, host, asked))
-            answer = _receive(connection, http, end_s)
-            listing.add(answers.read(names.RANGE_PATH, answer))
-            http.start_next_cycle()
-    return listing.changes()
-
-
-def _receive(
-    connection: socket.socket, http: h11.Connection, end_s: float
-) -> answers.Answer:
-    status = 0
-    parts: list[bytes] = []
-    while True:
-        event = http.next_event()
-        if event is h11.NEED_DATA:
-            connection.settimeout(max(0.001, end_s - time.monotonic()))
-            http.receive_data(connection.recv(_CHUNK_BYTES))
-        elif isinstance(event, h11.Response):
-            status = event.status_code
-        elif isinstance(event, h11.Data):
-            parts.append(bytes(event.data))
-        elif isinstance(event, h11.EndOfMessage):
-            return answers.Answer(status, b"".join(parts))
-        else:
-            raise errors.StoreError("the store closed the connection")
--- a/tests/test_early.py
+++ b/tests/test_early.py
@@ -9,6 +9,7 @@
 import socket
 import struct
 import threading
+import time
 import typing
 
 import pytest
@@ -35,12 +36,18 @@
     return {"key": row.key, "value": value, "revision": row.revision}
 
 
-def _answer(connection: socket.socket, items: list[object], more: bool) -> str:
-    asked = connection.recv(65536).decode()
+def _page(items: typing.Sequence[object], more: bool) -> bytes:
     body = {"items": items, "has_more": more, "store_revision": 7}
     raw = json.dumps(body).encode()
     head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(raw)}\r\n\r\n"
-    connection.sendall(head.encode() + raw)
+    return head.encode() + raw
+
+
+def _answer(
+    connection: socket.socket, items: typing.Sequence[object], more: bool
+) -> str:
+    asked = connection.recv(65536).decode()
+    connection.sendall(_page(items, more))
     return asked.split("\r\n", 1)[0]
 
 
@@ -166,7 +173,7 @@
 
     The VM starts without it and hears from other VMs; it must not wait for long.
     """
-    monkeypatch.setattr(early, "READ_S", 0.05)
+    monkeypatch.setattr(early, "STALL_S", 0.05)
     with socket.create_server((HOST, 0)) as silent:
         carrier = _carrier(log[1])
         address = model.Address(HOST, silent.getsockname()[1])
@@ -176,6 +183,24 @@
     assert b"early_read_failed" in os.read(log[0], 65536)
 
 
+class Trickle(Answering):
+    """A store whose link is full, so that its one page comes bit by bit."""
+
+    def __init__(self, pause_s: float, *rows: source.Row) -> None:
+        """Answer with some rows, a part after each pause."""
+        self._pause_s = pause_s
+        self._items = [_item(row) for row in rows]
+        super().__init__()
+
+    def _answer(self, connection: socket.socket) -> None:
+        connection.recv(65536)
+        raw = _page(self._items, False)
+        size = -(-len(raw) // 8)
+        for start in range(0, len(raw), size):
+            time.sleep(self._pause_s)
+            connection.sendall(raw[start : start + size])
+
+
 class Peer(Answering):
     """Another VM that answers one that lacks rows."""
 
@@ -208,6 +233,42 @@
         return model.Address(HOST, made.getsockname()[1])
 
 
+def test_listing_that_comes_slowly_is_read_to_its_end(
+    bound: socket.socket, log: tuple[int, int], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against hundreds of VMs that list the store together and all give up.
+
+    Together they fill its link, so that each answer takes longer than one alone.
+    """
+    monkeypatch.setattr(early, "LIBRARIES", ())
+    store = Trickle(0.04, *ROWS)
+    carrier = _carrier(log[1])
+    early.Early(carrier, bound, clock.now_ms()).run(store.address)
+    store.end()
+    assert carrier.parts.knowledge.revision == 7
+    assert carrier.began
+
+
+def test_libraries_are_imported_while_the_store_answers(
+    bound: socket.socket, log: tuple[int, int], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a start that waits for the store with its processor idle."""
+    imported: list[bool] = []
+    carrier = _carrier(log[1])
+
+    def import_module(name: str) -> None:
+        imported.append(carrier.began)
+        time.sleep(0.1)
+
+    monkeypatch.setattr(importlib, "import_module", import_module)
+    monkeypatch.setattr(early, "LIBRARIES", ("one",) * 8)
+    store = Trickle(0.06, *ROWS)
+    early.Early(carrier, bound, clock.now_ms()).run(store.address)
+    store.end()
+    assert not imported[0]
+    assert imported[-1]
+
+
 def test_vm_that_starts_while_others_serve_asks_no_store(
     bound: socket.socket, log: tuple[int, int], monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -236,7 +297,7 @@
     early.Early(carrier, bound, clock.now_ms(), [peer.address]).run(_unused())
     peer.end()
     assert carrier.began
-    assert carrier.parts.knowledge.age_ms(clock.now_ms()) >= 9000
+    assert 9000 <= carrier.parts.knowledge.age_ms(clock.now_ms()) < 9400
     assert b"early_read_failed" in os.read(log[0], 65536)
 
 
