Check in the model that refused flows were taken by no target

A fifth of the targets' answers to opening packets is lost, so that copies come for flows that a target has taken.

--- a/tests/test_overload_play.py
+++ b/tests/test_overload_play.py
@@ -1,9 +1,12 @@
 """What callers get when they ask for more than targets can do, played in full."""
 
+import random
+
 import pytest
 
+from eelgrasswick.cookie import steering
 from eelgrasswick.decisions import overload
-from eelgrasswick.emulation import open_load, open_scenario
+from eelgrasswick.emulation import open_load, open_scenario, packets
 from eelgrasswick.platform import segments
 from eelgrasswick.trials import trial_overload
 
@@ -113,3 +116,44 @@
     end_ms = 7000
     asked = trial_overload.between(ends, end_ms + 2000, end_ms + 3000)
     assert open_load.worth(asked) > 0.95
+
+
+class Lossy(open_load.Play):
+    """A load in which a fifth of the targets' answers to opening packets is lost.
+
+    Attributes:
+        refusals: For each refused opening, whether a target had taken one before.
+    """
+
+    def __init__(self, name: str, seed: int) -> None:
+        """Prepare a run of a load."""
+        super().__init__(open_scenario.LOADS[name], segments.Codec(), seed)
+        self.refusals: list[bool] = []
+        self._taken: set[int] = set()
+        self._losses = random.Random(seed)
+
+    def _steer(
+        self, flow: open_load._Flow, flags: int, acknowledged: int, data: bytes
+    ) -> steering.Decision:
+        decision = super()._steer(flow, flags, acknowledged, data)
+        if flags == packets.SYN and decision.address is None and decision.datagram:
+            self.refusals.append(flow.port in self._taken)
+        return decision
+
+    def _reached(
+        self, flow: open_load._Flow, decision: steering.Decision
+    ) -> open_load._Target | None:
+        target = super()._reached(flow, decision)
+        if target is None or flow.target is not None:
+            return target
+        self._taken.add(flow.port)
+        return None if self._losses.random() < 0.2 else target
+
+
+@pytest.mark.parametrize("name", ["demand_150", "demand_300", "zone_cut"])
+def test_refused_flow_was_taken_by_no_target(name: str) -> None:
+    """Guards against a refusal that says "not run" of a flow that a target took."""
+    play = Lossy(name, 1)
+    play.run()
+    assert play.refusals
+    assert not any(play.refusals)
