Ask all seeds for a connection together when a VM starts

Seeds without power do not even refuse, and a VM waited 20 ms for each of two before it listed the store.

Change: all seeds are asked together, and those that did not accept after 5 ms are given up; offers are still asked for in a turn that differs from VM to VM.

The test counts the seeds that were tried; before, not all were.

--- a/eelgrasswick/cookie/bootstrap.py
+++ b/eelgrasswick/cookie/bootstrap.py
@@ -5,7 +5,9 @@
 that start after a loss of all find nobody listening, and must not wait for long.
 """
 
+import contextlib
 import importlib
+import select
 import socket
 import struct
 import time
@@ -17,10 +19,11 @@
 if typing.TYPE_CHECKING:
     from eelgrasswick.cookie import offer
 
-# What another VM may take to accept the connection, and for its answer.
-CONNECT_S: typing.Final = 0.02
+# What other VMs may take to accept a connection. After a loss of power of all it is
+# lost, as VMs that are still dark do not even refuse.
+CONNECT_S: typing.Final = 0.005
 ANSWER_S: typing.Final = 0.1
-# VMs that are asked, one after the other.
+# VMs that are asked for rows, one after the other.
 MAX_ASKED: typing.Final = 2
 _LENGTH: typing.Final = struct.Struct(">I")
 _ALL_ROWS: typing.Final = b"0"
@@ -53,35 +56,74 @@
     Returns:
         The first answer with rows; None without one.
     """
-    for address in _in_turn(seeds):
-        asked_ms = clock.now_ms()
-        try:
-            taken = _ask(address)
-        except (errors.MessageInvalidError, OSError) as fault:
-            detail = f"{type(fault).__name__}: {fault}"
-            log.write("bootstrap_failed", peer=address.host, detail=detail)
-            continue
-        if taken.changes.rows:
-            return Answer(address.host, asked_ms, taken)
+    with contextlib.ExitStack() as held:
+        connected = _connect(_in_turn(seeds), held, log)
+        for address, connection in connected[:MAX_ASKED]:
+            asked_ms = clock.now_ms()
+            try:
+                taken = _ask(connection)
+            except (errors.MessageInvalidError, OSError) as fault:
+                _note_failed(log, address, fault)
+                continue
+            if taken.changes.rows:
+                return Answer(address.host, asked_ms, taken)
     return None
 
 
+def _note_failed(
+    log: event_log.EventLog, address: model.Address, fault: Exception
+) -> None:
+    detail = f"{type(fault).__name__}: {fault}"
+    log.write("bootstrap_failed", peer=address.host, detail=detail)
+
+
 def _in_turn(seeds: typing.Sequence[model.Address]) -> list[model.Address]:
     # All VMs have the same seeds; those that start together begin with different ones.
     if not seeds:
         return []
     first = time.monotonic_ns() // 1000 % len(seeds)
-    return [*seeds[first:], *seeds[:first]][:MAX_ASKED]
-
-
-def _ask(address: model.Address) -> "offer.Offer":
-    with socket.create_connection(address, timeout=CONNECT_S) as connection:
-        connection.sendall(_LENGTH.pack(len(_ALL_ROWS)) + _ALL_ROWS)
-        # Imported only once another VM is there to answer; after a loss of all the
-        # store is read sooner without.
-        reader: typing.Any = importlib.import_module("eelgrasswick.cookie.offer")
-        end_s = time.monotonic() + ANSWER_S
-        strings = _receive(connection, end_s, reader.STRINGS, reader.MAX_BYTES)
+    return [*seeds[first:], *seeds[:first]]
+
+
+def _connect(
+    addresses: typing.Sequence[model.Address],
+    held: contextlib.ExitStack,
+    log: event_log.EventLog,
+) -> list[tuple[model.Address, socket.socket]]:
+    """Return connections to those that accept one in time, in the order given."""
+    poll = select.poll()
+    waiting: dict[int, tuple[model.Address, socket.socket]] = {}
+    for address in addresses:
+        made = held.enter_context(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+        made.setblocking(False)
+        made.connect_ex(address)
+        poll.register(made, select.POLLOUT)
+        waiting[made.fileno()] = (address, made)
+    accepted: dict[model.Address, socket.socket] = {}
+    end_s = time.monotonic() + CONNECT_S
+    while waiting and (left_s := end_s - time.monotonic()) > 0:
+        for descriptor, _ in poll.poll(1000 * left_s):
+            poll.unregister(descriptor)
+            address, made = waiting.pop(descriptor)
+            fault = made.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if fault:
+                _note_failed(log, address, OSError(fault, "connect"))
+            else:
+                accepted[address] = made
+    for address, _ in waiting.values():
+        _note_failed(log, address, TimeoutError("connect"))
+    return [(item, accepted[item]) for item in addresses if item in accepted]
+
+
+def _ask(connection: socket.socket) -> "offer.Offer":
+    connection.setblocking(True)
+    connection.settimeout(ANSWER_S)
+    connection.sendall(_LENGTH.pack(len(_ALL_ROWS)) + _ALL_ROWS)
+    # Imported only once another VM is there to answer; after a loss of all the store
+    # is read sooner without.
+    reader: typing.Any = importlib.import_module("eelgrasswick.cookie.offer")
+    end_s = time.monotonic() + ANSWER_S
+    strings = _receive(connection, end_s, reader.STRINGS, reader.MAX_BYTES)
     decoded: offer.Offer = reader.decode(*strings)
     return decoded
 
--- a/tests/test_early.py
+++ b/tests/test_early.py
@@ -301,6 +301,39 @@
     assert b"early_read_failed" in os.read(log[0], 65536)
 
 
+def test_dark_seeds_hold_up_no_start(
+    bound: socket.socket, log: tuple[int, int], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a start that waits for each seed after a loss of power of all.
+
+    Seeds without power do not even refuse; here their queues are full.
+    """
+    monkeypatch.setattr(early, "LIBRARIES", ())
+    with contextlib.ExitStack() as held:
+        dark = [held.enter_context(_full_queue()) for _ in range(3)]
+        pages = Pages(*ROWS)
+        carrier = _carrier(log[1])
+        early.Early(carrier, bound, clock.now_ms(), dark).run(pages.address)
+        pages.end()
+    assert carrier.began
+    # All are given up together; one after the other only some would be tried.
+    assert os.read(log[0], 65536).count(b"TimeoutError: connect") == 3
+
+
+@contextlib.contextmanager
+def _full_queue() -> typing.Iterator[model.Address]:
+    """Return an address where connections hang, as its queue is full."""
+    with socket.create_server((HOST, 0), backlog=0) as listening:
+        address = model.Address(HOST, listening.getsockname()[1])
+        waiting = [socket.socket() for _ in range(4)]
+        for item in waiting:
+            item.setblocking(False)
+            item.connect_ex(address)
+        yield address
+        for item in waiting:
+            item.close()
+
+
 @pytest.mark.parametrize(
     "strings", [(), (b"x", b"y"), _offer(0), (b"\xff" * 40,)], ids=repr
 )
