--- a/eelgrasswick/cookie/offer.py
+++ b/eelgrasswick/cookie/offer.py
@@ -73,9 +73,15 @@
         self._full = b""
 
     def encode(self, revision: int) -> tuple[bytes, bytes]:
-        """Return the strings for a VM that knows all up to a revision."""
-        rows = self._rows(self._since(revision))
-        return _encode_standing(self._standing()), rows
+        """Return the strings for a VM that knows all up to a revision.
+
+        Only one that starts, at revision 0, is told of the members; a change of the
+        configuration is fetched by every VM.
+        """
+        standing = self._standing()
+        if revision:
+            standing = standing._replace(members=())
+        return _encode_standing(standing), self._rows(self._since(revision))
 
     def _rows(self, changes: source.Changes) -> bytes:
         if changes.base:
--- a/tests/test_offer.py
+++ b/tests/test_offer.py
@@ -46,6 +46,14 @@
     assert offer.decode(*offers.encode(5)).changes.base == 5
 
 
+def test_vm_that_is_only_behind_is_not_told_of_the_members(
+    offers: offer.Offers,
+) -> None:
+    """Guards against bytes between zones that grow with VMs times changes."""
+    assert offer.decode(*offers.encode(0)).standing.members
+    assert not offer.decode(*offers.encode(4)).standing.members
+
+
 @hypothesis.given(strategies.binary(max_size=60), strategies.binary(max_size=60))
 def test_any_bytes_are_an_offer_or_refused(standing: bytes, rows: bytes) -> None:
     try:
