Keep a listing whose last page closes the connection

Found by reading: the connection was made ready for a next call also after the last page, which fails when the store closes it, and the rows were dropped.

--- a/eelgrasswick/platform/listing.py
+++ b/eelgrasswick/platform/listing.py
@@ -110,5 +110,7 @@
         self._parts = []
         answer = answers.Answer(self._status, body)
         self._listing.add(answers.read(names.RANGE_PATH, answer))
+        if self._listing.query is None:
+            return
         self._http.start_next_cycle()
         self._send_next()
--- a/eelgrasswick/story.py
+++ b/eelgrasswick/story.py
@@ -11,8 +11,7 @@
 import re
 import typing
 
-# How far around a flow's lines dependencies are told. A request's time limit is
-# at most ten seconds on the sheets; most failures show within three.
+# How far around a flow's lines dependencies are told.
 AROUND_S: typing.Final = 3.0
 _PAIR: typing.Final = re.compile(r'([a-z_]+)=("(?:[^"\\]|\\.)*"|\S+)')
 _FLOW_EVENT: typing.Final = re.compile(r"^flow_")
--- a/tests/test_early.py
+++ b/tests/test_early.py
@@ -201,18 +201,27 @@
             connection.sendall(raw[start : start + size])
 
 
-class Peer(Answering):
-    """Another VM that answers one that lacks rows."""
+class Scripted(Answering):
+    """Answers the first question with prepared bytes."""
 
-    def __init__(self, *strings: bytes) -> None:
-        """Answer with some strings."""
-        self._strings = strings
+    def __init__(self, raw: bytes) -> None:
+        """Answer with some bytes."""
+        self._raw = raw
         super().__init__()
 
     def _answer(self, connection: socket.socket) -> None:
-        connection.recv(64)
-        for item in self._strings:
-            connection.sendall(struct.pack(">I", len(item)) + item)
+        connection.recv(65536)
+        connection.sendall(self._raw)
+
+
+class Peer(Scripted):
+    """Another VM that answers one that lacks rows."""
+
+    def __init__(self, *strings: bytes) -> None:
+        """Answer with some strings."""
+        super().__init__(
+            b"".join(struct.pack(">I", len(item)) + item for item in strings)
+        )
 
 
 def _offer(age_ms: int, *rows: source.Row) -> tuple[bytes, bytes]:
@@ -249,6 +258,20 @@
     assert carrier.began
 
 
+def test_store_that_closes_after_its_last_page_has_told_all(
+    bound: socket.socket, log: tuple[int, int], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against rows that are dropped as the connection can't be used again."""
+    monkeypatch.setattr(early, "LIBRARIES", ())
+    raw = _page([_item(row) for row in ROWS], False)
+    head = b"HTTP/1.1 200 OK\r\n"
+    store = Scripted(raw.replace(head, head + b"Connection: close\r\n"))
+    carrier = _carrier(log[1])
+    early.Early(carrier, bound, clock.now_ms()).run(store.address)
+    store.end()
+    assert carrier.parts.knowledge.revision == 7
+
+
 def test_libraries_are_imported_while_the_store_answers(
     bound: socket.socket, log: tuple[int, int], monkeypatch: pytest.MonkeyPatch
 ) -> None:
