Limit new flows to cold targets over all VMs

Cause: a service's configuration says how long a target is cold after its start and how many new flows a second it bears then; nobody read it. It held by luck, as the shifted site opens two flows a second at a target.

Kept: cold targets get nothing while warm ones, of any zone, take the flows; without warm ones the VMs that rendezvous hashing names open half of the bound; the rest is reset at once, the most urgent last.

A target is cold by its entry, by its own age since this VM saw it begin, after it was found dead, and after its zone was evacuated, for as long as its service says.

Services that name no limit, all those of earlier sites, are placed on as before.

--- a/eelgrasswick/cookie/carrying.py
+++ b/eelgrasswick/cookie/carrying.py
@@ -21,7 +21,7 @@
     stats,
     steering,
 )
-from eelgrasswick.decisions import overload
+from eelgrasswick.decisions import cold_start, overload
 
 # How long it then takes to read what waits in the socket: 200 KB, 2,000 packets
 # of 100 bytes, at 25 us each.
@@ -274,7 +274,13 @@
         wire,
         knowledge.Knowledge(),
         known,
-        observations.Observations(vm.zone, known, loaded.policy.refuse, vm.peer.host),
+        observations.Observations(
+            vm.zone,
+            known,
+            loaded.policy.refuse,
+            vm.peer.host,
+            cold_start.Limit(*loaded.cold),
+        ),
         event_log.EventLog(descriptor, vm.name, loaded.log.lines_per_s, counted),
         counted,
     )
--- a/eelgrasswick/cookie/catalog.py
+++ b/eelgrasswick/cookie/catalog.py
@@ -5,6 +5,7 @@
 
 from eelgrasswick import errors
 from eelgrasswick.cookie import (
+    cold_targets,
     evacuation,
     knowledge,
     model,
@@ -53,6 +54,7 @@
     Attributes:
         config: What operators have put in force; None before the first.
         evacuations: Zones whose targets take no new flows.
+        ages: When targets started.
         on_ended: Told of each target that is over for certain.
     """
 
@@ -61,6 +63,7 @@
         self._reader = reader
         self.config: model.Config | None = None
         self.evacuations = evacuation.Evacuations()
+        self.ages = cold_targets.Ages()
         self.on_ended: typing.Callable[[model.Target], None] = _ignore
         self._by_name: dict[str, model.Target] = {}
         self._by_cookie: dict[int, model.Target] = {}
@@ -131,10 +134,20 @@
 
     def cold_ms(self, target: model.Target, now_ms: int) -> int:
         """Return how much longer a target is expected to be slow."""
-        if not target.cold_ms:
-            return 0
-        seen_ms = self._seen_ms.get(target.cookie, now_ms)
-        return max(0, target.cold_ms - (now_ms - seen_ms))
+        left_ms = 0
+        if target.cold_ms:
+            seen_ms = self._seen_ms.get(target.cookie, now_ms)
+            left_ms = target.cold_ms - (now_ms - seen_ms)
+        service = self.service(target.service)
+        if service is not None and service.cold_ms:
+            age_ms = self.ages.age_ms(now_ms, target.cookie)
+            if age_ms is not None:
+                left_ms = max(left_ms, service.cold_ms - age_ms)
+        return max(0, left_ms)
+
+    def service(self, name: str) -> model.Service | None:
+        """Return what operators say of a service, if it is in force."""
+        return self.config.services.get(name) if self.config is not None else None
 
     def update(self, now_ms: int, merge: knowledge.Merge) -> list[Note]:
         """Follow rows that changed.
@@ -145,6 +158,8 @@
         outage = merge.gap_ms > OUTAGE_MS or self._lapsed_together(merge)
         if outage:
             self._unsettled_ms = LAPSE_MS
+        # Entries that come back after an outage are mostly those of old targets.
+        watched = bool(self._by_name) and self.settled
         notes = []
         over: list[model.Target] = []
         # The configuration first: it says whose entries count.
@@ -152,9 +167,10 @@
             if self._reader.is_config(row.key):
                 notes.append(self._take_config(row))
             elif self._reader.is_evacuation(row.key):
-                notes.append(self._take_evacuation(row))
+                notes.append(self._take_evacuation(now_ms, row))
             elif self._reader.is_target(row.key):
                 notes.append(self._take_target(now_ms, row, outage))
+                self._note_age(now_ms, row, watched)
                 over += self._ended_by(row)
         self._rebuild()
         for target in over:
@@ -189,6 +205,7 @@
             del self._gone_ms[cookie]
             target = self._by_cookie.pop(cookie, None)
             self._seen_ms.pop(cookie, None)
+            self.ages.forget(cookie)
             if target is not None:
                 self._owners.forget(target)
         if lapsed:
@@ -215,10 +232,19 @@
             },
         )
 
-    def _take_evacuation(self, row: source.Row) -> Note:
+    def _note_age(self, now_ms: int, row: source.Row, watched: bool) -> None:
+        target = self._by_name.get(row.key)
+        if target is not None:
+            self.ages.seen(now_ms, target, watched)
+
+    def _take_evacuation(self, now_ms: int, row: source.Row) -> Note:
         if row.value is None:
             over = self.evacuations.end(row.key)
             zone = over.zone if over is not None else "-"
+            # They may have been started anew meanwhile, and their entries are late.
+            for target in self.targets:
+                if target.zone == zone:
+                    self.ages.started(now_ms, target.cookie)
             return Note("evacuation_over", {"zone": zone, "revision": row.revision})
         try:
             item = self._reader.evacuation(row)
--- a/eelgrasswick/cookie/liveness.py
+++ b/eelgrasswick/cookie/liveness.py
@@ -110,9 +110,10 @@
             return False
         return self._over(now_ms, check)
 
-    def answered(self, cookie: int) -> None:
-        """Close the check of a target that answered."""
-        self._checks.pop(cookie, None)
+    def answered(self, cookie: int) -> bool:
+        """Close the check of a target that answered; True when it was dead."""
+        check = self._checks.pop(cookie, None)
+        return check is not None and check.state is State.DEAD
 
     def _over(self, now_ms: int, check: _Check) -> bool:
         if check.state is State.PROBING:
--- a/eelgrasswick/cookie/model.py
+++ b/eelgrasswick/cookie/model.py
@@ -2,6 +2,7 @@
 
 import functools
 import hashlib
+import types
 import typing
 
 # Above the 19,000 targets of the design size; each incarnation is hashed once.
@@ -79,16 +80,33 @@
     priority: int = 0
 
 
+class Service(typing.NamedTuple):
+    """What the operators say of a service's targets.
+
+    Attributes:
+        name: Its name.
+        cold_ms: How long a target is cold after its start.
+        cold_flows_per_s: New flows a second that a cold target bears, from all VMs
+            together; None when they name no limit.
+    """
+
+    name: str
+    cold_ms: int = 0
+    cold_flows_per_s: float | None = None
+
+
 class Config(typing.NamedTuple):
     """The operators' configuration.
 
     Attributes:
         version: Rises with each change.
         routes: By address and port.
+        services: By name.
     """
 
     version: int
     routes: dict[tuple[bytes, int], Route]
+    services: typing.Mapping[str, Service] = types.MappingProxyType({})
 
 
 class Evacuation(typing.NamedTuple):
--- a/eelgrasswick/cookie/observations.py
+++ b/eelgrasswick/cookie/observations.py
@@ -5,6 +5,7 @@
 
 from eelgrasswick.cookie import (
     catalog,
+    cold_targets,
     knowledge,
     liveness,
     model,
@@ -14,7 +15,7 @@
     speed,
     tracker,
 )
-from eelgrasswick.decisions import ejection, overload, response_time
+from eelgrasswick.decisions import cold_start, ejection, overload, response_time
 
 # How often services and routes that are gone are looked for; they are few a day, and
 # thousands are walked for them.
@@ -25,11 +26,28 @@
 AWAKE_MS: typing.Final = 1000
 
 
+class Candidates(typing.NamedTuple):
+    """Targets that a flow may go to.
+
+    Attributes:
+        items: The targets, with what is known of them.
+        cold_left_out: True when cold targets were left out.
+    """
+
+    items: list[placing.Candidate]
+    cold_left_out: bool = False
+
+
 class Observations:
     """Flows, answer times and silence of all targets."""
 
     def __init__(
-        self, zone: str, known: catalog.Catalog, refuse: bool = True, vm: str = ""
+        self,
+        zone: str,
+        known: catalog.Catalog,
+        refuse: bool = True,
+        vm: str = "",
+        cold_limit: cold_start.Limit | None = None,
     ) -> None:
         """Look at the targets of a catalog from a zone.
 
@@ -38,6 +56,7 @@
             known: The catalog.
             refuse: False to refuse no flow in an overload.
             vm: Identifies this VM among those of the fleet.
+            cold_limit: How far above what it bears a cold target may be loaded.
         """
         self._zone = zone
         self._vm = zlib.crc32(vm.encode())
@@ -58,12 +77,15 @@
         self._zone_silence: silence.SilenceBook[str] = silence.SilenceBook()
         self.reports = reports.Reports()
         self.liveness = liveness.Liveness()
+        self.cold = cold_targets.ColdTargets(
+            cold_start.ColdStart(vm, cold_limit), known.service, known.cold_ms
+        )
         self._answered_ms: dict[str, int] = {}
         self._factors: dict[int, float] = {}
 
     def candidates(
-        self, now_ms: int, service: str, passed_over: int, part: float
-    ) -> list[placing.Candidate]:
+        self, now_ms: int, service: str, passed_over: int, part: float, urgent: bool
+    ) -> Candidates:
         """Return the targets of a service that may get a flow.
 
         Args:
@@ -72,6 +94,7 @@
             passed_over: Cookie of a target that did not answer this flow
                 before, 0 for none; it is left out unless there is no other.
             part: Even over flows, 0 to 1; says which of many are looked at.
+            urgent: True for the most urgent flows of the service.
         """
         accepting = placing.windows(self._catalog.accepting(service), self._zone, part)
         usable = [
@@ -82,20 +105,27 @@
         # With all silent it is rather this VM's link, or the callers', that is
         # broken; refusing all would make it worse.
         usable = usable or accepting
-        others = [item for item in usable if item.cookie != passed_over]
-        return [self._candidate(now_ms, item) for item in others or usable]
+        if not usable:
+            return Candidates([])
+        found = self.cold.eligible(now_ms, usable, urgent)
+        others = [item for item in found.targets if item.cookie != passed_over]
+        items = [self._candidate(now_ms, item) for item in others or found.targets]
+        return Candidates(items, found.left_out)
 
     def placed(self, now_ms: int, target: model.Target) -> None:
         """Note that a flow was sent to a target."""
         self._silence.tried(now_ms, target.cookie)
         self._stalled.tried(now_ms, target.cookie)
         self._zone_silence.tried(now_ms, target.zone)
+        self.cold.opened(now_ms, target)
 
     def answered(self, now_ms: int, target: model.Target) -> None:
         """Note that a target answered."""
         self._answered_ms[target.zone] = now_ms
-        self.liveness.answered(target.cookie)
         self._silence.answered(target.cookie)
+        if self.liveness.answered(target.cookie):
+            # It may have crashed and be back under its entry of before.
+            self._catalog.ages.started(now_ms, target.cookie)
         if self._zone_silence.answered(target.zone):
             self._way_is_back(target.zone)
 
@@ -246,6 +276,7 @@
         self._stalled.keep(cookies)
         self.liveness.keep(self._catalog.remembered)
         self.ejections.keep(now_ms, cookies)
+        self.cold.limits.keep(cookies)
         self._keep_refusals(now_ms)
         if now_ms - self._compared_ms >= COMPARE_MS:
             self._compared_ms = now_ms
--- a/eelgrasswick/cookie/peers.py
+++ b/eelgrasswick/cookie/peers.py
@@ -200,6 +200,10 @@
         ]
         return self._some(own, count)
 
+    def hosts(self) -> tuple[str, ...]:
+        """Return the addresses of all VMs that were heard of, also of silent ones."""
+        return tuple(self._peers)
+
     def members(self) -> list[Member]:
         """Return all live VMs, this one among them."""
         alive = [peer for peer in self._peers.values() if peer.alive]
--- a/eelgrasswick/cookie/settings.py
+++ b/eelgrasswick/cookie/settings.py
@@ -56,6 +56,13 @@
     refuse: bool
 
 
+class ColdSettings(typing.NamedTuple):
+    """Section ``cold``: by how much a cold target may get more than it bears."""
+
+    overage: float
+    slack_flows: float
+
+
 class Settings(typing.NamedTuple):
     """All settings of one entry VM."""
 
@@ -65,6 +72,7 @@
     stop: StopSettings
     log: LogSettings
     policy: PolicySettings
+    cold: ColdSettings
 
 
 def address(text: str) -> model.Address:
@@ -93,6 +101,13 @@
     return text.strip() == "yes"
 
 
+def _factor(text: str) -> float:
+    value = float(text)
+    if not 0 <= value <= 1000:
+        raise ValueError("must be from 0 to 1000")
+    return value
+
+
 def _seconds(text: str) -> float:
     value = float(text)
     if not 1 <= value <= 600:
@@ -114,6 +129,10 @@
         "log", "lines_per_s", "lines of one sort per s", ini.integer(1, 1000), "50"
     ),
     ini.Entry("policy", "refuse", "yes or no, refuse in an overload", _yes_no, "yes"),
+    ini.Entry(
+        "cold", "overage", "factor on the flows a cold target bears", _factor, "1.5"
+    ),
+    ini.Entry("cold", "slack_flows", "flows a s on top of that", _factor, "5"),
 )
 
 
@@ -131,4 +150,5 @@
         StopSettings(**values["stop"]),
         LogSettings(**values["log"]),
         PolicySettings(**values["policy"]),
+        ColdSettings(**values["cold"]),
     )
--- a/eelgrasswick/cookie/steering.py
+++ b/eelgrasswick/cookie/steering.py
@@ -32,6 +32,7 @@
     NO_TARGET = "no_target_reset"
     NO_TARGET_YET = "no_target_yet"
     EVACUATED = "evacuated_reset"
+    COLD = "cold_reset"
     UNKNOWN_COOKIE = "unknown_cookie"
     NOT_READY = "not_ready"
     TARGET_DEAD = "target_dead_reset"
@@ -42,6 +43,7 @@
     """Why a target that serves gets no new flow."""
 
     EVACUATION = "evacuation"
+    COLD = "cold"
 
 
 class Decision(typing.NamedTuple):
@@ -150,8 +152,12 @@
         draws = _draws(flow, copies)
         # Its last bits are as even as the number, and say nothing of it.
         part = draws.second * _PARTS % 1
-        candidates = self._observations.candidates(now_ms, service, passed_over, part)
-        withheld = self._withheld(service)
+        urgent = not self._observations.levels.rank(service, route.priority).above
+        found = self._observations.candidates(
+            now_ms, service, passed_over, part, urgent
+        )
+        candidates = found.items
+        withheld = self._withheld(service, found.cold_left_out)
         chosen = placing.choose(candidates, self._zone, draws)
         if chosen is None:
             return self._without_target(flow, withheld)
@@ -171,12 +177,13 @@
         outcome = Outcome.PLACED if silent is None else Outcome.PLACED_AGAIN
         return self._passed_on(outcome, target, raw)._replace(withheld=withheld)
 
-    def _withheld(self, service: str) -> tuple[Reason, ...]:
+    def _withheld(self, service: str, cold: bool) -> tuple[Reason, ...]:
+        found = [Reason.COLD] if cold else []
         evacuated = self._catalog.withheld(service)
         near = any(item.zone == self._zone for item in evacuated)
         if near or (evacuated and not self._catalog.accepting(service)):
-            return (Reason.EVACUATION,)
-        return ()
+            found.append(Reason.EVACUATION)
+        return tuple(found)
 
     def _without_target(
         self, flow: model.FlowId, withheld: tuple[Reason, ...]
@@ -184,8 +191,11 @@
         if not self._catalog.settled:
             # A refusal would be final while the caller's next copy may find one.
             return Decision(Outcome.NO_TARGET_YET, None, None, None)
-        evacuated = Reason.EVACUATION in withheld
-        outcome = Outcome.EVACUATED if evacuated else Outcome.NO_TARGET
+        outcome = Outcome.NO_TARGET
+        if Reason.COLD in withheld:
+            outcome = Outcome.COLD
+        elif Reason.EVACUATION in withheld:
+            outcome = Outcome.EVACUATED
         datagram = self._codec.reset(flow, 0)
         return Decision(outcome, datagram, None, None, withheld=withheld)
 
--- a/eelgrasswick/emulation/cookie_load.py
+++ b/eelgrasswick/emulation/cookie_load.py
@@ -19,7 +19,7 @@
 RESEND_MS: typing.Final = 200
 QUEUE: typing.Final = 8
 _REFUSED: typing.Final = frozenset(
-    {steering.Outcome.NO_TARGET, steering.Outcome.EVACUATED}
+    {steering.Outcome.NO_TARGET, steering.Outcome.EVACUATED, steering.Outcome.COLD}
 )
 
 
@@ -61,10 +61,12 @@
     Attributes:
         at_ms: When.
         target: Number of the target.
+        cold: True when it had just started.
     """
 
     at_ms: int
     target: int
+    cold: bool
 
 
 class _Target:
@@ -74,6 +76,7 @@
         self.zone = server.zone
         self.dark = False
         self.hangs = False
+        self.cold_until_ms = 0
         self.busy = 0
         self.queue: collections.deque[_Flow] = collections.deque()
         self.ran = 0
@@ -119,7 +122,7 @@
         self._targets = [_Target(n, item) for n, item in enumerate(load.servers)]
         self._fleet = steered_fleet.Fleet(
             self._due,
-            cookie_scenario.Reader(load.servers),
+            cookie_scenario.Reader(load.servers, load.cold),
             wire,
             self._targets,
             vms_per_zone,
@@ -161,6 +164,9 @@
             self._fleet.off = True
         elif trouble.kind == "evacuate":
             self._write_evacuation(str(trouble.which), b"{}")
+        elif trouble.kind == "cold_return":
+            for target in self._in_zone(trouble):
+                target.dark = True
         else:
             zone = str(trouble.which)
             for _ in range(int((trouble.factor - 1) * self._load.flows)):
@@ -179,6 +185,19 @@
             self._fleet.start()
         elif trouble.kind == "evacuate":
             self._write_evacuation(str(trouble.which), None)
+        elif trouble.kind == "cold_return":
+            for target in self._in_zone(trouble):
+                self._restart(target)
+
+    def _in_zone(self, trouble: cookie_scenario.Trouble) -> list[_Target]:
+        return [item for item in self._targets if item.zone == trouble.which]
+
+    def _restart(self, target: _Target) -> None:
+        """Start a server anew; it is cold and holds nothing of before."""
+        target.dark = False
+        target.queue.clear()
+        target.cold_until_ms = self._due.now_ms + self._load.cold.cold_ms
+        self._fleet.restart(target.number, str(self._due.now_ms).encode())
 
     def _write_evacuation(self, zone: str, value: bytes | None) -> None:
         self._fleet.write(steered_fleet.EVACUATION_PREFIX + zone, value)
@@ -206,7 +225,8 @@
             flow.target = target
             flow.cookie = decision.target.cookie
             self._opened += 1
-            self._openings.append(Opening(self._due.now_ms, target.number))
+            cold = self._due.now_ms < target.cold_until_ms
+            self._openings.append(Opening(self._due.now_ms, target.number, cold))
             self._crossed += target.server.zone != flow.zone
             self._due.later(2 * HOP_MS, self._ask, flow)
 
@@ -248,6 +268,8 @@
         target.ran += 1
         work_ms = self._rng.lognormvariate(0, 0.5) / 1.133 * self._load.work_ms
         took_ms = work_ms * target.server.slowness
+        if self._due.now_ms < target.cold_until_ms:
+            took_ms *= cookie_scenario.COLD_SLOWNESS
         self._due.later(took_ms, self._done, target, flow, flow.waiting)
 
     def _done(self, target: _Target, flow: _Flow, waiting: int) -> None:
--- a/eelgrasswick/emulation/cookie_scenario.py
+++ b/eelgrasswick/emulation/cookie_scenario.py
@@ -18,6 +18,7 @@
 # Servers' ids count from here.
 FIRST_ID: typing.Final = 16
 _BORN_MS: typing.Final = 1000
+COLD_SLOWNESS: typing.Final = 1.6
 
 
 class Server(typing.NamedTuple):
@@ -36,8 +37,9 @@
         kind: ``dark`` (a server falls silent), ``hang`` (a server opens flows and
             answers no request), ``cut`` (a zone is cut off from the others),
             ``burst`` (more callers come to a zone, for good), ``evacuate`` (a zone's
-            targets are to get no new flow) or ``power_off`` (all VMs are away and
-            forget what they saw).
+            targets are to get no new flow), ``cold_return`` (a zone's servers are
+            away and start anew together, cold) or ``power_off`` (all VMs are away
+            and forget what they saw).
         which: Number of the server, or name of the zone; nothing for all.
         until_ms: When it is over.
         factor: How many times more flows a burst brings.
@@ -63,6 +65,8 @@
         length_ms: Length of the run.
         requests: Requests of a flow, after which its caller opens another.
         troubles: What goes wrong.
+        cold: What operators say of servers that have just started; they work at
+            ``COLD_SLOWNESS`` meanwhile.
     """
 
     servers: tuple[Server, ...]
@@ -74,6 +78,7 @@
     length_ms: int
     requests: int
     troubles: tuple[Trouble, ...] = ()
+    cold: model.Service = model.Service(SERVICE)
 
 
 _SERVERS: typing.Final = (
@@ -99,6 +104,13 @@
     5,
     tuple(Trouble(5000, "hang", n, 12_000) for n in range(6)),
 )
+# Thirty servers, of which a zone's ten come back together before many VMs.
+COLD_RETURN: typing.Final = HANGING._replace(
+    flows=200,
+    requests=3,
+    troubles=(Trouble(5000, "cold_return", "z2", 8000),),
+    cold=model.Service(SERVICE, 2000, 0.0),
+)
 LOADS: typing.Final[dict[str, Load]] = {
     "ordinary": ORDINARY,
     "dark": ORDINARY._replace(troubles=_DARK),
@@ -114,6 +126,7 @@
         ),
     ),
     "hanging": HANGING,
+    "cold_return": COLD_RETURN,
     "evacuate": ORDINARY._replace(troubles=(Trouble(6000, "evacuate", "z2", 14_000),)),
     "power_off": ORDINARY._replace(troubles=(Trouble(8000, "power_off", "", 9400),)),
     "saturation": ORDINARY._replace(flows=120, pause_ms=200),
@@ -123,9 +136,12 @@
 class Reader(steered_fleet.Rows):
     """Rows of a load: its one route, and one row for each server."""
 
-    def __init__(self, servers: tuple[Server, ...]) -> None:
-        """Read the rows of some servers."""
+    def __init__(
+        self, servers: tuple[Server, ...], service: model.Service | None = None
+    ) -> None:
+        """Read the rows of some servers, and of what operators say of them."""
         self._servers = servers
+        self._service = service or model.Service(SERVICE)
 
     def rows(self) -> tuple[source.Row, ...]:
         """Return all rows, the configuration first."""
@@ -144,16 +160,17 @@
     def config(self, row: source.Row) -> model.Config:
         """Return the configuration, the same for all rows."""
         route = model.Route("all", (model.Share(SERVICE, 1.0),))
-        return model.Config(row.revision, {(SERVICE_IP, PORT): route})
+        routes = {(SERVICE_IP, PORT): route}
+        return model.Config(row.revision, routes, {SERVICE: self._service})
 
     def target(self, row: source.Row) -> model.Target:
-        """Return the target that a row stands for."""
+        """Return the target that a row stands for; its value is when it started."""
         number = int(row.key.removeprefix(TARGET_PREFIX))
         server = self._servers[number]
         identity = number + FIRST_ID
         return model.Target(
             f"i-{identity:x}",
-            _BORN_MS,
+            int(row.value or _BORN_MS),
             identity.to_bytes(8, "big"),
             SERVICE,
             model.Address(f"10.128.0.{identity}", 8080),
--- a/eelgrasswick/emulation/steered_fleet.py
+++ b/eelgrasswick/emulation/steered_fleet.py
@@ -137,13 +137,20 @@
         for zone in ZONES * self._vms_per_zone:
             self._add_vm(zone, len(self.vms))
 
-    def write(self, key: str, value: bytes | None) -> None:
+    def restart(self, number: int, value: bytes) -> None:
+        """Write the entry of a target that starts anew."""
+        known = self._reader.rows()[1 + number]
+        row = self.write(known.key, value)
+        self._by_cookie[self._reader.target(row).cookie] = number
+
+    def write(self, key: str, value: bytes | None) -> source.Row:
         """Write a row to the store; all VMs hear of it within a second."""
         # Above the revisions of all rows that were there from the beginning.
         revision = len(self._targets) + len(self._rows) + 2
         row = self._rows[key] = source.Row(key, value, revision + self._due.now_ms)
         for vm in self.vms:
             self._due.later(self._rng.randrange(NEWS_MS), self._hear, vm, row)
+        return row
 
     def _hear(self, vm: Vm, row: source.Row) -> None:
         vm.known.update(self._due.now_ms, knowledge.Merge((row,), 0))
@@ -202,7 +209,10 @@
         self.vms.append(Vm(zone, known, made, seen))
 
     def _tick(self) -> None:
-        for vm in self.vms:
+        names = [f"vm{number}" for number in range(len(self.vms))]
+        for number, vm in enumerate(self.vms):
+            others = (*names[:number], *names[number + 1 :])
+            vm.seen.cold.limits.follow(self._due.now_ms, others, len(others))
             vm.seen.tick(self._due.now_ms)
         self._due.later(TICK_MS, self._tick)
 
--- a/eelgrasswick/platform/entries.py
+++ b/eelgrasswick/platform/entries.py
@@ -69,7 +69,19 @@
         # ``prefix`` is the service port between slashes, ``host`` its address.
         port = int(item["prefix"].strip("/"))
         routes[(socket.inet_aton(item["host"]), port)] = _route(item)
-    return model.Config(_number(body["version"]), routes)
+    services = [_service(item) for item in body["services"]]
+    return model.Config(
+        _number(body["version"]), routes, {item.name: item for item in services}
+    )
+
+
+def _service(item: _Body) -> model.Service:
+    per_s = item.get("cold_per_s")
+    return model.Service(
+        _text(item["name"]),
+        int(1000 * float(item.get("cold_start_s", 0))),
+        None if per_s is None else float(per_s),
+    )
 
 
 def _route(item: _Body) -> model.Route:
--- /dev/null
+++ b/tests/test_cold_start.py
@@ -0,0 +1,251 @@
+"""How many new flows cold targets take."""
+
+import json
+import random
+
+import pytest
+
+from eelgrasswick.cookie import (
+    catalog,
+    cold_targets,
+    knowledge,
+    observations,
+    source,
+    steering,
+)
+from eelgrasswick.decisions import cold_start
+from eelgrasswick.platform import segments
+from tests import cookie_parts, steering_parts
+
+SETTLED_MS = cold_start.SETTLE_MS
+
+
+def _vms(count: int) -> list[cold_start.ColdStart]:
+    names = [f"10.0.0.{number}" for number in range(count)]
+    made = [cold_start.ColdStart(name) for name in names]
+    for name, item in zip(names, made, strict=True):
+        item.follow(0, tuple(other for other in names if other != name), count - 1)
+    return made
+
+
+def _most(times_ms: list[int]) -> int:
+    """Return the most flows in any second."""
+    return max(
+        (sum(at_ms <= t < at_ms + 1000 for t in times_ms) for at_ms in times_ms),
+        default=0,
+    )
+
+
+@pytest.mark.parametrize("per_s", [0.0, 4.0, 40.0])
+@pytest.mark.parametrize("count", [1, 2, 67])
+def test_fleet_keeps_the_limit_under_a_crowd(per_s: float, count: int) -> None:
+    """Guards against VMs that each stay below the limit and exceed it together."""
+    vms = _vms(count)
+    rng = random.Random(count)
+    opened: dict[int, list[int]] = {cookie: [] for cookie in range(20)}
+    for now_ms in range(SETTLED_MS, SETTLED_MS + 4000):
+        vm = rng.choice(vms)
+        cookie = rng.randrange(20)
+        if vm.allows(now_ms, cookie, per_s):
+            vm.opened(now_ms, cookie)
+            opened[cookie].append(now_ms)
+    most = [_most(times_ms) for times_ms in opened.values()]
+    assert max(most) <= (1.5 * per_s + 5) / 2
+    # The part that is given out is used.
+    assert sum(most) >= 0.5 * len(most)
+
+
+@pytest.mark.parametrize("lost", [1, 20, 37])
+def test_limit_holds_while_views_differ(lost: int) -> None:
+    """Guards against a part that two VMs use, as one has not heard of the other."""
+    vms = _vms(67)
+    names = [f"10.0.0.{number}" for number in range(67)]
+    # Half of the VMs have forgotten some, which go on and hold their old view.
+    for number in range(lost, 67, 2):
+        kept = tuple(name for name in names[lost:] if name != names[number])
+        vms[number].follow(SETTLED_MS, kept, len(kept))
+    for cookie in range(50):
+        flows = sum(item.share(SETTLED_MS, cookie, 0.0) for item in vms)
+        assert flows <= 5
+
+
+def test_vm_that_hears_nobody_opens_none() -> None:
+    """Guards against each VM behind a cut taking the whole limit for its own."""
+    (vm, *_) = _vms(10)
+    vm.follow(SETTLED_MS, ("10.0.0.1", "10.0.0.2"), 0)
+    assert not any(vm.share(SETTLED_MS, cookie, 0.0) for cookie in range(50))
+
+
+def test_vm_that_has_just_started_opens_none() -> None:
+    """Guards against a part that is used again by a VM that was restarted."""
+    (vm, *_) = _vms(10)
+    assert not any(vm.share(SETTLED_MS - 1, cookie, 0.0) for cookie in range(50))
+    assert any(vm.share(SETTLED_MS, cookie, 0.0) for cookie in range(50))
+
+
+def test_last_room_is_kept_for_urgent_flows() -> None:
+    """Guards against urgent flows that are refused as others came first."""
+    assert cold_start.reserved(1, 4, urgent=False)
+    assert not cold_start.reserved(1, 4, urgent=True)
+    assert not cold_start.reserved(3, 4, urgent=False)
+
+
+def _config(revision: int, cold_per_s: float = 0.0) -> source.Row:
+    row = cookie_parts.config_row(revision)
+    body = json.loads(row.value or b"")
+    body["services"] = [{"name": "desk", "cold_start_s": 2.0, "cold_per_s": cold_per_s}]
+    return row._replace(value=json.dumps(body).encode())
+
+
+@pytest.fixture
+def known() -> catalog.Catalog:
+    """Return three warm targets of a service that limits cold ones."""
+    return cookie_parts.known(
+        _config(1),
+        cookie_parts.target_row("i-0a", 2),
+        cookie_parts.target_row("i-0b", 3),
+        cookie_parts.target_row("i-0c", 4, zone="z2"),
+    )
+
+
+def _update(known: catalog.Catalog, now_ms: int, *rows: source.Row) -> None:
+    known.update(now_ms, knowledge.Merge(rows, 0))
+
+
+def _settle(known: catalog.Catalog) -> None:
+    for now_ms in range(0, 5000, 500):
+        known.tick(now_ms, now_ms)
+
+
+def test_cold_target_gets_nothing_while_others_are_warm(
+    steers: steering.Steering, known: catalog.Catalog
+) -> None:
+    """Guards against a server that is buried as soon as it has started."""
+    _settle(known)
+    _update(known, 100, cookie_parts.target_row("i-0d", 9, cold_remaining_ms=2000))
+    names = {
+        steering_parts.opened(steers, 200 + n, port=41_000 + n).name for n in range(60)
+    }
+    assert names >= {"i-0a", "i-0b"}
+    assert "i-0d" not in names
+    names = {
+        steering_parts.opened(steers, 2200, port=42_000 + n).name for n in range(60)
+    }
+    assert "i-0d" in names
+
+
+def test_new_target_is_cold_whatever_its_entry_says(
+    steers: steering.Steering, known: catalog.Catalog
+) -> None:
+    """Guards against an entry that says nothing of the start which it follows."""
+    _settle(known)
+    row = cookie_parts.target_row("i-0a", 9, born=5000, cold_remaining_ms=0)
+    _update(known, 100, row)
+    for number in range(30):
+        target = steering_parts.opened(steers, 200, port=41_000 + number)
+        assert target.name != "i-0a"
+
+
+def test_entries_that_are_back_after_an_outage_are_warm(
+    known: catalog.Catalog,
+) -> None:
+    """Guards against a whole service that is taken for new as its entries return."""
+    known.update(5000, knowledge.Merge((cookie_parts.gone_row("i-0a", 9),), 9000))
+    known.update(5200, knowledge.Merge((cookie_parts.target_row("i-0a", 10),), 100))
+    assert not any(known.cold_ms(item, 5200) for item in known.targets)
+
+
+def test_own_zone_that_is_cold_is_left_to_another(
+    steers: steering.Steering, known: catalog.Catalog
+) -> None:
+    """Guards against a zone that returns cold and gets its callers back at once."""
+    _settle(known)
+    rows = [cookie_parts.target_row(f"i-0{n}", 9, born=5000) for n in "ab"]
+    _update(known, 100, *rows)
+    for number in range(30):
+        raw = cookie_parts.packet(cookie_parts.SYN, 41_000 + number)
+        decision = steering_parts.steer(steers, 200, raw)
+        assert decision.target is not None
+        assert decision.target.zone == "z2"
+        assert decision.withheld == (steering.Reason.COLD,)
+
+
+def test_zone_that_is_taken_back_is_cold(
+    steers: steering.Steering, known: catalog.Catalog
+) -> None:
+    """Guards against servers that were started anew while their zone was evacuated.
+
+    Their entries still say what held before.
+    """
+    _settle(known)
+    _update(known, 100, source.Row("op/evacuate/z1", b"{}", 9))
+    _update(known, 9000, source.Row("op/evacuate/z1", None, 10))
+    assert steering_parts.opened(steers, 9100).zone == "z2"
+    assert steering_parts.opened(steers, 11_000, port=41_000).zone == "z1"
+
+
+def test_target_that_was_dead_and_answers_is_cold(
+    known: catalog.Catalog, seen: observations.Observations
+) -> None:
+    """Guards against a crashed server that is back before its entry says so."""
+    _settle(known)
+    target = next(item for item in known.targets if item.name == "i-0a")
+    seen.path_seen(100, "z1")
+    assert seen.probe_due(100, target)
+    assert seen.liveness.probed(200, target.cookie, accepted=False, path_ms=150)
+    seen.answered(3000, target)
+    assert known.cold_ms(target, 3000) == 2000
+
+
+def test_vm_whose_clock_is_behind_takes_targets_for_warm() -> None:
+    """Guards against a VM that starts with a wrong time of day and refuses everyone."""
+    ages = cold_targets.Ages(unix_s=lambda: 0.5)
+    (target, *_) = cookie_parts.known(
+        _config(1), cookie_parts.target_row("i-0a", 2)
+    ).targets
+    ages.seen(0, target, watched=False)
+    assert ages.age_ms(0, target.cookie) is None
+
+
+def test_vm_that_starts_finds_new_targets_cold() -> None:
+    """Guards against a VM that hears of a server just after its start."""
+    ages = cold_targets.Ages(unix_s=lambda: 1.5)
+    (target, *_) = cookie_parts.known(
+        _config(1), cookie_parts.target_row("i-0a", 2)
+    ).targets
+    ages.seen(0, target, watched=False)
+    assert ages.age_ms(100, target.cookie) == 600
+
+
+def test_flows_beyond_what_cold_targets_take_are_refused_at_once(
+    steers: steering.Steering, known: catalog.Catalog, seen: observations.Observations
+) -> None:
+    """Guards against callers that wait for targets which may not be used yet."""
+    _settle(known)
+    seen.cold.limits.follow(0, (), 0)
+    rows = [cookie_parts.target_row(f"i-0{n}", 9, born=5000) for n in "abc"]
+    _update(known, SETTLED_MS, *rows)
+    outcomes = []
+    for number in range(60):
+        raw = cookie_parts.packet(cookie_parts.SYN, 41_000 + number)
+        decision = steering_parts.steer(steers, SETTLED_MS + 10 * number, raw)
+        outcomes.append(decision.outcome)
+        if decision.target is None:
+            # No target saw the flow, and the caller is told at once.
+            assert decision.datagram is not None
+            assert decision.address is None
+    assert outcomes.count(steering.Outcome.PLACED) == 6
+    assert outcomes.count(steering.Outcome.COLD) == 54
+
+
+def test_service_without_a_limit_fills_cold_targets(known: catalog.Catalog) -> None:
+    """Guards against callers refused where operators have named no limit."""
+    _update(known, 0, cookie_parts.config_row(8))
+    seen = observations.Observations("z1", known)
+    steers = steering.Steering("z1", segments.Codec(), known, seen)
+    rows = [
+        cookie_parts.target_row(f"i-0{n}", 9, cold_remaining_ms=2000) for n in "abc"
+    ]
+    _update(known, 100, *rows)
+    for number in range(30):
+        assert steering_parts.opened(steers, 200, port=41_000 + number).zone == "z1"
--- a/tests/test_cookie_load.py
+++ b/tests/test_cookie_load.py
@@ -1,10 +1,11 @@
 """What callers get under load, with real steering and models around it."""
 
+import collections
 import typing
 
 import pytest
 
-from eelgrasswick.cookie import observations, placing, speed, tracker
+from eelgrasswick.cookie import cold_targets, observations, placing, speed, tracker
 from eelgrasswick.decisions import ejection
 from eelgrasswick.emulation import cookie_load, cookie_scenario, steered_fleet
 from eelgrasswick.platform import segments
@@ -132,6 +133,32 @@
     assert result.served > 0.99
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_zone_that_returns_cold_is_not_flooded(
+    monkeypatch: pytest.MonkeyPatch, seed: int
+) -> None:
+    """Guards against VMs of a large fleet that flood cold targets together."""
+
+    def most_and_served() -> tuple[int, float]:
+        play = cookie_load.Play(cookie_scenario.COLD_RETURN, segments.Codec(), seed, 16)
+        result = play.run()
+        times_ms = collections.defaultdict(list)
+        for item in play.openings:
+            if item.cold:
+                times_ms[item.target].append(item.at_ms)
+        return max(map(_most_in_a_second, times_ms.values()), default=0), result.served
+
+    most, served = most_and_served()
+    monkeypatch.setattr(cold_targets.ColdTargets, "per_s", lambda *_: None)
+    flood, served_by_flood = most_and_served()
+    assert most <= 5 < flood
+    assert served > served_by_flood - 0.002
+
+
+def _most_in_a_second(times_ms: list[int]) -> int:
+    return max(sum(at_ms <= t < at_ms + 1000 for t in times_ms) for at_ms in times_ms)
+
+
 def test_cut_zone_serves_its_own() -> None:
     """A zone is cut off from the others; callers still reach it."""
     cut = (Trouble(8000, "cut", "z3", 14_000),)
--- a/tests/test_placing_cost.py
+++ b/tests/test_placing_cost.py
@@ -66,7 +66,7 @@
     """
     before = _Counted.looks
     for _ in range(10):
-        seen.candidates(100, cookie_scenario.SERVICE, 0, 0.5)
+        seen.candidates(100, cookie_scenario.SERVICE, 0, 0.5, True)
     assert _Counted.looks == before
 
 
--- a/tests/test_steering_silent.py
+++ b/tests/test_steering_silent.py
@@ -105,7 +105,7 @@
     for target in known.accepting("desk"):
         seen.unanswered(0, target)
         seen.unanswered(0, target)
-    assert len(seen.candidates(10, "desk", 0, 0.5)) == 3
+    assert len(seen.candidates(10, "desk", 0, 0.5, True).items) == 3
 
 
 def test_data_sent_again_and_again_tells_of_a_silent_target(
