Spare targets that were silent until their entry says whether they started anew

Cause: a server that starts again under the id that it had is cold before any VM has read its entry.

Change: a target that is suspected, by this VM or by the word of others, is left out for as long as a cold start takes after the suspicion ends, while other targets are warm. It never leads to a refusal.

--- a/eelgrasswick/cookie/cold_targets.py
+++ b/eelgrasswick/cookie/cold_targets.py
@@ -36,6 +36,7 @@
         """
         self._unix_s = unix_s
         self._ages: dict[int, Age] = {}
+        self._suspected_ms: dict[int, int] = {}
 
     def seen(self, now_ms: int, target: model.Target, watched: bool) -> None:
         """Note an entry.
@@ -58,9 +59,19 @@
         """Take a target for one that starts now."""
         self._ages[cookie] = Age(now_ms, 0)
 
+    def suspected(self, now_ms: int, cookie: int) -> None:
+        """Note a target that is taken for silent; it may be about to start anew."""
+        self._suspected_ms[cookie] = now_ms
+
+    def cleared_for_ms(self, now_ms: int, cookie: int) -> int | None:
+        """Return for how long a target has not been suspected; None if it never was."""
+        at_ms = self._suspected_ms.get(cookie)
+        return None if at_ms is None else now_ms - at_ms
+
     def forget(self, cookie: int) -> None:
         """Forget a target."""
         self._ages.pop(cookie, None)
+        self._suspected_ms.pop(cookie, None)
 
     def age_ms(self, now_ms: int, cookie: int) -> int | None:
         """Return how long ago a target started, at least; None if it is unknown."""
@@ -88,6 +99,7 @@
         limits: cold_start.ColdStart,
         service_of: ServiceOf,
         cold_ms: typing.Callable[[model.Target, int], int],
+        ages: Ages,
     ) -> None:
         """Watch over the targets of a catalog.
 
@@ -95,10 +107,12 @@
             limits: This VM's part of the flows that cold targets take.
             service_of: Returns a service by its name, if it is in force.
             cold_ms: Returns how much longer a target is cold at a time.
+            ages: When targets started or came back.
         """
         self.limits = limits
         self._service_of = service_of
         self._cold_ms = cold_ms
+        self._ages = ages
 
     def per_s(self, name: str) -> float | None:
         """Return what a service's cold targets bear; None without a limit."""
@@ -122,16 +136,25 @@
         if per_s is None:
             return Eligible(targets, False)
         warm = [item for item in targets if not self._cold_ms(item, now_ms)]
-        if len(warm) == len(targets):
-            return Eligible(targets, False)
-        if warm:
-            return Eligible(warm, True)
+        # After a silence of a target nobody is refused for it: the silence may have
+        # been that of this VM's own link.
+        certain = [item for item in warm if not self._may_be_cold(now_ms, item)]
+        if certain or warm:
+            found = certain or warm
+            return Eligible(found, len(found) < len(targets))
         own = [t for t in targets if self.limits.share(now_ms, t.cookie, per_s)]
         free = [t for t in own if self.limits.allows(now_ms, t.cookie, per_s)]
         if cold_start.reserved(len(free), len(own), urgent):
             free = []
         return Eligible(free, True)
 
+    def _may_be_cold(self, now_ms: int, target: model.Target) -> bool:
+        service = self._service_of(target.service)
+        cleared_ms = self._ages.cleared_for_ms(now_ms, target.cookie)
+        if service is None or cleared_ms is None:
+            return False
+        return cleared_ms < service.cold_ms
+
     def opened(self, now_ms: int, target: model.Target) -> None:
         """Note a flow to a target."""
         if self.per_s(target.service) is not None and self._cold_ms(target, now_ms):
--- a/eelgrasswick/cookie/observations.py
+++ b/eelgrasswick/cookie/observations.py
@@ -78,7 +78,10 @@
         self.reports = reports.Reports()
         self.liveness = liveness.Liveness()
         self.cold = cold_targets.ColdTargets(
-            cold_start.ColdStart(vm, cold_limit), known.service, known.cold_ms
+            cold_start.ColdStart(vm, cold_limit),
+            known.service,
+            known.cold_ms,
+            known.ages,
         )
         self._answered_ms: dict[str, int] = {}
         self._factors: dict[int, float] = {}
@@ -97,11 +100,12 @@
             urgent: True for the most urgent flows of the service.
         """
         accepting = placing.windows(self._catalog.accepting(service), self._zone, part)
-        usable = [
-            item
-            for item in self._not_ejected(now_ms, accepting)
-            if not self._suspected(now_ms, item)
-        ]
+        usable = []
+        for item in self._not_ejected(now_ms, accepting):
+            if self._suspected(now_ms, item):
+                self._catalog.ages.suspected(now_ms, item.cookie)
+            else:
+                usable.append(item)
         # With all silent it is rather this VM's link, or the callers', that is
         # broken; refusing all would make it worse.
         usable = usable or accepting
--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -197,6 +197,34 @@
     assert known.cold_ms(target, 3000) == 2000
 
 
+def test_target_that_was_silent_and_answers_is_spared(
+    steers: steering.Steering, known: catalog.Catalog, seen: observations.Observations
+) -> None:
+    """Guards against a server that crashed and is back before a probe found it dead."""
+    _settle(known)
+    target = next(item for item in known.targets if item.name == "i-0a")
+    seen.unanswered(100, target)
+    seen.unanswered(300, target)
+    steering_parts.opened(steers, 400)
+    seen.answered(1000, target)
+    for number in range(30):
+        assert steering_parts.opened(steers, 1100, port=41_000 + number) != target
+
+
+def test_nobody_is_refused_when_a_vms_own_link_is_back(
+    steers: steering.Steering, known: catalog.Catalog, seen: observations.Observations
+) -> None:
+    """Guards against a VM that takes all targets for new when its link was cut."""
+    _settle(known)
+    for target in known.targets:
+        seen.unanswered(100, target)
+        seen.unanswered(300, target)
+    steering_parts.opened(steers, 400)
+    for target in known.targets:
+        seen.answered(1000, target)
+    assert steering_parts.opened(steers, 1100, port=41_000)
+
+
 def test_vm_whose_clock_is_behind_takes_targets_for_warm() -> None:
     """Guards against a VM that starts with a wrong time of day and refuses everyone."""
     ages = cold_targets.Ages(unix_s=lambda: 0.5)
