Check in the soak that cold targets are not flooded

The soak's servers of one service are cold for a second after their start; a breach is more than five flows in any second there, from what servers saw.

--- a/eelgrasswick/soak/history.py
+++ b/eelgrasswick/soak/history.py
@@ -7,6 +7,8 @@
 import pathlib
 import typing
 
+from eelgrasswick.soak import layout
+
 # The operators' bounds: seconds after which a draining target gets no new flow
 # and a changed configuration is in force everywhere, with what loopback and
 # busy machines add.
@@ -14,6 +16,9 @@
 CONFIG_S: typing.Final = 3.0
 # The users' bound from which an evacuated zone gets no new flow.
 EVACUATION_S: typing.Final = 5.0
+# New flows that a target may get in any second while it is cold.
+COLD_FLOWS: typing.Final = 5
+COLD_SPAN_S: typing.Final = 1.0
 SLACK_S: typing.Final = 0.7
 # Seconds at the end of a run without new faults, and the part of what is asked
 # in them that must be answered.
@@ -127,7 +132,16 @@
         events: Everything that was seen, in any order.
     """
     ordered = sorted(events, key=lambda item: item.at_s)
-    checks = (_once, _whole, _right_service, _drained, _evacuated, _config, _open_flows)
+    checks = (
+        _once,
+        _whole,
+        _right_service,
+        _drained,
+        _evacuated,
+        _cold,
+        _config,
+        _open_flows,
+    )
     return [breach for check in checks for breach in check(ordered)]
 
 
@@ -221,6 +235,25 @@
                 yield Breach("evacuation", item, f"{zone}, {late_s:.2f} s after it")
 
 
+def _cold(events: typing.Sequence[Event]) -> typing.Iterator[Breach]:
+    begun_s: dict[str, float] = {}
+    opened_s: dict[str, collections.deque[float]] = {}
+    for item in events:
+        if item.kind is Kind.BEGUN:
+            begun_s[item.who] = item.at_s
+            opened_s[item.who] = collections.deque()
+        if item.kind is not Kind.OPENED or item.detail != layout.COLD_SERVICE:
+            continue
+        if item.at_s - begun_s.get(item.who, 0.0) > layout.COLD_S:
+            continue
+        recent = opened_s[item.who]
+        recent.append(item.at_s)
+        while item.at_s - recent[0] >= COLD_SPAN_S:
+            recent.popleft()
+        if len(recent) > COLD_FLOWS:
+            yield Breach("cold", item, f"{len(recent)} flows in a second")
+
+
 def _config(events: typing.Sequence[Event]) -> typing.Iterator[Breach]:
     dropped_s: dict[str, float] = {}
     added_s: dict[str, float] = {}
--- a/eelgrasswick/soak/layout.py
+++ b/eelgrasswick/soak/layout.py
@@ -16,6 +16,11 @@
 RESERVED_PORT: typing.Final = 20160
 SERVICE_IP: typing.Final = "198.18.0.1"
 SEEDS: typing.Final = 3
+# Seconds for which servers of this service are cold after their start, and new flows a
+# second that they bear then; with the settings' defaults five may come in any second.
+COLD_SERVICE: typing.Final = "desk"
+COLD_S: typing.Final = 1.0
+COLD_FLOWS_PER_S: typing.Final = 0.0
 BLOCKS: typing.Final = range(130, 230)
 
 
--- a/eelgrasswick/soak/operator.py
+++ b/eelgrasswick/soak/operator.py
@@ -11,6 +11,11 @@
 
 TIMEOUT_S: typing.Final = 1.0
 FIRST_ADDED: typing.Final = 500
+_COLD: typing.Final = {
+    "name": layout.COLD_SERVICE,
+    "cold_start_s": layout.COLD_S,
+    "cold_per_s": layout.COLD_FLOWS_PER_S,
+}
 
 
 class Operator:
@@ -73,7 +78,7 @@
         self._version += 1
         wanted = dict(self._routes)
         routes = [_route(port, service) for port, service in wanted.items()]
-        body = {"version": self._version, "routes": routes, "services": []}
+        body = {"version": self._version, "routes": routes, "services": [_COLD]}
         for port in wanted.keys() - self._told.keys():
             # Callers may reach a new route as soon as the store has it, which is
             # before the operator hears so.
--- a/eelgrasswick/soak/target.py
+++ b/eelgrasswick/soak/target.py
@@ -16,7 +16,7 @@
 
 from eelgrasswick.emulation import packets
 from eelgrasswick.platform import names
-from eelgrasswick.soak import history
+from eelgrasswick.soak import history, layout
 
 HEARTBEAT_S: typing.Final = 1.2
 RESEND_S: typing.Final = 0.2
@@ -120,12 +120,18 @@
             "version": "v1",
             "concurrency": settings["slots"],
             "state": "draining" if self.draining else "ready",
-            "cold_remaining_ms": 0,
+            "cold_remaining_ms": self._cold_ms(),
             "sequence": self._sequence,
             "born": self.born_ms,
         }
         return json.dumps(body).encode()
 
+    def _cold_ms(self) -> int:
+        if self._settings["service"] != layout.COLD_SERVICE:
+            return 0
+        age_ms = time.time_ns() // 1_000_000 - self.born_ms
+        return max(0, int(1000 * layout.COLD_S) - age_ms)
+
     def note_life(self, kind: history.Kind) -> None:
         """Write that this incarnation begins, drains or ends."""
         self._note(kind, detail=self._settings["zone"])
--- a/tests/test_soak_history.py
+++ b/tests/test_soak_history.py
@@ -67,6 +67,18 @@
     assert _promises([*events, over, late]) == set()
 
 
+def test_flows_at_a_cold_target(good: list[history.Event]) -> None:
+    begun = _event(6, K.BEGUN, who="i-11")
+    flows = [
+        _event(6 + n / 10, K.OPENED, who="i-11", flow=f"{n}>443", detail="desk")
+        for n in range(1, 7)
+    ]
+    assert _promises([*good, begun, *flows[:5]]) == set()
+    assert _promises([*good, begun, *flows]) == {"cold"}
+    warm = [item._replace(at_s=item.at_s + 1) for item in flows]
+    assert _promises([*good, begun, *warm]) == set()
+
+
 def test_flow_at_another_service(good: list[history.Event]) -> None:
     wrong = _event(6, K.OPENED, flow="2>443", detail="vault", sent_s=6)
     assert _promises([*good, wrong]) == {"right service"}
