Send copies of an opening packet to another zone

Cause: the targets of a zone often go dark together. A caller sends two copies of its opening packet, after 200 and 600 ms, and gives up after 1.4 s. Each went to one more target of the own zone.

--- a/eelgrasswick/cookie/observations.py
+++ b/eelgrasswick/cookie/observations.py
@@ -95,7 +95,7 @@
             now_ms: Present time.
             service: Name of the service.
             passed_over: Cookie of a target that did not answer this flow
-                before, 0 for none; it is left out unless there is no other.
+                before, 0 for none; targets of other zones go first then.
             part: Even over flows, 0 to 1; says which of many are looked at.
             urgent: True for the most urgent flows of the service.
         """
@@ -112,10 +112,24 @@
         if not usable:
             return Candidates([])
         found = self.cold.eligible(now_ms, usable, urgent)
-        others = [item for item in found.targets if item.cookie != passed_over]
-        items = [self._candidate(now_ms, item) for item in others or found.targets]
+        tried = self._retried(found.targets, passed_over)
+        items = [self._candidate(now_ms, item) for item in tried]
         return Candidates(items, found.left_out)
 
+    def _retried(
+        self, targets: typing.Sequence[model.Target], passed_over: int
+    ) -> typing.Sequence[model.Target]:
+        """Return where an opening packet goes that is sent again.
+
+        Targets of a zone often go dark together, and a caller sends two copies only.
+        """
+        silent = self._catalog.by_cookie(passed_over)
+        if silent is None:
+            return targets
+        elsewhere = [item for item in targets if item.zone != silent.zone]
+        others = [item for item in targets if item.cookie != passed_over]
+        return elsewhere or others or targets
+
     def placed(self, now_ms: int, target: model.Target) -> None:
         """Note that a flow was sent to a target."""
         self._silence.tried(now_ms, target.cookie)
--- a/tests/test_cookie_load.py
+++ b/tests/test_cookie_load.py
@@ -133,6 +133,33 @@
     assert result.served > 0.99
 
 
+def test_zone_that_goes_dark_costs_an_opening_packet(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against copies that go to one dark target of a zone after the other."""
+    load = cookie_scenario.COLD_RETURN._replace(requests=6)
+
+    def unserved() -> int:
+        """Return how many requests are late or lost while the zone is dark."""
+        found = 0
+        for seed in (1, 2, 3):
+            play = cookie_load.Play(load, segments.Codec(), seed, 3)
+            play.run()
+            ends = [item for item in play.ends if 5000 <= item.at_ms < 8000]
+            found += sum(
+                item.took_ms is None or item.took_ms > load.aim_ms for item in ends
+            )
+        return found
+
+    elsewhere = unserved()
+    monkeypatch.setattr(
+        observations.Observations,
+        "_retried",
+        lambda _, targets, cookie: [t for t in targets if t.cookie != cookie],
+    )
+    assert elsewhere < 0.95 * unserved()
+
+
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_zone_that_returns_cold_is_not_flooded(
     monkeypatch: pytest.MonkeyPatch, seed: int
--- a/tests/test_steering_silent.py
+++ b/tests/test_steering_silent.py
@@ -334,3 +334,15 @@
         steering_parts.opened(steers, trial_ms, port=48_000 + n) == first
         for n in range(20)
     )
+
+
+def test_opening_packet_that_is_sent_again_leaves_the_zone(
+    steers: steering.Steering, seen: observations.Observations
+) -> None:
+    """Guards against a caller whose copies all go to one dark zone."""
+    for number in range(20):
+        first = steering_parts.opened(steers, port=44_000 + number)
+        again = steering_parts.opened(steers, 200, copies=1, port=44_000 + number)
+        assert again.zone != first.zone
+        seen.answered(201, first)
+        seen.answered(201, again)
