Check the cold figures of services when a configuration is read

A figure that is no number, negative or not finite would have failed only where a flow is placed by it, in the path of packets. Such a configuration is refused with a log line and the last one stays, as with any other fault in it. Services may be missing.

--- a/eelgrasswick/platform/entries.py
+++ b/eelgrasswick/platform/entries.py
@@ -1,6 +1,7 @@
 """Rows of the platform's store as configuration, evacuations and targets."""
 
 import json
+import math
 import re
 import socket
 import typing
@@ -69,7 +70,7 @@
         # ``prefix`` is the service port between slashes, ``host`` its address.
         port = int(item["prefix"].strip("/"))
         routes[(socket.inet_aton(item["host"]), port)] = _route(item)
-    services = [_service(item) for item in body["services"]]
+    services = [_service(item) for item in body.get("services", [])]
     return model.Config(
         _number(body["version"]), routes, {item.name: item for item in services}
     )
@@ -79,8 +80,8 @@
     per_s = item.get("cold_per_s")
     return model.Service(
         _text(item["name"]),
-        int(1000 * float(item.get("cold_start_s", 0))),
-        None if per_s is None else float(per_s),
+        int(1000 * _amount(item.get("cold_start_s", 0))),
+        None if per_s is None else _amount(per_s),
     )
 
 
@@ -140,6 +141,14 @@
     return value
 
 
+def _amount(value: object) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise TypeError(f"{value!r} is no number")
+    if not 0 <= value < math.inf:
+        raise ValueError(f"{value!r} is out of range")
+    return float(value)
+
+
 def _text(value: object) -> str:
     if not isinstance(value, str):
         raise TypeError(f"{value!r} is no text")
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -103,3 +103,35 @@
             read(source.Row(key, value, 1))
         except errors.EntryInvalidError as error:
             assert error.detail
+
+
+def _with_services(*services: dict[str, typing.Any]) -> source.Row:
+    row = cookie_parts.config_row(1)
+    body = {**json.loads(row.value or b""), "services": services}
+    return row._replace(value=json.dumps(body).encode())
+
+
+def test_service_names_what_cold_targets_bear(reader: entries.Reader) -> None:
+    limited = {"name": "desk", "cold_start_s": 1.5, "cold_per_s": 0.0}
+    config = reader.config(_with_services(limited, {"name": "vault"}))
+    assert config.services["desk"] == model.Service("desk", 1500, 0.0)
+    assert config.services["vault"] == model.Service("vault", 0, None)
+
+
+@pytest.mark.parametrize("value", [-1, float("nan"), float("inf"), "5", True, []])
+@pytest.mark.parametrize("field", ["cold_start_s", "cold_per_s"])
+def test_cold_figure_that_is_no_amount_is_refused(
+    reader: entries.Reader, field: str, value: object
+) -> None:
+    """Guards against a figure that fails only when a flow is placed by it."""
+    with pytest.raises(errors.EntryInvalidError):
+        reader.config(_with_services({"name": "desk", field: value}))
+
+
+@hypothesis.given(key=strategies.text(), value=strategies.binary(max_size=60))
+def test_any_evacuation_is_read_or_refused(key: str, value: bytes) -> None:
+    row = source.Row(f"op/evacuate/{key}", value, 1)
+    try:
+        assert entries.Reader().evacuation(row).zone == key
+    except errors.EntryInvalidError:
+        assert not key
