Name what VMs see of targets in the field's words

SilenceBook is SilenceDetector, SpeedBook AnswerTimes, Sight Signal, Heard Received; the docstrings of both lose how their values were chosen. Peers lists live VMs in one place. Behaviour is the same.

--- a/eelgrasswick/cookie/exchange.py
+++ b/eelgrasswick/cookie/exchange.py
@@ -48,7 +48,7 @@
     payload: bytes
 
 
-class Heard(typing.NamedTuple):
+class Received(typing.NamedTuple):
     """What a message of another VM leads to.
 
     Attributes:
@@ -171,7 +171,7 @@
         hosts = self._peers.neighbours(WITNESS_SPREAD)
         return [Outgoing(host, payload) for host in hosts]
 
-    def receive(self, now_ms: int, host: str, payload: bytes) -> Heard:
+    def receive(self, now_ms: int, host: str, payload: bytes) -> Received:
         """Take a datagram of another VM.
 
         Raises:
@@ -197,7 +197,7 @@
             sends += self.dead(now_ms, cookie)
         near = item.zone == self._zone
         witnesses = item.witnesses if near else ()
-        return Heard(tuple(sends), merge, fetch, joined, dead, witnesses)
+        return Received(tuple(sends), merge, fetch, joined, dead, witnesses)
 
     def _request(self, now_ms: int, host: str) -> Outgoing:
         self._number += 1
--- a/eelgrasswick/cookie/gossip.py
+++ b/eelgrasswick/cookie/gossip.py
@@ -135,24 +135,24 @@
     def _on_peer(self, payload: bytes, host: str) -> None:
         now_ms = clock.now_ms()
         try:
-            heard = self._exchange.receive(now_ms, host, payload)
+            received = self._exchange.receive(now_ms, host, payload)
         except errors.MessageInvalidError as error:
             self._stats.counts["peer_messages_invalid"] += 1
             self._log.write("peer_message_refused", source=host, detail=error.detail)
             return
-        for item in heard.sends:
+        for item in received.sends:
             self._send_peer(item)
-        for cookie in heard.dead:
+        for cookie in received.dead:
             self._check(cookie)
-        for witness in heard.witnesses:
+        for witness in received.witnesses:
             if self._witness(now_ms, witness):
                 self._exchange.add_witness(now_ms, witness)
-        if heard.joined:
+        if received.joined:
             self._log.write("peer_regained", peer=host, alive=len(self.peers))
-        if heard.merge is not None:
-            self._learned(now_ms, heard.merge, host)
-        if heard.fetch_from and heard.fetch_from not in self._fetching:
-            defer.ensureDeferred(self._fetch(heard.fetch_from))
+        if received.merge is not None:
+            self._learned(now_ms, received.merge, host)
+        if received.fetch_from and received.fetch_from not in self._fetching:
+            defer.ensureDeferred(self._fetch(received.fetch_from))
 
     async def _fetch(self, host: str) -> None:
         self._fetching.add(host)
--- a/eelgrasswick/cookie/observations.py
+++ b/eelgrasswick/cookie/observations.py
@@ -1,4 +1,4 @@
-"""What is known of the targets when a flow is placed, own sight and reports."""
+"""What is known of the targets when a flow is placed, own signal and reports."""
 
 import typing
 import zlib
@@ -62,7 +62,7 @@
         self._vm = zlib.crc32(vm.encode())
         self._catalog = known
         self.tracker = tracker.Tracker()
-        self.speeds = speed.SpeedBook()
+        self.speeds = speed.AnswerTimes()
         self.response_times = response_time.ResponseTimes()
         self.ejections = ejection.OutlierEjection()
         self.refusals = overload.Refusals(refuse)
@@ -72,9 +72,9 @@
         self._paused_ms = 0
         self._kept_ms = 0
         self._compared_ms = -COMPARE_MS
-        self._silence: silence.SilenceBook[int] = silence.SilenceBook()
-        self._stalled: silence.SilenceBook[int] = silence.SilenceBook()
-        self._zone_silence: silence.SilenceBook[str] = silence.SilenceBook()
+        self._silence: silence.SilenceDetector[int] = silence.SilenceDetector()
+        self._stalled: silence.SilenceDetector[int] = silence.SilenceDetector()
+        self._zone_silence: silence.SilenceDetector[str] = silence.SilenceDetector()
         self.reports = reports.Reports()
         self.liveness = liveness.Liveness()
         self.cold = cold_targets.ColdTargets(
@@ -167,18 +167,18 @@
         now_ms: int,
         route: model.Route,
         target: model.Target,
-        sight: tracker.Sight,
+        signal: tracker.Signal,
     ) -> None:
         """Note whether an answer came within its route's objective.
 
         Answers that this VM was away for, or whose request was lost on the way,
         say nothing of their target.
         """
-        answer_ms = sight.answer_ms
+        answer_ms = signal.answer_ms
         if answer_ms is None or not route.objective_ms:
             return
-        refused = self._sizes.refused(route.name, sight.answer_bytes)
-        if sight.resent or now_ms - answer_ms < self._woke_ms:
+        refused = self._sizes.refused(route.name, signal.answer_bytes)
+        if signal.resent or now_ms - answer_ms < self._woke_ms:
             return
         levels = self.levels.rank(target.service, route.priority).levels
         pool = overload.Pool(target.service, target.zone)
--- a/eelgrasswick/cookie/peers.py
+++ b/eelgrasswick/cookie/peers.py
@@ -180,24 +180,19 @@
         return chosen
 
     def _freshest(self) -> list[str]:
-        alive = [peer for peer in self._peers.values() if peer.alive]
+        alive = self._alive()
         best = heapq.nlargest(FRESHEST, alive, key=lambda peer: peer.confirmed_ms)
         return [peer.host for peer in best]
 
     def spread(self, count: int) -> list[str]:
         """Return whom to tell news: some of the own zone and some of others."""
-        alive = [peer for peer in self._peers.values() if peer.alive]
-        own = [peer.host for peer in alive if peer.zone == self._zone]
+        alive = self._alive()
         others = [peer.host for peer in alive if peer.zone != self._zone]
-        return [*self._some(own, count), *self._some(others, count)]
+        return [*self.neighbours(count), *self._some(others, count)]
 
     def neighbours(self, count: int) -> list[str]:
         """Return some live VMs of the own zone."""
-        own = [
-            peer.host
-            for peer in self._peers.values()
-            if peer.alive and peer.zone == self._zone
-        ]
+        own = [peer.host for peer in self._alive() if peer.zone == self._zone]
         return self._some(own, count)
 
     def hosts(self) -> tuple[str, ...]:
@@ -206,13 +201,13 @@
 
     def members(self) -> list[Member]:
         """Return all live VMs, this one among them."""
-        alive = [peer for peer in self._peers.values() if peer.alive]
+        alive = self._alive()
         others = [Member(peer.host, peer.zone) for peer in alive]
         return [Member(self._host, self._zone), *others]
 
     def sample(self) -> list[Member]:
         """Return some live VMs to name to others."""
-        alive = [peer for peer in self._peers.values() if peer.alive]
+        alive = self._alive()
         some = self._rng.sample(alive, min(SAMPLE, len(alive)))
         return [Member(peer.host, peer.zone) for peer in some]
 
@@ -240,6 +235,9 @@
             if now_ms - max(peer.heard_ms, peer.listed_ms) > span_ms:
                 del self._peers[peer.host]
 
+    def _alive(self) -> list[Peer]:
+        return [peer for peer in self._peers.values() if peer.alive]
+
     def _some(self, hosts: list[str], count: int) -> list[str]:
         return self._rng.sample(hosts, min(count, len(hosts)))
 
--- a/eelgrasswick/cookie/silence.py
+++ b/eelgrasswick/cookie/silence.py
@@ -6,14 +6,13 @@
 or the target is silent; so does data that is sent again while none of the
 target's flows moves on.
 
-``ENOUGH`` 2: with a loss of 5% on the way two in a row by chance are one in 400,
-and any answer in between begins the count anew. What one VM sees may be its own
-link, so others count as witnesses of the same weight, and when all targets are
-silent none is passed over.
+Any answer begins the count anew, so that packets lost by chance seldom add up. What
+one VM sees may be its own link, so others count as witnesses of the same weight, and
+when all targets are silent none is passed over.
 
 A zone that is cut off makes all its targets silent at once. Found out one by
-one, each costs two callers 200 ms and more; so zones are kept in a book of
-their own, where ``ENOUGH`` packets to any targets of the zone count.
+one, each costs two callers 200 ms and more; so zones have a detector of their
+own, where packets to any targets of the zone count.
 """
 
 import typing
@@ -21,12 +20,13 @@
 # What silence is noted of: the cookie of a target or the name of a zone.
 Key = typing.TypeVar("Key", int, str)
 
+# Packets in a row, of this VM or by the word of others.
 ENOUGH: typing.Final = 2
 # A silent target is tried with one flow each time this has passed.
 TRIAL_MS: typing.Final = 1000
 
 
-class _Sight:
+class _State:
     __slots__ = ("last_ms", "trial_ms", "unanswered")
 
     def __init__(self) -> None:
@@ -35,30 +35,30 @@
         self.trial_ms = 0
 
 
-class SilenceBook(typing.Generic[Key]):
+class SilenceDetector(typing.Generic[Key]):
     """Unanswered packets in a row, by target or zone."""
 
     def __init__(self) -> None:
         """Begin with everyone answering."""
-        self._observations: dict[Key, _Sight] = {}
+        self._observations: dict[Key, _State] = {}
 
     def answered(self, key: Key) -> bool:
         """Note an answer; True when it was passed over."""
-        sight = self._observations.pop(key, None)
-        return sight is not None and sight.unanswered >= ENOUGH
+        state = self._observations.pop(key, None)
+        return state is not None and state.unanswered >= ENOUGH
 
     def unanswered(self, now_ms: int, key: Key) -> bool:
         """Note an unanswered packet; True when it is passed over from now on."""
-        sight = self._observations.setdefault(key, _Sight())
-        sight.unanswered += 1
-        sight.last_ms = now_ms
-        sight.trial_ms = now_ms
-        return sight.unanswered == ENOUGH
+        state = self._observations.setdefault(key, _State())
+        state.unanswered += 1
+        state.last_ms = now_ms
+        state.trial_ms = now_ms
+        return state.unanswered == ENOUGH
 
     def silent(self, key: Key) -> bool:
         """Tell whether this VM itself takes one for silent."""
-        sight = self._observations.get(key)
-        return sight is not None and sight.unanswered >= ENOUGH
+        state = self._observations.get(key)
+        return state is not None and state.unanswered >= ENOUGH
 
     def keys(self) -> typing.AbstractSet[Key]:
         """Return those that left something unanswered."""
@@ -72,19 +72,19 @@
             key: The target or zone.
             witnesses: Other VMs that lately found it silent.
         """
-        sight = self._observations.get(key)
-        own = sight.unanswered if sight is not None else 0
+        state = self._observations.get(key)
+        own = state.unanswered if state is not None else 0
         if own + witnesses < ENOUGH:
             return False
-        if sight is None:
+        if state is None:
             return True
-        return now_ms - sight.trial_ms < TRIAL_MS
+        return now_ms - state.trial_ms < TRIAL_MS
 
     def tried(self, now_ms: int, key: Key) -> None:
         """Note that a flow was placed there."""
-        sight = self._observations.get(key)
-        if sight is not None and sight.unanswered >= ENOUGH:
-            sight.trial_ms = now_ms
+        state = self._observations.get(key)
+        if state is not None and state.unanswered >= ENOUGH:
+            state.trial_ms = now_ms
 
     def keep(self, keys: typing.Collection[Key]) -> None:
         """Forget all others."""
--- a/eelgrasswick/cookie/speed.py
+++ b/eelgrasswick/cookie/speed.py
@@ -4,17 +4,14 @@
 their speed. With equal shares the slow ones queue while the fast ones idle. A
 target's answer time holds both its work and its queue, so a share that is
 inverse to it falls as the queue grows and rises again when it is gone.
-
-``SMOOTHING`` 0.1 makes about twenty answers count. ``ENOUGH`` answers are
-awaited first; work times differ by half of their mean, so the mean of eight is
-right within a fifth. ``LOWEST`` and ``HIGHEST`` bound what a target can gain
-or lose by answers that are few or late for other reasons.
 """
 
 import typing
 
 SMOOTHING: typing.Final = 0.1
+# Answers before a mean counts; work times differ by half of their mean.
 ENOUGH: typing.Final = 8
+# What a target can gain or lose by few answers, or late ones, at most.
 LOWEST: typing.Final = 0.35
 HIGHEST: typing.Final = 1.6
 
@@ -31,7 +28,7 @@
     samples: int
 
 
-class SpeedBook:
+class AnswerTimes:
     """Answer times by cookie, as this VM sees them."""
 
     def __init__(self) -> None:
--- a/eelgrasswick/cookie/steering.py
+++ b/eelgrasswick/cookie/steering.py
@@ -250,8 +250,8 @@
             self._observations.tracker.forget(segment.flow)
             datagram = self._codec.reset(segment.flow, segment.acknowledged)
             return Decision(Outcome.TARGET_DEAD, datagram, None, target)
-        sight = self._observations.tracker.passed(now_ms, segment, cookie)
-        probe = target if self._learn(now_ms, route, target, sight) else None
+        signal = self._observations.tracker.passed(now_ms, segment, cookie)
+        probe = target if self._learn(now_ms, route, target, signal) else None
         if self._observations.recheck(now_ms, target):
             probe = target
         if cookie != segment.cookie:
@@ -261,7 +261,7 @@
             self._codec.addressed(raw, target),
             target.address,
             target,
-            sight.answer_ms,
+            signal.answer_ms,
             probe,
         )
 
@@ -282,16 +282,16 @@
         now_ms: int,
         route: model.Route,
         target: model.Target,
-        sight: tracker.Sight,
+        signal: tracker.Signal,
     ) -> bool:
         probe = False
-        if sight.opened or sight.answer_ms is not None:
+        if signal.opened or signal.answer_ms is not None:
             self._observations.answered(now_ms, target)
-        elif sight.repeated:
+        elif signal.repeated:
             probe = self._observations.unanswered(now_ms, target)
-        if sight.answer_ms is not None:
-            self._observations.served(target, sight.answer_ms)
-            self._observations.timed(now_ms, route, target, sight)
+        if signal.answer_ms is not None:
+            self._observations.served(target, signal.answer_ms)
+            self._observations.timed(now_ms, route, target, signal)
         return probe
 
 
--- a/eelgrasswick/cookie/tracker.py
+++ b/eelgrasswick/cookie/tracker.py
@@ -29,7 +29,7 @@
 _SEQUENCES: typing.Final = 2**32
 
 
-class Sight(typing.NamedTuple):
+class Signal(typing.NamedTuple):
     """What a segment told about its target.
 
     Attributes:
@@ -172,7 +172,7 @@
         record.copies = copies
         record.placed_ms = now_ms
 
-    def passed(self, now_ms: int, segment: model.Segment, cookie: int) -> Sight:
+    def passed(self, now_ms: int, segment: model.Segment, cookie: int) -> Signal:
         """Note that a segment of an open flow went to a target."""
         record = self._records.get(segment.flow)
         if record is None:
@@ -190,7 +190,7 @@
         before_ms = record.asked_ms
         answer_bytes = (segment.acknowledged - record.asked_ack) % _SEQUENCES
         answer_ms, repeated = _timing(now_ms, record, segment)
-        sight = Sight(opened, answer_ms, answer_bytes, record.resent, repeated)
+        signal = Signal(opened, answer_ms, answer_bytes, record.resent, repeated)
         record.resent = repeated
         if record.asked_ms != before_ms:
             self._asked.pop(segment.flow, None)
@@ -204,7 +204,7 @@
             self._asked.move_to_end(segment.flow)
         if segment.ending or segment.reset:
             self._drop(segment.flow)
-        return sight
+        return signal
 
     def overdue(self, now_ms: int) -> list[Overdue]:
         """Return the requests that wait for too long.
--- a/tests/test_speed.py
+++ b/tests/test_speed.py
@@ -4,7 +4,7 @@
 
 
 def _factors(times_ms: dict[int, int], count: int = 50) -> dict[int, float]:
-    book = speed.SpeedBook()
+    book = speed.AnswerTimes()
     for cookie, answer_ms in times_ms.items():
         for _ in range(count):
             book.answered(cookie, answer_ms)
@@ -31,7 +31,7 @@
 
 
 def test_follows_a_target_that_recovers() -> None:
-    book = speed.SpeedBook()
+    book = speed.AnswerTimes()
     for answer_ms in [200] * 50 + [20] * 60:
         book.answered(1, answer_ms)
     mean_ms = book.mean_ms(1)
@@ -40,7 +40,7 @@
 
 
 def test_forgets_targets_that_left() -> None:
-    book = speed.SpeedBook()
+    book = speed.AnswerTimes()
     for _ in range(50):
         book.answered(2, 20)
     book.keep([1])
--- a/tests/test_tracker.py
+++ b/tests/test_tracker.py
@@ -28,8 +28,8 @@
     flows.placed(0, cookie_parts.flow(), 7, 0)
     assert flows.passed(4, _segment(acknowledged=100), 7).opened
     flows.passed(5, _segment(acknowledged=100, data=b"GET"), 7)
-    sight = flows.passed(35, _segment(acknowledged=2500), 7)
-    assert sight.answer_ms == 30
+    signal = flows.passed(35, _segment(acknowledged=2500), 7)
+    assert signal.answer_ms == 30
     assert flows.passed(36, _segment(acknowledged=4100), 7).answer_ms is None
 
 
@@ -172,9 +172,9 @@
     """
     _asked(flows, 5, 1, 100)
     _asked(flows, 205, 1, 100)
-    sight = flows.passed(240, _segment(acknowledged=2500), 7)
-    assert sight.resent
-    assert sight.answer_bytes == 2400
+    signal = flows.passed(240, _segment(acknowledged=2500), 7)
+    assert signal.resent
+    assert signal.answer_bytes == 2400
 
 
 def test_answers_of_one_packet_are_never_overdue(flows: tracker.Tracker) -> None:
