--- a/eelgrasswick/cookie/observations.py
+++ b/eelgrasswick/cookie/observations.py
@@ -1,4 +1,4 @@
-"""What is known of the targets when a flow is placed, own signal and reports."""
+"""What is known of the targets when a flow is placed, by this VM and by reports."""
 
 import typing
 import zlib
