Log what each reset of an open flow was decided by

A reset by an entry VM named its flow and target only, and a probe said no more than that it was not accepted. On call could not tell a dead target from a full link, a pause of the VM or an outdated row.

Each reset of an open flow now has its reason, the lifetime of the target, and the revision, origin and age of the row by which the VM knew it; a reset by a verdict of earlier on says how long ago the probe ended. Probes say whether the connection was refused or had no answer and how long that took, which other target was asked for comparison and how fast it answered, and the longest pause of the VM meanwhile. A call of the store that fails says how many bytes had arrived. Counters by reason, histograms of probes by outcome. No decision changes.

--- a/eelgrasswick/cookie/carrying.py
+++ b/eelgrasswick/cookie/carrying.py
@@ -152,7 +152,7 @@
         age_ms = self._replica.age_ms(now_ms)
         decision = self.steering.steer(now_ms, age_ms, segment, raw)
         self._send(segment, decision)
-        self._account(age_ms, segment, decision)
+        self._account(now_ms, age_ms, segment, decision)
         if decision.probe is not None:
             self.probe(decision.probe)
 
@@ -173,6 +173,7 @@
 
     def _account(
         self,
+        now_ms: int,
         age_ms: int,
         segment: model.Segment,
         decision: steering.Decision,
@@ -183,6 +184,8 @@
             self._stats.observe("answer", decision.answer_ms)
         for reason in decision.withheld:
             self._stats.counts[f"flows_withheld_{reason.value}"] += 1
+        if decision.reset_reason is not None:
+            self.count_reset(decision.reset_reason)
         if outcome in _UNLOGGED_OUTCOMES:
             return
         target = decision.target
@@ -190,7 +193,7 @@
             f"flow_{outcome.value}",
             flow=segment.flow,
             copy=segment.acknowledged if segment.opening else "-",
-            cookie=segment.cookie,
+            **self._reset_fields(now_ms, segment, decision),
             target=target.name if target is not None else "-",
             zone=target.zone if target is not None else "-",
             on_target=self._flows_on(target),
@@ -200,6 +203,25 @@
             **self._overload_fields(target),
         )
 
+    def count_reset(self, reason: steering.ResetReason) -> None:
+        """Count an open flow that this VM resets."""
+        self._stats.counts[f"open_flows_reset_{reason.value}"] += 1
+
+    def _reset_fields(
+        self, now_ms: int, segment: model.Segment, decision: steering.Decision
+    ) -> dict[str, object]:
+        fields: dict[str, object] = {"cookie": segment.cookie}
+        if decision.reset_reason is None:
+            return fields
+        fields["reason"] = decision.reset_reason.value
+        if decision.target is None:
+            return fields | self._catalog.config_fields(now_ms)
+        fields |= self._catalog.target_fields(now_ms, decision.target)
+        checked_ms = self._observations.liveness.checked_ms(decision.target.cookie)
+        if checked_ms is not None:
+            fields["checked_for_ms"] = now_ms - checked_ms
+        return fields
+
     def _withheld_fields(self, decision: steering.Decision) -> dict[str, object]:
         if not decision.withheld:
             return {}
@@ -265,7 +287,7 @@
         if not merge.rows:
             return
         gap_ms = store_replica.reported_age_ms(merge.previous_age_ms)
-        for note in self._catalog.update(now_ms, merge):
+        for note in self._catalog.update(now_ms, merge, origin):
             self._log.write(note.event, **note.fields, origin=origin, gap_ms=gap_ms)
 
 
--- a/eelgrasswick/cookie/catalog.py
+++ b/eelgrasswick/cookie/catalog.py
@@ -45,6 +45,28 @@
     fields: dict[str, str | int]
 
 
+class RowSource(typing.NamedTuple):
+    """Where a row came from.
+
+    Attributes:
+        revision: Revision of the row.
+        origin: The VM that sent the row, or the store.
+        received_ms: Time when this VM received the row.
+    """
+
+    revision: int
+    origin: str
+    received_ms: int
+
+    def fields(self, now_ms: int) -> dict[str, str | int]:
+        """Return the source and the age of the row as fields for the log."""
+        return {
+            "row_revision": self.revision,
+            "row_origin": self.origin,
+            "row_age_ms": now_ms - self.received_ms,
+        }
+
+
 class _Lapsed(typing.NamedTuple):
     target: model.Target
     left_ms: int
@@ -58,7 +80,7 @@
         evacuations: Zones whose targets take no new flows.
         ages: Records when targets started.
         on_ended: Called with each target that has certainly ended because another
-            one took over its address.
+            one took over its address, and with the row that shows it.
     """
 
     def __init__(self, reader: source.Reader) -> None:
@@ -67,7 +89,7 @@
         self.config: model.Config | None = None
         self.evacuations = evacuation.Evacuations()
         self.ages = cold_targets.Ages()
-        self.on_ended: typing.Callable[[model.Target], None] = _ignore
+        self.on_ended: typing.Callable[[model.Target, source.Row], None] = _ignore
         self._by_name: dict[str, model.Target] = {}
         self._by_cookie: dict[int, model.Target] = {}
         self._by_service: dict[str, list[model.Target]] = {}
@@ -82,6 +104,10 @@
         # A dict keeps insertion order, so that the oldest route is evicted first.
         self._dropped_routes: dict[tuple[bytes, int], None] = {}
         self._received_ms: dict[int, int] = {}
+        self._config_source: RowSource | None = None
+        # This table has the source of the latest row of each target, which may be the
+        # deletion of its entry.
+        self._row_sources: dict[int, RowSource] = {}
 
     @property
     def ready(self) -> bool:
@@ -155,9 +181,32 @@
         """Return the configuration of a service, or None."""
         return self.config.services.get(name) if self.config is not None else None
 
-    def update(self, now_ms: int, merge: store_replica.Merge) -> list[LogEvent]:
+    def target_fields(self, now_ms: int, target: model.Target) -> dict[str, str | int]:
+        """Return the incarnation of a target and its latest row as log fields."""
+        fields: dict[str, str | int] = {
+            "cookie": target.cookie,
+            "born_ms": target.born_ms,
+        }
+        row_source = self._row_sources.get(target.cookie)
+        return fields | row_source.fields(now_ms) if row_source is not None else fields
+
+    def config_fields(self, now_ms: int) -> dict[str, str | int]:
+        """Return the version of the configuration and its row as log fields."""
+        if self.config is None or self._config_source is None:
+            return {}
+        fields: dict[str, str | int] = {"version": self.config.version}
+        return fields | self._config_source.fields(now_ms)
+
+    def update(
+        self, now_ms: int, merge: store_replica.Merge, origin: str = "-"
+    ) -> list[LogEvent]:
         """Apply the rows that a merge changed.
 
+        Args:
+            now_ms: Present time.
+            merge: The rows.
+            origin: The VM that sent them, or the store.
+
         Returns:
             The resulting log events, one for each relevant row.
         """
@@ -168,21 +217,22 @@
         # earlier, so their arrival does not show when the target started.
         watched = bool(self._by_name) and self.entries_complete
         events = []
-        ended: list[model.Target] = []
+        ended: list[tuple[model.Target, source.Row]] = []
         # The configuration is applied first, because it determines the services
         # whose entries can end other targets.
         for row in sorted(merge.rows, key=lambda row: self._reader.is_target(row.key)):
+            row_source = RowSource(row.revision, origin, now_ms)
             if self._reader.is_config(row.key):
-                events.append(self._update_config(row))
+                events.append(self._update_config(row, row_source))
             elif self._reader.is_evacuation(row.key):
                 events.append(self._update_evacuation(now_ms, row))
             elif self._reader.is_target(row.key):
-                events.append(self._update_target(now_ms, row, outage))
+                events.append(self._update_target(now_ms, row, outage, row_source))
                 self._update_age(now_ms, row, watched)
-                ended += self._former_targets(row)
+                ended += [(target, row) for target in self._former_targets(row)]
         self._rebuild()
-        for target in ended:
-            self.on_ended(target)
+        for target, row in ended:
+            self.on_ended(target, row)
         return events
 
     def tick(self, now_ms: int, confirmed_ms: int) -> None:
@@ -213,13 +263,14 @@
             del self._gone_ms[cookie]
             target = self._by_cookie.pop(cookie, None)
             self._received_ms.pop(cookie, None)
+            self._row_sources.pop(cookie, None)
             self.ages.remove(cookie)
             if target is not None:
                 self._owners.remove(target)
         if lapsed:
             self._rebuild()
 
-    def _update_config(self, row: source.Row) -> LogEvent:
+    def _update_config(self, row: source.Row, row_source: RowSource) -> LogEvent:
         if row.value is None:
             return LogEvent("config_deleted", {"revision": row.revision})
         try:
@@ -230,6 +281,7 @@
             return _refused(row, error)
         self._record_dropped_routes(config)
         self.config = config
+        self._config_source = row_source
         routes = config.routes.values()
         self._services = frozenset(s.service for item in routes for s in item.shares)
         return LogEvent(
@@ -280,13 +332,15 @@
         while len(self._dropped_routes) > MAX_DROPPED_ROUTES:
             del self._dropped_routes[next(iter(self._dropped_routes))]
 
-    def _update_target(self, now_ms: int, row: source.Row, outage: bool) -> LogEvent:
+    def _update_target(
+        self, now_ms: int, row: source.Row, outage: bool, row_source: RowSource
+    ) -> LogEvent:
         if row.value is None:
-            return self._remove(now_ms, row, outage)
+            return self._remove(now_ms, row, outage, row_source)
         try:
             target = self._reader.target(row)
         except errors.EntryInvalidError as error:
-            self._remove(now_ms, row, False)
+            self._remove(now_ms, row, False, row_source)
             return _refused(row, error)
         before = self._by_name.get(row.key)
         if before is not None and before.cookie != target.cookie:
@@ -294,6 +348,7 @@
         self._lapsed.pop(row.key, None)
         self._by_name[row.key] = target
         self._received_ms[target.cookie] = now_ms
+        self._row_sources[target.cookie] = row_source
         self._gone_ms.pop(target.cookie, None)
         return LogEvent(
             "target_known",
@@ -329,11 +384,14 @@
     def _serving(self, service: str) -> int:
         return len(self.accepting(service)) + len(self.withheld(service))
 
-    def _remove(self, now_ms: int, row: source.Row, outage: bool) -> LogEvent:
+    def _remove(
+        self, now_ms: int, row: source.Row, outage: bool, row_source: RowSource
+    ) -> LogEvent:
         target = self._by_name.pop(row.key, None)
         fields: dict[str, str | int] = {"key": row.key, "revision": row.revision}
         if target is not None:
             self._gone_ms[target.cookie] = now_ms
+            self._row_sources[target.cookie] = row_source
             if outage and not target.draining:
                 self._lapsed[row.key] = _Lapsed(target, LAPSED_ENTRY_GRACE_MS)
                 fields["usable_ms"] = LAPSED_ENTRY_GRACE_MS
@@ -360,7 +418,7 @@
         self._by_cookie.update(owners)
 
 
-def _ignore(_: model.Target) -> None:
+def _ignore(_target: model.Target, _row: source.Row) -> None:
     """Do nothing when a target has ended."""
 
 
--- a/eelgrasswick/cookie/forwarding.py
+++ b/eelgrasswick/cookie/forwarding.py
@@ -10,10 +10,14 @@
     model,
     ports,
     probing,
+    source,
+    steering,
     store_replica,
 )
 from eelgrasswick.decisions import ejection
 
+_PROBE_FAILED: typing.Final = steering.ResetReason.PROBE_FAILED
+
 
 class Forwarder:
     """Forwards packets, and probes suspected targets.
@@ -54,11 +58,14 @@
     async def _probe(self, target: model.Target) -> None:
         now_ms = clock.now_ms()
         missing = self._catalog.missing(target, now_ms)
-        accepted = await probing.accepts(self._reactor, target.address)
+        probe = await probing.connect(self._reactor, target.address)
+        accepted = probe.accepted
+        control: dict[str, object] = {}
         if not accepted and not missing:
-            await self._check_path(now_ms, target)
+            control = await self._check_path(now_ms, target)
         zone_answered_ms = self._observations.zone_answered_ms(target)
         ended_ms = clock.now_ms()
+        longest_gap_ms = self._carrier.stalls.longest_gap_ms(now_ms, ended_ms)
         if self._carrier.stalls.gap_since(now_ms, ended_ms):
             # The probe may have timed out while its answer was unread in the socket.
             zone_answered_ms, missing = store_replica.NEVER_MS, False
@@ -66,33 +73,47 @@
             ended_ms, target.cookie, accepted, zone_answered_ms, missing
         )
         self._stats.counts["targets_probed"] += 1
+        self._stats.observe(f"probe_{probe.outcome.value}", probe.took_ms)
         self._log.write(
             "target_dead" if dead else "target_probed",
             target=target.name,
+            **self._catalog.target_fields(ended_ms, target),
             accepted=int(accepted),
+            outcome=probe.outcome.value,
+            took_ms=probe.took_ms,
+            **control,
+            longest_gap_ms=longest_gap_ms,
             entry_missing=int(missing),
             path_ms=store_replica.reported_age_ms(ended_ms - zone_answered_ms),
-            flows_reset=self._reset_flows(target) if dead else 0,
+            flows_reset=self._reset_flows(target, _PROBE_FAILED) if dead else 0,
         )
         if dead:
             self.on_dead(target.cookie)
 
-    async def _check_path(self, since_ms: int, target: model.Target) -> None:
+    async def _check_path(
+        self, since_ms: int, target: model.Target
+    ) -> dict[str, object]:
         # Only an answer of another target of the zone distinguishes a dead target from
         # a cut path. A VM with few flows in the zone may receive no such answer for
         # seconds, and its callers would wait until their deadlines. The VM therefore
         # probes another target of the zone, too.
         if self._observations.zone_answered_ms(target) > since_ms:
-            return
+            return {"control": "flow"}
         other = self._observations.other_target_in_zone(clock.now_ms(), target)
         if other is not None:
-            if await probing.accepts(self._reactor, other.address):
+            probe = await probing.connect(self._reactor, other.address)
+            if probe.accepted:
                 self._observations.record_zone_answer(clock.now_ms(), target.zone)
-            return
+            return {
+                "control": other.name,
+                "control_outcome": probe.outcome.value,
+                "control_ms": probe.took_ms,
+            }
         await probing.wait_for_zone_answer(
             self._reactor,
             lambda: self._observations.zone_answered_ms(target) > since_ms,
         )
+        return {"control": "-"}
 
     def probe_overdue(self, now_ms: int) -> list[ejection.Witness]:
         """Probe the targets whose answers are overdue.
@@ -116,20 +137,34 @@
         if self._observations.begin_check(clock.now_ms(), target):
             defer.ensureDeferred(self._probe(target))
 
-    def reset_ended_target(self, target: model.Target) -> None:
-        """Reset the flows of a target whose address another server has taken over."""
+    def reset_ended_target(self, target: model.Target, row: source.Row) -> None:
+        """Reset the flows of a target whose address another server has taken over.
+
+        Args:
+            target: The target.
+            row: The row that shows the take-over.
+        """
         self._log.write(
             "target_ended",
             target=target.name,
-            cookie=target.cookie,
-            flows_reset=self._reset_flows(target),
+            **self._catalog.target_fields(clock.now_ms(), target),
+            by=row.key,
+            by_revision=row.revision,
+            flows_reset=self._reset_flows(target, steering.ResetReason.ADDRESS_TAKEN),
         )
 
-    def _reset_flows(self, target: model.Target) -> int:
+    def _reset_flows(self, target: model.Target, reason: steering.ResetReason) -> int:
         resets = self._carrier.steering.reset_flows(target)
         for flow, datagram in resets:
             self.port.send(datagram, self._carrier.caller_address(flow))
-            self._log.write("flow_target_dead_reset", flow=flow, target=target.name)
+            self._carrier.count_reset(reason)
+            self._log.write(
+                "flow_target_dead_reset",
+                flow=flow,
+                target=target.name,
+                reason=reason.value,
+                **self._catalog.target_fields(clock.now_ms(), target),
+            )
         self._stats.counts["flows_abandoned"] += len(resets)
         return len(resets)
 
--- a/eelgrasswick/cookie/liveness.py
+++ b/eelgrasswick/cookie/liveness.py
@@ -104,6 +104,11 @@
             return False
         return not self._expired(now_ms, check)
 
+    def checked_ms(self, cookie: int) -> int | None:
+        """Return the time of the last change of a target's check, if there is one."""
+        check = self._checks.get(cookie)
+        return None if check is None else check.since_ms
+
     def lapsed(self, now_ms: int, cookie: int) -> bool:
         """Return True when a target's dead state has expired without a new check."""
         check = self._checks.get(cookie)
--- a/eelgrasswick/cookie/stall.py
+++ b/eelgrasswick/cookie/stall.py
@@ -5,6 +5,7 @@
 times out although its answer is in the socket, and queued packets look new.
 """
 
+import collections
 import typing
 
 # A VM without activity for longer than this was suspended or stalled. Its callers have
@@ -13,6 +14,9 @@
 # A gap longer than this leaves too little of a probe's time-out of 250 ms. Without a
 # fault a VM is active at least every 100 ms.
 PROBE_GAP_MS: typing.Final = 175
+# Gaps above MIN_RECORDED_GAP_MS are kept for the log, MAX_RECORDED_GAPS of them.
+MIN_RECORDED_GAP_MS: typing.Final = 20
+MAX_RECORDED_GAPS: typing.Final = 64
 
 
 class Stalls:
@@ -22,11 +26,17 @@
         """Create a detector whose last activity is now."""
         self._active_ms = now_ms
         self._long_gap_ms = now_ms
+        # Each entry holds the end of a gap and its length, both in ms.
+        self._gaps: collections.deque[tuple[int, int]] = collections.deque(
+            maxlen=MAX_RECORDED_GAPS
+        )
 
     def record_activity(self, now_ms: int) -> int:
         """Record an activity; return the time since the previous one in ms."""
         gap_ms = now_ms - self._active_ms
         self._active_ms = now_ms
+        if gap_ms > MIN_RECORDED_GAP_MS:
+            self._gaps.append((now_ms, gap_ms))
         if gap_ms > PROBE_GAP_MS:
             self._long_gap_ms = now_ms
         return gap_ms
@@ -39,3 +49,8 @@
             now_ms: Present time.
         """
         return self._long_gap_ms > begun_ms or now_ms - self._active_ms > PROBE_GAP_MS
+
+    def longest_gap_ms(self, begun_ms: int, now_ms: int) -> int:
+        """Return the longest gap since a time, as far as gaps are recorded."""
+        recorded = [gap_ms for ended_ms, gap_ms in self._gaps if ended_ms > begun_ms]
+        return max([now_ms - self._active_ms, *recorded])
--- a/eelgrasswick/cookie/steering.py
+++ b/eelgrasswick/cookie/steering.py
@@ -48,6 +48,14 @@
     COLD = "cold"
 
 
+class ResetReason(enum.Enum):
+    """Reason for which this VM resets an open flow."""
+
+    PROBE_FAILED = "probe_failed"
+    ADDRESS_TAKEN = "address_taken"
+    ROUTE_DROPPED = "route_dropped"
+
+
 class Decision(typing.NamedTuple):
     """The datagram to send for a packet, and the reasons for it.
 
@@ -59,6 +67,7 @@
         answer_ms: Response time of the target, if the packet ends a measurement.
         probe: A silent target that is to be probed now, if any.
         withheld: Reasons for which targets were excluded for this flow.
+        reset_reason: Reason for which an open flow is reset, if it is.
     """
 
     outcome: Outcome
@@ -68,6 +77,7 @@
     answer_ms: int | None = None
     probe: model.Target | None = None
     withheld: tuple[Reason, ...] = ()
+    reset_reason: ResetReason | None = None
 
 
 class Steering:
@@ -123,7 +133,10 @@
         if segment.reset or age_ms > MAX_CATALOG_AGE_MS or not resettable:
             return Decision(Outcome.NO_ROUTE, None, None, None)
         datagram = self._codec.reset(segment.flow, segment.acknowledged)
-        return Decision(Outcome.NO_ROUTE_RESET, datagram, None, None)
+        reason = None if segment.opening else ResetReason.ROUTE_DROPPED
+        return Decision(
+            Outcome.NO_ROUTE_RESET, datagram, None, None, reset_reason=reason
+        )
 
     def _open(
         self, now_ms: int, route: model.Route, segment: model.Segment, raw: bytes
@@ -134,7 +147,7 @@
         previous = (
             self._catalog.by_cookie(record.cookie) if record is not None else None
         )
-        if record is None or previous is None or self._is_dead(now_ms, previous):
+        if record is None or previous is None or self._death(now_ms, previous):
             return self._place(now_ms, route, flow, raw, retransmissions, None)
         too_soon = now_ms - record.placed_ms < MIN_RETRANSMISSION_MS
         unanswered = retransmissions > record.retransmissions
@@ -264,10 +277,13 @@
         target = self._catalog.by_cookie(cookie)
         if target is None:
             return Decision(Outcome.UNKNOWN_COOKIE, None, None, None)
-        if self._is_dead(now_ms, target):
+        death = self._death(now_ms, target)
+        if death is not None:
             self._observations.tracker.remove(segment.flow)
             datagram = self._codec.reset(segment.flow, segment.acknowledged)
-            return Decision(Outcome.TARGET_DEAD, datagram, None, target)
+            return Decision(
+                Outcome.TARGET_DEAD, datagram, None, target, reset_reason=death
+            )
         measurement = self._observations.tracker.record_segment(now_ms, segment, cookie)
         probe = (
             target
@@ -287,10 +303,12 @@
             probe,
         )
 
-    def _is_dead(self, now_ms: int, target: model.Target) -> bool:
-        cookie = target.cookie
-        ended = self._catalog.has_ended(cookie)
-        return ended or self._observations.liveness.dead(now_ms, cookie)
+    def _death(self, now_ms: int, target: model.Target) -> ResetReason | None:
+        if self._catalog.has_ended(target.cookie):
+            return ResetReason.ADDRESS_TAKEN
+        if self._observations.liveness.dead(now_ms, target.cookie):
+            return ResetReason.PROBE_FAILED
+        return None
 
     def reset_flows(self, target: model.Target) -> list[tuple[model.FlowId, bytes]]:
         """Remove the open flows of a dead target, and return a reset for each."""
--- a/eelgrasswick/platform/store.py
+++ b/eelgrasswick/platform/store.py
@@ -15,7 +15,12 @@
 
 
 class _Connection(protocol.Protocol):
-    """One connection to the store, with one call at a time."""
+    """One connection to the store, with one call at a time.
+
+    Attributes:
+        open: False once the connection is closed.
+        received_bytes: Number of bytes received since the call began.
+    """
 
     def __init__(self, host: str) -> None:
         self._host = host
@@ -24,16 +29,19 @@
         self._status = 0
         self._parts: list[bytes] = []
         self.open = True
+        self.received_bytes = 0
 
     def call(self, path: str) -> "defer.Deferred[answers.HttpResponse]":
         """Send a call; the deferred fails when the connection closes."""
         self._pending = defer.Deferred(self._cancel)
         self._parts = []
+        self.received_bytes = 0
         self._write(answers.encode_request(self._http, self._host, path))
         return self._pending
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Process bytes of a response."""
+        self.received_bytes += len(data)
         try:
             self._http.receive_data(data)
             self._handle_events()
@@ -131,7 +139,8 @@
             response = await call
         except (defer.TimeoutError, defer.CancelledError) as failure:
             raise errors.StoreError(
-                f"{name}: no response in {timeout_ms} ms"
+                f"{name}: no response in {timeout_ms} ms,"
+                f" {connection.received_bytes} bytes received"
             ) from failure
         return answers.decode_body(name, response)
 
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -132,7 +132,7 @@
 ) -> None:
     """Guards against new flows on a crashed target whose entry is still present."""
     ended: list[str] = []
-    current.on_ended = lambda target: ended.append(target.name)
+    current.on_ended = lambda target, _: ended.append(target.name)
     former = next(t for t in current.targets if t.name == "i-0a")
     row = cookie_parts.target_row("i-0c", 9, born=9000, address="10.128.0.10:8080")
     _update(current, 10, row)
@@ -146,7 +146,7 @@
 ) -> None:
     """Guards against a foreign entry that has the address of a live target."""
     ended: list[str] = []
-    current.on_ended = lambda target: ended.append(target.name)
+    current.on_ended = lambda target, _: ended.append(target.name)
     row = cookie_parts.target_row(
         "i-0c", 9, born=9000, address="10.128.0.10:8080", service="stray"
     )
@@ -172,7 +172,7 @@
     """Guards against a starting VM that depends on the order of the rows it gets."""
     ended: list[str] = []
     target_catalog = catalog.Catalog(entries.Reader())
-    target_catalog.on_ended = lambda target: ended.append(target.name)
+    target_catalog.on_ended = lambda target, _: ended.append(target.name)
     rows = (
         cookie_parts.target_row("i-0a", 2),
         cookie_parts.target_row("i-0c", 9, born=9000, address="10.128.0.10:8080"),
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -290,12 +290,12 @@
     """
     neighbour = next(t for t in vm.vm._catalog.targets if t.name == "i-0b")
 
-    async def refused(*_: object) -> bool:
+    async def refused(*_: object) -> probing.Result:
         time.sleep(blocked_s)
         vm.vm._observations.record_answer(clock.now_ms() + 1, neighbour)
-        return False
+        return probing.Result(probing.Outcome.REFUSED, 0)
 
-    monkeypatch.setattr(probing, "accepts", refused)
+    monkeypatch.setattr(probing, "connect", refused)
     first = next(t for t in vm.vm._catalog.targets if t.name == "i-0a")
     raw = cookie_parts.packet(cookie_parts.ACK, cookie=first.cookie, data=b"GET")
     _send(vm, raw)
@@ -306,7 +306,7 @@
     vm.vm._forwarder.probe_reported(first.cookie)
     lines: list[str] = []
     turning.until(lambda: lines.extend(vm.log()) or "target_" in str(lines), "a probe")
-    return [line for line in lines if "event=target_" in line]
+    return [line for line in lines if "target_" in line]
 
 
 def test_dead_target_notice_of_another_vm_leads_to_a_probe(
@@ -321,8 +321,15 @@
     _await_ready(vm)
     vm.log()
     lines = _probe_all_refused(monkeypatch, vm, blocked_s=0)
-    assert "event=target_dead" in lines[0]
-    assert "flows_reset=1" in lines[0]
+    reset, dead = lines
+    assert "event=target_dead " in dead
+    assert "flows_reset=1" in dead
+    assert "outcome=refused" in dead
+    assert "longest_gap_ms=" in dead
+    assert "event=flow_target_dead_reset" in reset
+    assert "reason=probe_failed" in reset
+    for line in (reset, dead):
+        assert "born_ms=1000 row_revision=2 row_origin=store row_age_ms=" in line
 
 
 def test_failed_probe_of_a_vm_that_was_suspended_resets_no_flow(
--- a/tests/test_probing.py
+++ b/tests/test_probing.py
@@ -11,18 +11,21 @@
 def test_listening_target_accepts() -> None:
     with socket.create_server(("127.0.0.1", 0)) as listener:
         address = model.Address(*listener.getsockname())
-        assert turning.result(probing.accepts(default_reactor, address))
+        assert turning.result(probing.connect(default_reactor, address)).accepted
 
 
 def test_crashed_process_refuses() -> None:
     address = model.Address("127.0.0.1", 1)
-    assert not turning.result(probing.accepts(default_reactor, address))
+    result = turning.result(probing.connect(default_reactor, address))
+    assert result.outcome is probing.Outcome.REFUSED
 
 
 def test_machine_without_power_does_not_answer() -> None:
     """Guards against a probe that hangs when a machine has lost power."""
     with turning.full_listener() as address:
-        assert not turning.result(probing.accepts(default_reactor, address))
+        result = turning.result(probing.connect(default_reactor, address))
+        assert result.outcome is probing.Outcome.NO_ANSWER
+        assert result.took_ms >= probing.TIMEOUT_MS - 1
 
 
 def test_refused_probe_waits_for_an_answer_of_the_zone() -> None:
--- a/tests/test_stall.py
+++ b/tests/test_stall.py
@@ -27,3 +27,12 @@
     stalls = stall.Stalls(1000)
     stalls.record_activity(1100)
     assert stalls.gap_since(1110, 1110 + 250)
+
+
+def test_longest_gap_covers_the_time_of_a_probe_only() -> None:
+    stalls = stall.Stalls(1000)
+    for now_ms in (1100, 1250, 1280, 1290):
+        stalls.record_activity(now_ms)
+    assert stalls.longest_gap_ms(1150, 1300) == 150
+    assert stalls.longest_gap_ms(1260, 1300) == 30
+    assert stalls.longest_gap_ms(1285, 1390) == 100
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -156,6 +156,7 @@
     decision = steering_parts.steer(vm_steering, 6, raw)
     assert decision.target is None
     assert decision.outcome is steering.Outcome.NO_ROUTE_RESET
+    assert decision.reset_reason is steering.ResetReason.ROUTE_DROPPED
     target_catalog.update(7, store_replica.Merge((cookie_parts.config_row(10, 3),), 0))
     assert steering_parts.steer(vm_steering, 8, raw).target == target
 
--- a/tests/test_steering_silent.py
+++ b/tests/test_steering_silent.py
@@ -156,6 +156,7 @@
     )
     decision = steering_parts.steer(vm_steering, 710, raw)
     assert decision.outcome is steering.Outcome.TARGET_DEAD
+    assert decision.reset_reason is steering.ResetReason.PROBE_FAILED
     assert decision.address is None
 
 
@@ -225,10 +226,9 @@
     )
     target_catalog.update(10, store_replica.Merge((row,), 0))
     raw = cookie_parts.packet(cookie_parts.ACK, cookie=first.cookie, data=b"GET")
-    assert (
-        steering_parts.steer(vm_steering, 20, raw).outcome
-        is steering.Outcome.TARGET_DEAD
-    )
+    decision = steering_parts.steer(vm_steering, 20, raw)
+    assert decision.outcome is steering.Outcome.TARGET_DEAD
+    assert decision.reset_reason is steering.ResetReason.ADDRESS_TAKEN
 
 
 def test_opening_packet_of_a_replaced_target_goes_elsewhere(
