Compare a silent target with others at the same moments before its flows are reset

Cause: a connection that was not accepted within 250 ms counted as the target's fault if any other target of the zone answered before the end of the probe. That answer was no comparison: a caller's acknowledgement may have waited in the queue of the same link, and the connection to the other target was attempted after the queue had drained. Logs: target_dead with path_ms=0 at 32 VMs, while other VMs were accepted by the same target; no pause of the VM, no missing entry.

Controls, two other targets of the zone, are now probed at the same moments as the target, in two rounds. The target is dead only if it has not accepted in three times as long as the slowest control and 250 ms at least, or if it refuses twice and a control accepts after the first refusal. A control that answers one round only makes the comparison inconclusive, and so do answers to callers. Time in which the VM does nothing does not count. The decision is in comparison, without network. A target that accepts within 25 ms costs one connection instead of two.

The first answer to a probe of a live target over a congested link now waits for as long as the controls do, so a delay of the VM's own link can't make it dead.

A dead target is found 250 ms after the suspicion as before, a process that refuses within 50 ms; at a delay of 300 ms of the link within 1.1 s, where it was taken for dead at once whether it was or not.

--- a/eelgrasswick/cookie/forwarding.py
+++ b/eelgrasswick/cookie/forwarding.py
@@ -56,65 +56,48 @@
         defer.ensureDeferred(self._probe(target))
 
     async def _probe(self, target: model.Target) -> None:
-        now_ms = clock.now_ms()
-        missing = self._catalog.missing(target, now_ms)
-        probe = await probing.connect(self._reactor, target.address)
-        accepted = probe.accepted
-        control: dict[str, object] = {}
-        if not accepted and not missing:
-            control = await self._check_path(now_ms, target)
-        zone_answered_ms = self._observations.zone_answered_ms(target)
+        begun_ms = clock.now_ms()
+        controls = self._observations.control_targets(begun_ms, target)
+        result = await probing.compare(
+            self._reactor, target.address, [item.address for item in controls]
+        )
         ended_ms = clock.now_ms()
-        longest_gap_ms = self._carrier.stalls.longest_gap_ms(now_ms, ended_ms)
-        if self._carrier.stalls.gap_since(now_ms, ended_ms):
+        missing = self._catalog.missing(target, begun_ms)
+        path_proven = result.control_ms is not None
+        longest_gap_ms = self._carrier.stalls.longest_gap_ms(begun_ms, ended_ms)
+        if self._carrier.stalls.gap_since(begun_ms, ended_ms):
             # The probe may have timed out while its answer was unread in the socket.
-            zone_answered_ms, missing = store_replica.NEVER_MS, False
+            path_proven, missing = False, False
+        if path_proven:
+            self._observations.record_zone_answer(ended_ms, target.zone)
         dead = self._observations.liveness.record_probe(
-            ended_ms, target.cookie, accepted, zone_answered_ms, missing
+            ended_ms,
+            target.cookie,
+            result.accepted,
+            path_proven,
+            missing,
         )
         self._stats.counts["targets_probed"] += 1
-        self._stats.observe(f"probe_{probe.outcome.value}", probe.took_ms)
+        self._stats.observe(f"probe_{result.outcome.value}", result.took_ms)
         self._log.write(
             "target_dead" if dead else "target_probed",
             target=target.name,
             **self._catalog.target_fields(ended_ms, target),
-            accepted=int(accepted),
-            outcome=probe.outcome.value,
-            took_ms=probe.took_ms,
-            **control,
+            accepted=int(result.accepted),
+            outcome=result.outcome.value,
+            took_ms=result.took_ms,
+            controls=",".join(item.name for item in controls) or "-",
+            control_ms="-" if result.control_ms is None else result.control_ms,
             longest_gap_ms=longest_gap_ms,
             entry_missing=int(missing),
-            path_ms=store_replica.reported_age_ms(ended_ms - zone_answered_ms),
+            path_ms=store_replica.reported_age_ms(
+                ended_ms - self._observations.zone_answered_ms(target)
+            ),
             flows_reset=self._reset_flows(target, _PROBE_FAILED) if dead else 0,
         )
         if dead:
             self.on_dead(target.cookie)
 
-    async def _check_path(
-        self, since_ms: int, target: model.Target
-    ) -> dict[str, object]:
-        # Only an answer of another target of the zone distinguishes a dead target from
-        # a cut path. A VM with few flows in the zone may receive no such answer for
-        # seconds, and its callers would wait until their deadlines. The VM therefore
-        # probes another target of the zone, too.
-        if self._observations.zone_answered_ms(target) > since_ms:
-            return {"control": "flow"}
-        other = self._observations.other_target_in_zone(clock.now_ms(), target)
-        if other is not None:
-            probe = await probing.connect(self._reactor, other.address)
-            if probe.accepted:
-                self._observations.record_zone_answer(clock.now_ms(), target.zone)
-            return {
-                "control": other.name,
-                "control_outcome": probe.outcome.value,
-                "control_ms": probe.took_ms,
-            }
-        await probing.wait_for_zone_answer(
-            self._reactor,
-            lambda: self._observations.zone_answered_ms(target) > since_ms,
-        )
-        return {"control": "-"}
-
     def probe_overdue(self, now_ms: int) -> list[ejection.Witness]:
         """Probe the targets whose answers are overdue.
 
--- a/eelgrasswick/cookie/liveness.py
+++ b/eelgrasswick/cookie/liveness.py
@@ -6,9 +6,10 @@
 
 A reset would break a working flow, so a target is dead only under three conditions.
 It left a packet of its flows unanswered for 200 ms. A TCP connection to the target
-fails. And another target of its zone answers during the probe, which excludes a cut
-of the path to the zone. The last condition is waived for a target whose entry has been
-missing for longer than an outage of the store explains.
+fails. And other targets of its zone accept connections that were attempted at the same
+moments, several times as fast, which excludes a cut of the path to the zone and a
+congested link of this VM. The last condition is waived for a target whose entry has
+been missing for longer than an outage of the store explains.
 """
 
 import enum
@@ -66,22 +67,23 @@
         now_ms: int,
         cookie: int,
         accepted: bool,
-        zone_answered_ms: int,
+        path_proven: bool,
         missing: bool = False,
     ) -> bool:
         """Record the result of a probe; return True when the target becomes dead.
 
         If the target answered a packet in the meantime, its check is closed and the
-        result is ignored. If no other target of the zone answered since the probe
-        began, the path may have been cut just before, and the check is dropped until
-        the next unanswered packet. A recent cut is no explanation if the target's
-        entry has been missing for long, because the target was silent well before.
+        result is ignored. If the probe does not prove that the path works, it may have
+        been cut or congested, and the check is dropped until the next unanswered
+        packet. That is no explanation if the target's entry has been missing for long,
+        because the target was silent well before.
 
         Args:
             now_ms: Present time.
             cookie: Cookie of the target.
             accepted: True when the target accepted a connection.
-            zone_answered_ms: Time when another target of its zone last answered.
+            path_proven: True when other targets of its zone accepted connections that
+                were attempted at the same moments.
             missing: True when its entry has been missing for longer than an outage of
                 the store explains.
         """
@@ -91,7 +93,7 @@
         if accepted:
             self._checks[cookie] = _Check(State.ALIVE, now_ms)
             return False
-        if zone_answered_ms <= check.since_ms and not missing:
+        if not path_proven and not missing:
             del self._checks[cookie]
             return False
         self._checks[cookie] = _Check(State.DEAD, now_ms)
--- a/eelgrasswick/cookie/observations.py
+++ b/eelgrasswick/cookie/observations.py
@@ -26,6 +26,9 @@
 # responses may still be unread in the socket.
 PAUSE_GRACE_MS: typing.Final = 1000
 
+# A silent target is compared with this many other targets of its zone.
+CONTROLS: typing.Final = 2
+
 
 class Candidates(typing.NamedTuple):
     """Targets that a flow may be placed on.
@@ -85,6 +88,7 @@
         self._paused_ms = 0
         self._removed_ms = 0
         self._compared_ms = -SPEED_INTERVAL_MS
+        self._control_turn = 0
         self._silence: silence.SilenceDetector[int] = silence.SilenceDetector()
         self._response_silence: silence.SilenceDetector[int] = silence.SilenceDetector()
         self._zone_silence: silence.SilenceDetector[str] = silence.SilenceDetector()
@@ -308,15 +312,24 @@
         """Record that a target of a zone has answered."""
         self._answered_ms[zone] = now_ms
 
-    def other_target_in_zone(
-        self, now_ms: int, target: model.Target
-    ) -> model.Target | None:
-        """Return another target of the same zone that is not suspected, if any."""
-        for item in self._catalog.targets:
-            excluded = item.zone != target.zone or item.cookie == target.cookie
-            if not excluded and not self._suspected(now_ms, item):
-                return item
-        return None
+    def control_targets(self, now_ms: int, target: model.Target) -> list[model.Target]:
+        """Return other targets of the same zone to compare a silent target with.
+
+        Targets that are not suspected come first. Successive checks use different
+        targets, because one that is dead itself proves nothing.
+        """
+        others = [
+            item
+            for item in self._catalog.targets
+            if item.zone == target.zone and item.address != target.address
+        ]
+        if not others:
+            return []
+        self._control_turn += 1
+        first = (self._vm + self._control_turn * CONTROLS) % len(others)
+        turned = [*others[first:], *others[:first]]
+        turned.sort(key=lambda item: self._suspected(now_ms, item))
+        return turned[:CONTROLS]
 
     def tick(self, now_ms: int) -> None:
         """Update sums and speed factors, and delete outdated records."""
--- a/eelgrasswick/emulation/steered_fleet.py
+++ b/eelgrasswick/emulation/steered_fleet.py
@@ -287,16 +287,13 @@
 
     def _finish_probe(self, vm: Vm, target: model.Target) -> None:
         accepted = self._target_accepts(vm, target)
-        neighbour = vm.observations.other_target_in_zone(self._scheduler.now_ms, target)
-        if (
-            not accepted
-            and neighbour is not None
-            and self._target_accepts(vm, neighbour)
-        ):
-            vm.observations.record_zone_answer(self._scheduler.now_ms, target.zone)
-        path_ms = vm.observations.zone_answered_ms(target)
+        now_ms = self._scheduler.now_ms
+        controls = vm.observations.control_targets(now_ms, target)
+        path_proven = any(self._target_accepts(vm, item) for item in controls)
+        if path_proven:
+            vm.observations.record_zone_answer(now_ms, target.zone)
         dead = vm.observations.liveness.record_probe(
-            self._scheduler.now_ms, target.cookie, accepted, path_ms
+            now_ms, target.cookie, accepted, path_proven
         )
         if dead:
             vm.steering.reset_flows(target)
--- a/tests/probe_world.py
+++ b/tests/probe_world.py
@@ -84,15 +84,21 @@
             self.callLater(delay_s, self._fail, factory, connector, fault)
         else:
             peer = address.IPv4Address("TCP", host, port)
-            self.callLater(delay_s, self._accept, factory, peer)
+            self.callLater(delay_s, self._accept, factory, connector, peer)
         return connector
 
     def _fail(
         self, factory: typing.Any, connector: typing.Any, fault: Exception
     ) -> None:
+        if connector.stoppedConnecting:
+            return
         factory.clientConnectionFailed(connector, failure.Failure(fault))
 
-    def _accept(self, factory: typing.Any, peer: address.IPv4Address) -> None:
+    def _accept(
+        self, factory: typing.Any, connector: typing.Any, peer: address.IPv4Address
+    ) -> None:
+        if connector.stoppedConnecting:
+            return
         protocol = factory.buildProtocol(peer)
         if protocol is not None:
             protocol.makeConnection(testing.StringTransport(peerAddress=peer))
--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -205,7 +205,7 @@
     vm_observations.record_zone_answer(100, "z1")
     assert vm_observations.begin_check(100, target)
     assert vm_observations.liveness.record_probe(
-        200, target.cookie, accepted=False, zone_answered_ms=150
+        200, target.cookie, accepted=False, path_proven=True
     )
     vm_observations.record_answer(3000, target)
     assert target_catalog.cold_ms(target, 3000) == 2000
--- a/tests/test_congested_link.py
+++ b/tests/test_congested_link.py
@@ -51,3 +51,40 @@
     world.answer("i-0b")
     world.run(2000)
     assert world.resets() == [], world.log()
+
+
+@pytest.mark.parametrize(
+    ("delay_ms", "limit_ms"), [(1, 300), (30, 300), (100, 500), (300, 1100)]
+)
+def test_flow_of_a_dead_target_ends_soon_on_a_slow_link(
+    world: probe_world.ProbeWorld, delay_ms: int, limit_ms: int
+) -> None:
+    """Guards against callers of a crashed server that wait for their deadlines."""
+    world.reactor.delay_ms = lambda _: delay_ms
+    world.reactor.silent.add(world.target("i-0a").address.host)
+    world.suspect("i-0a")
+    world.run(limit_ms)
+    assert world.resets() == [PORT], world.log()
+
+
+def test_flow_of_a_crashed_process_ends_within_50_ms(
+    world: probe_world.ProbeWorld,
+) -> None:
+    """Guards against callers that wait although the server's machine refuses."""
+    world.reactor.refusing.add(world.target("i-0a").address.host)
+    world.suspect("i-0a")
+    world.run(50)
+    assert world.resets() == [PORT], world.log()
+
+
+def test_flow_of_a_dead_target_ends_once_the_link_is_free(
+    world: probe_world.ProbeWorld,
+) -> None:
+    """Guards against a dead target that stays undetected after a congestion."""
+    world.reactor.delay_ms = _drains(2000, 1500)
+    world.reactor.silent.add(world.target("i-0a").address.host)
+    for _ in range(10):
+        world.answer("i-0b")
+        world.suspect("i-0a")
+        world.run(200)
+    assert world.resets() == [PORT], world.log()
--- a/tests/test_cookie_load.py
+++ b/tests/test_cookie_load.py
@@ -92,9 +92,7 @@
     """
     dark = tuple(Event(5000, "dark", number, 12_000) for number in (0, 3))
     probed = [_run(_load(events=dark), seed).served for seed in range(1, 5)]
-    monkeypatch.setattr(
-        observations.Observations, "other_target_in_zone", lambda *_: None
-    )
+    monkeypatch.setattr(observations.Observations, "control_targets", lambda *_: [])
     unprobed = [_run(_load(events=dark), seed).served for seed in range(1, 5)]
     assert sum(probed) > sum(unprobed)
     assert min(probed) > 0.999
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -9,6 +9,7 @@
 from eelgrasswick.cookie import (
     carrying,
     clock,
+    comparison,
     observations,
     probing,
     settings,
@@ -290,12 +291,12 @@
     """
     neighbour = next(t for t in vm.vm._catalog.targets if t.name == "i-0b")
 
-    async def refused(*_: object) -> probing.Result:
+    async def refused(*_: object) -> comparison.Result:
         time.sleep(blocked_s)
         vm.vm._observations.record_answer(clock.now_ms() + 1, neighbour)
-        return probing.Result(probing.Outcome.REFUSED, 0)
+        return comparison.Result(comparison.Outcome.REFUSED, 0, 1)
 
-    monkeypatch.setattr(probing, "connect", refused)
+    monkeypatch.setattr(probing, "compare", refused)
     first = next(t for t in vm.vm._catalog.targets if t.name == "i-0a")
     raw = cookie_parts.packet(cookie_parts.ACK, cookie=first.cookie, data=b"GET")
     _send(vm, raw)
--- a/tests/test_steering_silent.py
+++ b/tests/test_steering_silent.py
@@ -140,7 +140,7 @@
         decision = steering_parts.steer(vm_steering, now_ms, raw)
     assert decision is not None
     assert decision.probe == first
-    assert vm_observations.liveness.record_probe(460, first.cookie, False, 300)
+    assert vm_observations.liveness.record_probe(460, first.cookie, False, True)
     return first
 
 
