Count a missing entry only while the store is known to be available

The connection to a silent target whose entry was missing for two seconds needed no other target to vouch for the path. Those seconds passed by the VM's own clock: a VM that lost the store and its peers just after a deletion took an entry for gone that may have been restored since, and in a cut of the target's zone reset the flows of a live target. Same class as the congested link: a verdict from something that proves nothing at that moment.

Entries now count as missing by confirmed time, as entries that lapse in an outage do already, from their deletion on.

The new test with the store away fails without the change (one reset, after 3 s without confirmation); with the store available the flow is reset as before.

--- a/eelgrasswick/cookie/catalog.py
+++ b/eelgrasswick/cookie/catalog.py
@@ -96,6 +96,8 @@
         # These targets get no new flows only because their zone is evacuated.
         self._withheld: dict[str, list[model.Target]] = {}
         self._gone_ms: collections.OrderedDict[int, int] = collections.OrderedDict()
+        # This table has the time for which each missing entry may still be restored.
+        self._missing_left_ms: dict[int, int] = {}
         self._lapsed: dict[str, _Lapsed] = {}
         self._services: frozenset[str] = frozenset()
         self._owners = owners.Owners()
@@ -129,10 +131,14 @@
         """Cookies of all targets to which packets are still forwarded."""
         return self._by_cookie.keys()
 
-    def missing(self, target: model.Target, now_ms: int) -> bool:
-        """Return True if an entry is missing for longer than an outage explains."""
-        at_ms = self._gone_ms.get(target.cookie)
-        return at_ms is not None and now_ms - at_ms >= LAPSED_ENTRY_GRACE_MS
+    def missing(self, target: model.Target) -> bool:
+        """Return True if an entry is missing for longer than an outage explains.
+
+        Only time for which the store is confirmed as available counts, because a live
+        target can't restore its entry while the store is away, and this VM would not
+        receive the entry.
+        """
+        return self._missing_left_ms.get(target.cookie, LAPSED_ENTRY_GRACE_MS) <= 0
 
     def route(self, segment: model.Segment) -> model.Route | None:
         """Return the route for a segment's service address, or None."""
@@ -249,6 +255,7 @@
         if elapsed_ms > MAX_CONFIRMATION_GAP_MS:
             elapsed_ms = 0
         self._completion_left_ms = max(0, self._completion_left_ms - elapsed_ms)
+        self._count_missing(elapsed_ms)
         lapsed = []
         for name, item in self._lapsed.items():
             self._lapsed[name] = item._replace(left_ms=item.left_ms - elapsed_ms)
@@ -261,6 +268,7 @@
             if now_ms - at_ms < FORMER_TARGET_RETENTION_MS:
                 break
             del self._gone_ms[cookie]
+            del self._missing_left_ms[cookie]
             target = self._by_cookie.pop(cookie, None)
             self._received_ms.pop(cookie, None)
             self._row_sources.pop(cookie, None)
@@ -270,6 +278,15 @@
         if lapsed:
             self._rebuild()
 
+    def _count_missing(self, elapsed_ms: int) -> None:
+        for cookie, left_ms in self._missing_left_ms.items():
+            since_ms = max(0, self._confirmed_ms - self._gone_ms[cookie])
+            self._missing_left_ms[cookie] = left_ms - min(elapsed_ms, since_ms)
+
+    def _record_missing(self, now_ms: int, cookie: int) -> None:
+        self._gone_ms[cookie] = now_ms
+        self._missing_left_ms[cookie] = LAPSED_ENTRY_GRACE_MS
+
     def _update_config(self, row: source.Row, row_source: RowSource) -> LogEvent:
         if row.value is None:
             return LogEvent("config_deleted", {"revision": row.revision})
@@ -344,12 +361,13 @@
             return _refused(row, error)
         before = self._by_name.get(row.key)
         if before is not None and before.cookie != target.cookie:
-            self._gone_ms[before.cookie] = now_ms
+            self._record_missing(now_ms, before.cookie)
         self._lapsed.pop(row.key, None)
         self._by_name[row.key] = target
         self._received_ms[target.cookie] = now_ms
         self._row_sources[target.cookie] = row_source
         self._gone_ms.pop(target.cookie, None)
+        self._missing_left_ms.pop(target.cookie, None)
         return LogEvent(
             "target_known",
             {
@@ -390,7 +408,7 @@
         target = self._by_name.pop(row.key, None)
         fields: dict[str, str | int] = {"key": row.key, "revision": row.revision}
         if target is not None:
-            self._gone_ms[target.cookie] = now_ms
+            self._record_missing(now_ms, target.cookie)
             self._row_sources[target.cookie] = row_source
             if outage and not target.draining:
                 self._lapsed[row.key] = _Lapsed(target, LAPSED_ENTRY_GRACE_MS)
--- a/eelgrasswick/cookie/forwarding.py
+++ b/eelgrasswick/cookie/forwarding.py
@@ -62,7 +62,7 @@
             self._reactor, target.address, [item.address for item in controls]
         )
         ended_ms = clock.now_ms()
-        missing = self._catalog.missing(target, begun_ms)
+        missing = self._catalog.missing(target)
         path_proven = result.control_ms is not None
         longest_gap_ms = self._carrier.stalls.longest_gap_ms(begun_ms, ended_ms)
         if self._carrier.stalls.gap_since(begun_ms, ended_ms):
--- a/tests/probe_world.py
+++ b/tests/probe_world.py
@@ -163,8 +163,12 @@
 
     def open_flow(self, name: str, caller_port: int) -> None:
         """Pass a packet of a flow that is open at a target."""
+        self.open_flow_of(self.target(name), caller_port)
+
+    def open_flow_of(self, target: model.Target, caller_port: int) -> None:
+        """Pass a packet of an open flow of a target, which may have no entry."""
         raw = cookie_parts.packet(
-            cookie_parts.ACK, caller_port, cookie=self.target(name).cookie, data=b"GET"
+            cookie_parts.ACK, caller_port, cookie=target.cookie, data=b"GET"
         )
         self.carrier.handle_packet(raw, "100.64.0.7")
 
--- a/tests/test_congested_link.py
+++ b/tests/test_congested_link.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests import probe_world
+from tests import cookie_parts, probe_world
 
 PORT: typing.Final = 40_001
 
@@ -88,3 +88,39 @@
         world.suspect("i-0a")
         world.run(200)
     assert world.resets() == [PORT], world.log()
+
+
+def _lose_zone_and_entry(world: probe_world.ProbeWorld, store_responds: bool) -> None:
+    """Cut off all targets, delete the entry of one, and probe it 3 s later."""
+    world.reactor.silent.update(
+        item.address.host for item in world.carrier.parts.catalog.targets
+    )
+    target = world.target("i-0a")
+    catalog = world.carrier.parts.catalog
+    confirmed_ms = world.reactor.now_ms()
+    catalog.tick(confirmed_ms, confirmed_ms)
+    world.apply(cookie_parts.gone_row("i-0a", 9))
+    for _ in range(12):
+        world.run(250)
+        world.open_flow_of(target, PORT)
+        now_ms = world.reactor.now_ms()
+        catalog.tick(now_ms, now_ms if store_responds else confirmed_ms)
+    world.answer("i-0b")
+    world.forwarder.probe_reported(target.cookie)
+    world.run(2000)
+
+
+def test_missing_entry_proves_nothing_while_the_store_is_away(
+    world: probe_world.ProbeWorld,
+) -> None:
+    """Guards against resets in a cut by a deletion that may have been reverted."""
+    _lose_zone_and_entry(world, store_responds=False)
+    assert world.resets() == [], world.log()
+
+
+def test_target_whose_entry_stays_missing_is_dead(
+    world: probe_world.ProbeWorld,
+) -> None:
+    """Guards against callers of a dead target that wait while its zone is cut off."""
+    _lose_zone_and_entry(world, store_responds=True)
+    assert world.resets() == [PORT], world.log()
