Give up an answer of the store only when it makes no progress

The limit was for the whole answer, about 1 MB over links of 10 Mbit/s: the added log field says that 360 to 655 KB of it had arrived. The watchers had to repeat the download, rows became older than 2.3 s everywhere, all VMs then called the store themselves, and these downloads filled the links so that probes, callers' packets and messages between VMs were late. First VM with the configuration 2.8 s after it was sent.

An answer is now given up when no byte of it arrives for 0.7 s, or after 8 s in all. A connection that went silent is still given up after 0.7 s without a byte.

The new test of a large answer that makes progress fails without the change; the tests of an answer that stops halfway and of one that never ends pass with both, but for the number of bytes.

--- a/eelgrasswick/platform/store.py
+++ b/eelgrasswick/platform/store.py
@@ -4,17 +4,21 @@
 
 import h11
 from twisted.internet import defer, endpoints, error, protocol
+from twisted.protocols import policies
 
 from eelgrasswick import errors
 from eelgrasswick.cookie import model, source
 from eelgrasswick.platform import answers, names
 
-# The store answers in about 4 ms, and in 0.25 s when it is 60 times as slow.
+# The store answers in about 4 ms, and in 0.25 s when it is 60 times as slow. A large
+# configuration takes seconds over a slow link, so an answer is given up only when no
+# byte of it arrives for this time, or after MAX_ANSWER_MS in all.
 ANSWER_TIMEOUT_MS: typing.Final = 700
+MAX_ANSWER_MS: typing.Final = 8000
 CONNECT_TIMEOUT_MS: typing.Final = 500
 
 
-class _Connection(protocol.Protocol):
+class _Connection(protocol.Protocol, policies.TimeoutMixin):
     """One connection to the store, with one call at a time.
 
     Attributes:
@@ -22,7 +26,8 @@
         received_bytes: Number of bytes received since the call began.
     """
 
-    def __init__(self, host: str) -> None:
+    def __init__(self, reactor: typing.Any, host: str) -> None:
+        self._reactor = reactor
         self._host = host
         self._http = h11.Connection(h11.CLIENT, answers.MAX_BODY_BYTES)
         self._pending: defer.Deferred[answers.HttpResponse] | None = None
@@ -31,8 +36,22 @@
         self.open = True
         self.received_bytes = 0
 
-    def call(self, path: str) -> "defer.Deferred[answers.HttpResponse]":
-        """Send a call; the deferred fails when the connection closes."""
+    def callLater(  # noqa: N802
+        self, period: float, func: typing.Callable[[], None]
+    ) -> typing.Any:
+        """Start the timer of the mixin on the reactor of this client."""
+        return self._reactor.callLater(period, func)
+
+    def call(
+        self, path: str, first_byte_ms: int
+    ) -> "defer.Deferred[answers.HttpResponse]":
+        """Send a call; the deferred fails when the connection closes.
+
+        Args:
+            path: Path and query.
+            first_byte_ms: How long to wait for the first byte of the answer.
+        """
+        self.setTimeout(first_byte_ms / 1000)
         self._pending = defer.Deferred(self._cancel)
         self._parts = []
         self.received_bytes = 0
@@ -42,6 +61,7 @@
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Process bytes of a response."""
         self.received_bytes += len(data)
+        self.setTimeout(ANSWER_TIMEOUT_MS / 1000)
         try:
             self._http.receive_data(data)
             self._handle_events()
@@ -52,9 +72,14 @@
         """Fail the pending call."""
         self._fail(reason.value)
 
+    def timeoutConnection(self) -> None:  # noqa: N802
+        """Fail the pending call, whose answer makes no progress."""
+        self._fail(TimeoutError("the answer makes no progress"))
+
     def close(self) -> None:
         """Abort the connection."""
         self.open = False
+        self.setTimeout(None)
         if self.transport is not None:
             typing.cast(typing.Any, self.transport).abortConnection()
 
@@ -75,6 +100,7 @@
 
     def _complete(self) -> None:
         pending, self._pending = self._pending, None
+        self.setTimeout(None)
         if self._http.our_state is h11.MUST_CLOSE:
             self.close()
         else:
@@ -86,7 +112,10 @@
         pending, self._pending = self._pending, None
         self.close()
         if pending is not None:
-            pending.errback(errors.StoreError(f"{type(failure).__name__}: {failure}"))
+            detail = f"{type(failure).__name__}: {failure}"
+            pending.errback(
+                errors.StoreError(f"{detail}, {self.received_bytes} bytes received")
+            )
 
     def _cancel(self, _: object) -> None:
         # The connection is closed, because a response that arrives later would be
@@ -129,17 +158,19 @@
         return source.Changes(rows, revision, after)
 
     async def _call(
-        self, name: str, query: dict[str, str], timeout_ms: int
+        self, name: str, query: dict[str, str], first_byte_ms: int
     ) -> answers.Body:
         connection = await self._connected()
-        call = connection.call(answers.request_target(name, query)).addTimeout(
-            timeout_ms / 1000, self._reactor
-        )
+        call = connection.call(
+            answers.request_target(name, query), first_byte_ms
+        ).addTimeout((first_byte_ms + MAX_ANSWER_MS) / 1000, self._reactor)
         try:
             response = await call
+        except errors.StoreError as failure:
+            raise errors.StoreError(f"{name}: {failure.detail}") from failure
         except (defer.TimeoutError, defer.CancelledError) as failure:
             raise errors.StoreError(
-                f"{name}: no response in {timeout_ms} ms,"
+                f"{name}: no complete response in {first_byte_ms + MAX_ANSWER_MS} ms,"
                 f" {connection.received_bytes} bytes received"
             ) from failure
         return answers.decode_body(name, response)
@@ -152,7 +183,7 @@
         endpoint = endpoints.TCP4ClientEndpoint(
             self._reactor, host, port, timeout=CONNECT_TIMEOUT_MS / 1000
         )
-        opened = _Connection(f"{host}:{port}")
+        opened = _Connection(self._reactor, f"{host}:{port}")
         try:
             await endpoints.connectProtocol(endpoint, opened)
         except error.ConnectError as failure:
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -21,7 +21,17 @@
 
 
 class StandIn(protocol.Factory):
-    """A store that answers as a script returns; None stands for no answer."""
+    """A store that answers as a script returns; None stands for no answer.
+
+    Attributes:
+        parts: Number of parts in which an answer is sent.
+        interval_s: Time between two parts.
+        sent_parts: Number of parts that are sent at all.
+    """
+
+    parts = 1
+    interval_s = 0.0
+    sent_parts = 1000
 
     def __init__(self, script: Script) -> None:
         """Create a store that answers calls with the results of a script."""
@@ -66,7 +76,16 @@
             self._http.send(h11.Data(data=body)),
             self._http.send(h11.EndOfMessage()),
         ]
-        typing.cast(typing.Any, self.transport).write(b"".join(o for o in out if o))
+        raw = b"".join(o for o in out if o)
+        size = -(-len(raw) // self._stand_in.parts)
+        pieces = [raw[i : i + size] for i in range(0, len(raw), size)]
+        self._send(pieces[: self._stand_in.sent_parts])
+
+    def _send(self, pieces: list[bytes]) -> None:
+        if pieces and self.connected:
+            typing.cast(typing.Any, self.transport).write(pieces[0])
+            reactor = typing.cast(typing.Any, default_reactor)
+            reactor.callLater(self._stand_in.interval_s, self._send, pieces[1:])
 
 
 Start = typing.Callable[[Script], tuple[StandIn, store.Store]]
@@ -200,3 +219,43 @@
         client = store.Store(default_reactor, address)
         with pytest.raises(errors.StoreError):
             turning.result(client.read_all())
+
+
+def test_large_answer_that_makes_progress_is_read_to_its_end(
+    start: Start, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against VMs that fetch a large configuration again and again in vain."""
+    monkeypatch.setattr(store, "ANSWER_TIMEOUT_MS", 200)
+    large = _item("op/config", 5, b"v" * 200_000)
+    body = _json({"events": [large], "store_revision": 5})
+    stand_in, client = start(lambda *_: body)
+    stand_in.parts, stand_in.interval_s = 20, 0.04
+    assert turning.result(client.changes(4, 50)).revision == 5
+    assert len(stand_in.calls) == 1
+
+
+def test_answer_that_stops_halfway_is_given_up(
+    start: Start, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a call that hangs when a partition cuts off its answer."""
+    monkeypatch.setattr(store, "ANSWER_TIMEOUT_MS", 100)
+    large = _item("op/config", 5, b"v" * 200_000)
+    body = _json({"events": [large], "store_revision": 5})
+    stand_in, client = start(lambda *_: body)
+    stand_in.parts, stand_in.sent_parts = 20, 10
+    with pytest.raises(errors.StoreError, match="[1-9][0-9]* bytes received"):
+        turning.result(client.changes(4, 50))
+
+
+def test_answer_that_never_ends_is_given_up(
+    start: Start, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a call that lasts for minutes and holds up later changes."""
+    monkeypatch.setattr(store, "ANSWER_TIMEOUT_MS", 100)
+    monkeypatch.setattr(store, "MAX_ANSWER_MS", 300)
+    large = _item("op/config", 5, b"v" * 200_000)
+    body = _json({"events": [large], "store_revision": 5})
+    stand_in, client = start(lambda *_: body)
+    stand_in.parts, stand_in.interval_s = 1000, 0.02
+    with pytest.raises(errors.StoreError):
+        turning.result(client.changes(4, 50))
