Reset a flow on a dropped route only by rows confirmed after its first packet

A VM reset an open flow when it had seen the flow's route dropped and its rows were at most two seconds old. If the route had been added again within these seconds, and the flow was opened through a VM that knew, a VM without that change reset it while its target served.

A flow that this VM itself forwarded before the drop is reset at once as before. For a flow that is unknown here, the time of the first packet is kept, and a later packet is answered by a reset once the store is confirmed to have had no later change since then; confirmations arrive each second. Until then the VM is silent, so callers of a dropped route whose flows move to another VM wait for up to two retransmissions longer.

The new test of a route that was added again fails without the change (reset by the first packet); with it, the flow is forwarded when the row arrives.

--- a/eelgrasswick/cookie/steering.py
+++ b/eelgrasswick/cookie/steering.py
@@ -5,7 +5,15 @@
 import struct
 import typing
 
-from eelgrasswick.cookie import catalog, codec, model, observations, placing, tracker
+from eelgrasswick.cookie import (
+    catalog,
+    codec,
+    model,
+    observations,
+    placing,
+    tracker,
+    unrouted,
+)
 from eelgrasswick.decisions import overload
 
 # An unknown route may have just been added if the catalog is older than this. Two
@@ -102,6 +110,7 @@
         self._codec = segment_codec
         self._catalog = target_catalog
         self._observations = observed
+        self._unrouted = unrouted.UnroutedFlows()
 
     def steer(
         self, now_ms: int, age_ms: int, segment: model.Segment, raw: bytes
@@ -118,18 +127,18 @@
             return Decision(Outcome.NOT_READY, None, None, None)
         route = self._catalog.route(segment)
         if route is None:
-            return self._without_route(age_ms, segment)
+            return self._without_route(now_ms, age_ms, segment)
         if segment.opening:
             return self._open(now_ms, route, segment, raw)
         return self._forward(now_ms, route, segment, raw)
 
-    def _without_route(self, age_ms: int, segment: model.Segment) -> Decision:
+    def _without_route(
+        self, now_ms: int, age_ms: int, segment: model.Segment
+    ) -> Decision:
         # A reset ends the caller's attempt. If the route was just added and this VM
         # has not received it yet, a reset would refuse an allowed flow, whereas a
-        # caller without a response retransmits its opening packet. An open flow
-        # proves that some VM has the route, so this VM resets an open flow only
-        # after it has recorded the removal of the route.
-        resettable = segment.opening or self._catalog.route_dropped(segment)
+        # caller without a response retransmits its opening packet.
+        resettable = segment.opening or self._on_dropped_route(now_ms, age_ms, segment)
         if segment.reset or age_ms > MAX_CATALOG_AGE_MS or not resettable:
             return Decision(Outcome.NO_ROUTE, None, None, None)
         datagram = self._codec.reset(segment.flow, segment.acknowledged)
@@ -138,6 +147,22 @@
             Outcome.NO_ROUTE_RESET, datagram, None, None, reset_reason=reason
         )
 
+    def _on_dropped_route(
+        self, now_ms: int, age_ms: int, segment: model.Segment
+    ) -> bool:
+        # An open flow proves that some VM has the route, so this VM resets an open flow
+        # only after it has recorded the removal of the route. A flow that is unknown
+        # here may have been opened after the route was added again.
+        if not self._catalog.route_dropped(segment):
+            return False
+        if self._observations.tracker.get(segment.flow) is not None:
+            return True
+        first_ms = self._unrouted.first_packet_ms(now_ms, segment.flow)
+        if now_ms - age_ms < first_ms:
+            return False
+        self._unrouted.remove(segment.flow)
+        return True
+
     def _open(
         self, now_ms: int, route: model.Route, segment: model.Segment, raw: bytes
     ) -> Decision:
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -283,3 +283,40 @@
     raw = cookie_parts.packet(cookie_parts.SYN, acknowledged=1)
     decision = steering_parts.steer(vm_steering, now_ms, raw)
     assert decision.outcome is steering.Outcome.PLACED
+
+
+def _drop_route(target_catalog: catalog.Catalog, now_ms: int) -> None:
+    row = cookie_parts.config_row(9, 2, [("198.18.0.1", 80, "desk")])
+    target_catalog.update(now_ms, store_replica.Merge((row,), 0))
+
+
+def test_open_flow_on_a_route_that_was_added_again_is_not_reset(
+    vm_steering: steering.Steering, target_catalog: catalog.Catalog
+) -> None:
+    """Guards against resets by a VM that has a route's removal but not its return.
+
+    The caller opened the flow through a VM with the later configuration, and the
+    fabric's hash moved the flow here.
+    """
+    target = target_catalog.accepting("desk")[0]
+    _drop_route(target_catalog, 0)
+    raw = cookie_parts.packet(cookie_parts.ACK, cookie=target.cookie, data=b"GET")
+    for now_ms, age_ms in ((1000, 900), (1200, 1100), (1600, 700)):
+        decision = steering_parts.steer(vm_steering, now_ms, raw, age_ms=age_ms)
+        assert decision.datagram is None
+    row = cookie_parts.config_row(10, 3)
+    target_catalog.update(1700, store_replica.Merge((row,), 0))
+    assert steering_parts.steer(vm_steering, 2400, raw).target == target
+
+
+def test_open_flow_on_a_dropped_route_is_reset_by_later_rows(
+    vm_steering: steering.Steering, target_catalog: catalog.Catalog
+) -> None:
+    """Guards against callers of a dropped route that wait for their deadlines."""
+    target = target_catalog.accepting("desk")[0]
+    _drop_route(target_catalog, 0)
+    raw = cookie_parts.packet(cookie_parts.ACK, cookie=target.cookie, data=b"GET")
+    steering_parts.steer(vm_steering, 1000, raw, age_ms=900)
+    decision = steering_parts.steer(vm_steering, 1400, raw, age_ms=300)
+    assert decision.outcome is steering.Outcome.NO_ROUTE_RESET
+    assert decision.reset_reason is steering.ResetReason.ROUTE_DROPPED
