Do not take a target for gone because another writer overwrote its entry

A row that can't be decoded hides its target, and after two seconds the target also counted as gone, so that a probe without an answer was enough to reset its flows. Such a row may have another writer and says nothing about the server.

The target still gets no new flow. Its flows are reset only by a probe that other targets of the zone vouch for.

test_target_whose_entry_is_overwritten_is_not_missing fails without the change.

--- a/eelgrasswick/cookie/catalog.py
+++ b/eelgrasswick/cookie/catalog.py
@@ -268,7 +268,7 @@
             if now_ms - at_ms < FORMER_TARGET_RETENTION_MS:
                 break
             del self._gone_ms[cookie]
-            del self._missing_left_ms[cookie]
+            self._missing_left_ms.pop(cookie, None)
             target = self._by_cookie.pop(cookie, None)
             self._received_ms.pop(cookie, None)
             self._row_sources.pop(cookie, None)
@@ -357,7 +357,11 @@
         try:
             target = self._reader.target(row)
         except errors.EntryInvalidError as error:
+            former = self._by_name.get(row.key)
             self._remove(now_ms, row, False, row_source)
+            if former is not None:
+                # The row has another writer, and the server may be alive.
+                self._missing_left_ms.pop(former.cookie, None)
             return _refused(row, error)
         before = self._by_name.get(row.key)
         if before is not None and before.cookie != target.cookie:
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -91,6 +91,29 @@
     assert _names(current) == {"i-0b"}
 
 
+def test_target_whose_entry_is_deleted_is_missing_after_two_seconds(
+    current: catalog.Catalog,
+) -> None:
+    target = next(t for t in current.targets if t.name == "i-0a")
+    current.tick(9, confirmed_ms=9)
+    _update(current, 10, cookie_parts.gone_row("i-0a", 4))
+    current.tick(1010, confirmed_ms=1010)
+    assert not current.missing(target)
+    current.tick(2010, confirmed_ms=2010)
+    assert current.missing(target)
+
+
+def test_target_whose_entry_is_overwritten_is_not_missing(
+    current: catalog.Catalog,
+) -> None:
+    """Guards against a row of another writer taken as a sign that a target is gone."""
+    target = next(t for t in current.targets if t.name == "i-0a")
+    _update(current, 10, source.Row("servers/i-0a", b"{}", 4))
+    for now_ms in range(0, 6000, 1000):
+        current.tick(now_ms, confirmed_ms=now_ms)
+    assert not current.missing(target)
+
+
 def test_malformed_config_leaves_the_last_one_in_force(
     current: catalog.Catalog,
 ) -> None:
