Fetch a large configuration from two other VMs at most

A VM fetched a configuration from each VM that announced it, up to seven copies of it at once: 14.5 MB in one second of the incident over links of 10 Mbit/s.

Two fetches are in flight at most; the second one serves the VM if the first peer is slow or dead, and a failed one makes room for the next announcement.

The tests of gossip fail without the change (seven fetches).

--- a/eelgrasswick/cookie/gossip.py
+++ b/eelgrasswick/cookie/gossip.py
@@ -21,6 +21,11 @@
 )
 from eelgrasswick.decisions import ejection
 
+# A VM fetches rows from at most this many others at once. Each VM receives an
+# announcement from several, and a large configuration from each would congest its link.
+# A second one serves the VM when the first is slow or dead.
+MAX_FETCHES: typing.Final = 2
+
 
 class Parts(typing.NamedTuple):
     """The data that gossip shares, and the callbacks for received messages.
@@ -161,9 +166,12 @@
             self._log.write("peer_regained", peer=host, alive=len(self.peers))
         if received.merge is not None:
             self._on_merge(now_ms, received.merge, host)
-        if received.fetch_from and received.fetch_from not in self._fetching:
+        if received.fetch_from and self._may_fetch(received.fetch_from):
             defer.ensureDeferred(self._fetch(received.fetch_from))
 
+    def _may_fetch(self, host: str) -> bool:
+        return host not in self._fetching and len(self._fetching) < MAX_FETCHES
+
     async def _fetch(self, host: str) -> None:
         self._fetching.add(host)
         requested_ms = clock.now_ms()
