Tolerate a lost packet in the comparison of a silent target

A link that loses packets made a live target dead if all of its attempts were lost, and made the comparison of a dead one inconclusive if any attempt of a control was lost, so that its callers waited for the next check.

Three rounds instead of two in the same 250 ms; one unanswered attempt of controls that are alive is allowed.

--- a/eelgrasswick/cookie/comparison.py
+++ b/eelgrasswick/cookie/comparison.py
@@ -5,8 +5,8 @@
 that all answers wait in its queue, and it may lose packets. Other targets of the zone,
 the controls, are therefore probed at the same moments as the target, and the target
 gets several times as long as the slowest control. If a control is slow, the wait is
-extended. If a control answers only some of its attempts, the comparison is
-inconclusive.
+extended. If controls that are alive leave several attempts unanswered, the path loses
+packets, and the comparison is inconclusive.
 
 Only time in which the VM was active counts, because answers may be unread after a
 pause.
@@ -23,10 +23,12 @@
 # would be dead after this time.
 MIN_WAIT_MS: typing.Final = 250
 # Most suspected targets are alive, and no control is probed for those that accept
-# within FIRST_ROUND_MS. A second round of attempts is needed because an opening packet
+# within FIRST_ROUND_MS. Further rounds of attempts are needed because opening packets
 # may be lost.
 FIRST_ROUND_MS: typing.Final = 25
-ROUNDS_MS: typing.Final = (FIRST_ROUND_MS, 140)
+ROUNDS_MS: typing.Final = (FIRST_ROUND_MS, 85, 150)
+# At most this many attempts at controls that are alive may be unanswered.
+MAX_LOST_ATTEMPTS: typing.Final = 1
 # The target gets this many times as long as the slowest control of the last round.
 CONTROL_FACTOR: typing.Final = 3
 # The comparison is inconclusive after this time.
@@ -188,7 +190,8 @@
     def _control_ms(self) -> int | None:
         if len(self._rounds) < len(ROUNDS_MS):
             return None
-        answering = {item for begun in self._rounds for item in begun.answers_ms}
-        if any(answering - begun.answers_ms.keys() for begun in self._rounds):
+        alive = {item for begun in self._rounds for item in begun.answers_ms}
+        lost = sum(len(alive - begun.answers_ms.keys()) for begun in self._rounds)
+        if lost > MAX_LOST_ATTEMPTS:
             return None
         return max(self._rounds[-1].answers_ms.values(), default=None)
