End a target's lifetime in the soak's check with its first end

The target had been killed at 2297.45 s, was started again at 2297.71 s and killed at 2297.84 s before it began, so that two ends follow one begin; the check moved the end of the first lifetime to the second kill. The VMs reset the flows at 2297.76 and 2297.80 s, 0.3 s after the target had died (outcome=refused, controls accepted).

The check now keeps the earlier end, which is when the target died. It is as strict: a reset before the first end is a violation as before, and the test plants both.

--- a/eelgrasswick/soak/history.py
+++ b/eelgrasswick/soak/history.py
@@ -317,7 +317,9 @@
         if item.kind is Kind.BEGUN:
             lifetimes[item.who].append((item.at_s, float("inf")))
         elif item.kind is Kind.ENDED and lifetimes[item.who]:
-            lifetimes[item.who][-1] = (lifetimes[item.who][-1][0], item.at_s)
+            begun_s, ended_s = lifetimes[item.who][-1]
+            # A process that is killed while it starts ends without having begun.
+            lifetimes[item.who][-1] = (begun_s, min(ended_s, item.at_s))
     pauses_s = [
         item.at_s
         for item in events
--- a/eelgrasswick/soak/regression_seeds.py
+++ b/eelgrasswick/soak/regression_seeds.py
@@ -44,4 +44,9 @@
         "a SYN packet was queued in the socket of a VM that started in one second",
         faults.KINDS_WITH_PARTITIONS,
     ),
+    RegressionSeed(
+        7014,
+        "a target killed again while it started was counted as alive until then",
+        faults.KINDS,
+    ),
 )
--- a/tests/test_soak_history.py
+++ b/tests/test_soak_history.py
@@ -127,6 +127,16 @@
     assert _violated([*good, ended, reset]) == set()
 
 
+def test_target_that_is_killed_twice_before_it_starts_ended_the_first_time(
+    good: list[history.Event],
+) -> None:
+    """Guards against a legitimate reset reported as a violation."""
+    reset = _event(6, K.RESET, who="c", flow="1>443", detail=history.RESET_BY_TARGET)
+    ends = [_event(at_s, K.ENDED) for at_s in (5.5, 6.5, 7)]
+    assert _violated([*good, ends[0], reset, ends[1]]) == set()
+    assert _violated([*good, reset, ends[1], ends[2]]) == {"open flow"}
+
+
 def test_reset_soon_after_a_pause_is_allowed_by_a_target_only(
     good: list[history.Event],
 ) -> None:
