--- a/tests/probe_world.py
+++ b/tests/probe_world.py
@@ -49,7 +49,6 @@
         delay_ms: Returns the round trip of an opening packet sent at a given time.
         silent: Targets that do not answer.
         refusing: Targets that refuse connections.
-        connections: Number of connections attempted, by host.
     """
 
     def __init__(self) -> None:
@@ -58,7 +57,6 @@
         self.delay_ms: DelayMs = _no_delay
         self.silent: set[str] = set()
         self.refusing: set[str] = set()
-        self.connections: dict[str, int] = {}
 
     def now_ms(self) -> int:
         """Return the virtual time."""
@@ -74,7 +72,6 @@
     ) -> typing.Any:
         """Connect after the link's delay, unless the time-out is shorter."""
         connector = super().connectTCP(host, port, factory, timeout, bindAddress)
-        self.connections[host] = self.connections.get(host, 0) + 1
         delay_s = self.delay_ms(self.now_ms()) / 1000
         if host in self.silent or delay_s >= timeout:
             fault: Exception = error.TimeoutError()
@@ -128,9 +125,12 @@
         """Create a VM that has all rows and no flow."""
         self.reactor = LinkReactor()
         monkeypatch.setattr(clock, "now_ms", self.reactor.now_ms)
-        self._log, descriptor = os.pipe()
+        self._log, self._descriptor = os.pipe()
         self.carrier = carrying.build_carrier(
-            settings.read(_SETTINGS), segments.Codec(), entries.Reader(), descriptor
+            settings.read(_SETTINGS),
+            segments.Codec(),
+            entries.Reader(),
+            self._descriptor,
         )
         self.forwarder = forwarding.Forwarder(
             self.reactor, self.carrier, lambda *_: None
@@ -144,6 +144,11 @@
         ]
         self.apply(cookie_parts.config_row(1), *rows)
 
+    def close(self) -> None:
+        """Close the pipe of the log."""
+        os.close(self._log)
+        os.close(self._descriptor)
+
     @property
     def observed(self) -> observations.Observations:
         """Observations of the VM."""
--- a/tests/test_congested_link.py
+++ b/tests/test_congested_link.py
@@ -10,11 +10,14 @@
 
 
 @pytest.fixture
-def world(monkeypatch: pytest.MonkeyPatch) -> probe_world.ProbeWorld:
+def world(
+    monkeypatch: pytest.MonkeyPatch,
+) -> typing.Iterator[probe_world.ProbeWorld]:
     made = probe_world.ProbeWorld(monkeypatch)
     made.open_flow("i-0a", PORT)
     made.answer("i-0b")
-    return made
+    yield made
+    made.close()
 
 
 def _drains(full_ms: float, duration_ms: float) -> probe_world.DelayMs:
