--- a/eelgrasswick/cookie/comparison.py
+++ b/eelgrasswick/cookie/comparison.py
@@ -103,7 +103,7 @@
         self._outcome = Outcome.NO_ANSWER
         self._answered_ms = 0
         self._rounds: list[_Round] = []
-        self._begun = False
+        self._first_attempted = False
 
     def advance(self, step_ms: int) -> None:
         """Let time pass.
@@ -116,8 +116,8 @@
     def due_attempts(self) -> list[Attempt]:
         """Return the attempts to begin now."""
         attempts = []
-        if not self._begun:
-            self._begun = True
+        if not self._first_attempted:
+            self._first_attempted = True
             attempts.append(Attempt(None, FIRST_ATTEMPT))
         if self._round_due():
             self._rounds.append(_Round(self._elapsed_ms))
@@ -143,8 +143,8 @@
         """
         if attempt.control is not None:
             if outcome is Outcome.ACCEPTED:
-                begun = self._rounds[attempt.round]
-                begun.answers_ms[attempt.control] = self._elapsed_ms - begun.begun_ms
+                own = self._rounds[attempt.round]
+                own.answers_ms[attempt.control] = self._elapsed_ms - own.begun_ms
             return
         if outcome is Outcome.ACCEPTED:
             self._set_outcome(outcome)
@@ -178,20 +178,23 @@
         return None
 
     def _refused(self) -> Result | None:
-        for confirming in self._rounds[-1:]:
-            late = confirming.begun_ms >= self._answered_ms
-            if late and confirming.target_refused and confirming.answers_ms:
-                control_ms = max(confirming.answers_ms.values())
-                return Result(Outcome.REFUSED, self._answered_ms, control_ms)
+        last = self._rounds[-1] if self._rounds else None
+        if last is not None and self._confirms_refusal(last):
+            control_ms = max(last.answers_ms.values())
+            return Result(Outcome.REFUSED, self._answered_ms, control_ms)
         if not self._controls or self._elapsed_ms >= MAX_WAIT_MS:
             return Result(Outcome.REFUSED, self._answered_ms)
         return None
 
+    def _confirms_refusal(self, item: _Round) -> bool:
+        after_refusal = item.begun_ms >= self._answered_ms
+        return after_refusal and item.target_refused and bool(item.answers_ms)
+
     def _control_ms(self) -> int | None:
         if len(self._rounds) < len(ROUNDS_MS):
             return None
-        alive = {item for begun in self._rounds for item in begun.answers_ms}
-        lost = sum(len(alive - begun.answers_ms.keys()) for begun in self._rounds)
+        alive = {control for item in self._rounds for control in item.answers_ms}
+        lost = sum(len(alive - item.answers_ms.keys()) for item in self._rounds)
         if lost > MAX_LOST_ATTEMPTS:
             return None
         return max(self._rounds[-1].answers_ms.values(), default=None)
--- a/eelgrasswick/cookie/steering.py
+++ b/eelgrasswick/cookie/steering.py
@@ -172,7 +172,7 @@
         previous = (
             self._catalog.by_cookie(record.cookie) if record is not None else None
         )
-        if record is None or previous is None or self._death(now_ms, previous):
+        if record is None or previous is None or self._death_reason(now_ms, previous):
             return self._place(now_ms, route, flow, raw, retransmissions, None)
         too_soon = now_ms - record.placed_ms < MIN_RETRANSMISSION_MS
         unanswered = retransmissions > record.retransmissions
@@ -302,12 +302,12 @@
         target = self._catalog.by_cookie(cookie)
         if target is None:
             return Decision(Outcome.UNKNOWN_COOKIE, None, None, None)
-        death = self._death(now_ms, target)
-        if death is not None:
+        reason = self._death_reason(now_ms, target)
+        if reason is not None:
             self._observations.tracker.remove(segment.flow)
             datagram = self._codec.reset(segment.flow, segment.acknowledged)
             return Decision(
-                Outcome.TARGET_DEAD, datagram, None, target, reset_reason=death
+                Outcome.TARGET_DEAD, datagram, None, target, reset_reason=reason
             )
         measurement = self._observations.tracker.record_segment(now_ms, segment, cookie)
         probe = (
@@ -328,7 +328,7 @@
             probe,
         )
 
-    def _death(self, now_ms: int, target: model.Target) -> ResetReason | None:
+    def _death_reason(self, now_ms: int, target: model.Target) -> ResetReason | None:
         if self._catalog.has_ended(target.cookie):
             return ResetReason.ADDRESS_TAKEN
         if self._observations.liveness.dead(now_ms, target.cookie):
