--- a/eelgrasswick/cookie/comparison.py
+++ b/eelgrasswick/cookie/comparison.py
@@ -19,8 +19,7 @@
 # VM, and counts as MAX_STEP_MS.
 STEP_MS: typing.Final = 10
 MAX_STEP_MS: typing.Final = 20
-# A live target accepts within a round trip of a few milliseconds. Without a control it
-# would be dead after this time.
+# The target gets at least this time, which is many round trips of a path without load.
 MIN_WAIT_MS: typing.Final = 250
 # Most suspected targets are alive, and no control is probed for those that accept
 # within FIRST_ROUND_MS. Further rounds of attempts are needed because opening packets
--- a/tests/test_comparison.py
+++ b/tests/test_comparison.py
@@ -94,6 +94,15 @@
     assert took_ms <= 50
 
 
+@pytest.mark.parametrize("delay_ms", [100, 400, 1200])
+def test_refusal_waits_for_a_slow_control(delay_ms: int) -> None:
+    """Guards against a refusal that is decided before any control can answer."""
+    result, took_ms = _run([Answer(REFUSED)], [[Answer(ACCEPTED, delay_ms)]])
+    assert result.outcome is REFUSED
+    assert result.control_ms is not None
+    assert took_ms >= delay_ms
+
+
 @pytest.mark.parametrize("delay_ms", [60, 90, 260, 300, 700, 1400, 2500])
 def test_target_as_slow_as_the_controls_is_never_dead(delay_ms: int) -> None:
     """Guards against resets while all answers wait in the queue of one link."""
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -293,11 +293,7 @@
 def test_open_flow_on_a_route_that_was_added_again_is_not_reset(
     vm_steering: steering.Steering, target_catalog: catalog.Catalog
 ) -> None:
-    """Guards against resets by a VM that has a route's removal but not its return.
-
-    The caller opened the flow through a VM with the later configuration, and the
-    fabric's hash moved the flow here.
-    """
+    """Guards against resets by a VM that has a route's removal but not its return."""
     target = target_catalog.accepting("desk")[0]
     _drop_route(target_catalog, 0)
     raw = cookie_parts.packet(cookie_parts.ACK, cookie=target.cookie, data=b"GET")
