--- a/eelgrasswick/decisions/admission.py
+++ b/eelgrasswick/decisions/admission.py
@@ -9,10 +9,12 @@
 
 import typing
 
-from eelgrasswick import (
-    errors,
-    service,
-)
+from eelgrasswick import errors
+
+if typing.TYPE_CHECKING:
+    # The module needs the packet libraries, which the entry VM of the users' platform
+    # does not have.
+    from eelgrasswick import service
 
 MIN_RETRY_MS: typing.Final = 1000
 # The longest delay exceeds the shortest one by this part of it.
@@ -29,7 +31,7 @@
         caller_flows: Open flows of the caller at this home.
     """
 
-    limit: service.Limit
+    limit: "service.Limit"
     share: float
     service_flows: int
     caller_flows: int
--- a/eelgrasswick/decisions/overload.py
+++ b/eelgrasswick/decisions/overload.py
@@ -69,6 +69,9 @@
 # Answers shorter than this share of the longest ones are treated as refusals. The
 # recorded length decays by the second factor with each answer.
 REFUSAL_LENGTH_SHARE: typing.Final = 0.25
+# A refusal is a status line with a few headers. Longer answers are no refusals, however
+# long other answers of the route are.
+MAX_REFUSAL_BYTES: typing.Final = 256
 LENGTH_DECAY: typing.Final = 0.999
 # A priority level counts while it has this share of a service's new flows, in the
 # present window of this length and the one before.
@@ -121,7 +124,8 @@
         first = min(answer_bytes, MAX_FIRST_ACK_BYTES)
         longest = max(first, self._longest.get(route, 0.0) * LENGTH_DECAY)
         self._longest[route] = longest
-        return answer_bytes < REFUSAL_LENGTH_SHARE * longest
+        short = answer_bytes < REFUSAL_LENGTH_SHARE * longest
+        return short and answer_bytes <= MAX_REFUSAL_BYTES
 
     def retain(self, routes: typing.Collection[str]) -> None:
         """Delete the records of all other routes."""
--- a/eelgrasswick/decisions/response_time.py
+++ b/eelgrasswick/decisions/response_time.py
@@ -47,6 +47,11 @@
             return None
         return known.mean_ms + DEVIATIONS * known.deviation_ms
 
+    def mean_ms(self, service: str) -> float | None:
+        """Return the smoothed answer time; None before the first answer."""
+        known = self._estimates.get(service)
+        return None if known is None else known.mean_ms
+
     def retain(self, services: typing.Collection[str]) -> None:
         """Delete the records of all other services."""
         for service in [item for item in self._estimates if item not in services]:
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -121,6 +121,17 @@
     assert not sizes.refused("r2", 150)
 
 
+def test_answers_over_256_bytes_are_no_refusals() -> None:
+    """Guards against small answers of a route with long ones that look like refusals.
+
+    Each such answer would lower the limit of its target and begin pressure.
+    """
+    sizes = overload.ResponseSizes()
+    assert not sizes.refused("r1", 2400)
+    assert not sizes.refused("r1", 257)
+    assert sizes.refused("r1", 256)
+
+
 def test_removed_pools_and_routes_are_deleted(
     shedder: overload.LoadShedder, calm_until_ms: int
 ) -> None:
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -1,6 +1,7 @@
 """Tests of the queue of waiting opening packets, without a network."""
 
 import hypothesis
+import pytest
 from hypothesis import strategies
 
 from eelgrasswick import errors
@@ -147,3 +148,244 @@
             for late in queue.expire(now_ms):
                 waiting_flows.remove(late.item)
         assert len(queue) == len(waiting_flows)
+
+
+def scheduler_queue(rate_per_s: float = 100.0) -> "waiting.WaitQueue[int]":
+    """Return a queue as a scheduler uses it: with its own rate, no reservations."""
+    queue: waiting.WaitQueue[int] = waiting.WaitQueue(WAIT_MS, reserves=False)
+    queue.rate_per_s = rate_per_s
+    return queue
+
+
+def offer_level(
+    queue: "waiting.WaitQueue[int]", now_ms: int, number: int, caller: bytes, level: int
+) -> admission.Refusal | None:
+    flow = number.to_bytes(13, "big")
+    return queue.offer(now_ms, flow, caller, number, priority=level)
+
+
+def serve_all(queue: "waiting.WaitQueue[int]") -> list[int]:
+    """Place all flows; return their numbers in the order of service."""
+    served = []
+    while (waiter := queue.first()) is not None:
+        served.append(waiter.item)
+        queue.place(0)
+    return served
+
+
+def test_urgent_flow_is_served_before_less_urgent_ones() -> None:
+    """Guards against an urgent flow that waits behind less urgent ones."""
+    queue = scheduler_queue()
+    for number in range(20):
+        assert offer_level(queue, 0, number, bytes((number,)), 2) is None
+    assert queue.expected_wait_ms(0, b"x", 0) == 0
+    assert queue.expected_wait_ms(0, b"x", 2) == 200
+    offer_level(queue, 0, 50, b"x", 1)
+    offer_level(queue, 0, 60, b"y", 0)
+    assert serve_all(queue)[:3] == [60, 50, 0]
+
+
+def test_greedy_caller_waits_behind_itself_in_a_shortage() -> None:
+    """Guards against a caller that takes the capacity which others need.
+
+    For each flow that is served, the greedy caller offers three and four others offer
+    one each now and then, so that capacity is short by half.
+    """
+    queue = scheduler_queue(rate_per_s=50)
+    offered, served, last = {b"g": 0}, {b"g": 0}, 0
+    for step in range(500):
+        now_ms = step * 20
+        callers = [b"g"] * 3 + [b"abcd"[step // 2 % 4 :][:1]] * (step % 2)
+        for caller in callers:
+            last += 1
+            offered[caller] = offered.get(caller, 0) + 1
+            offer_level(queue, now_ms, last, caller, 0)
+        queue.expire(now_ms)
+        waiter = queue.first()
+        if waiter is not None:
+            queue.place(now_ms)
+            served[waiter.caller] = served.get(waiter.caller, 0) + 1
+    assert served[b"g"] <= 260
+    for caller in (b"a", b"b", b"c", b"d"):
+        assert served[caller] >= 0.95 * offered[caller]
+
+
+def test_refused_caller_that_returns_is_served_first_in_its_level() -> None:
+    """Guards against a caller that is refused at each of its attempts."""
+    queue = scheduler_queue()
+    queue.note_refused(0, b"back")
+    queue.note_refused(0, b"late")
+    offer_level(queue, 100, 1, b"new", 1)
+    offer_level(queue, 100, 2, b"urgent", 0)
+    offer_level(queue, 100, 3, b"back", 1)
+    assert serve_all(queue) == [2, 3, 1]
+    offer_level(queue, 2001, 4, b"new", 1)
+    offer_level(queue, 2001, 5, b"late", 1)
+    assert serve_all(queue) == [4, 5]
+
+
+def test_refusal_counts_for_one_flow() -> None:
+    """Guards against a greedy caller that gains precedence by one refusal."""
+    queue = scheduler_queue()
+    queue.note_refused(0, b"back")
+    for number, caller in enumerate((b"new", b"back", b"back")):
+        offer_level(queue, 10, number, caller, 0)
+    assert serve_all(queue) == [1, 0, 2]
+
+
+def test_caller_with_many_refusals_does_not_starve_others() -> None:
+    """Guards against refused flows of a greedy caller that always go first."""
+    queue = scheduler_queue()
+    served = []
+    for number in range(40):
+        now_ms = number * 20
+        queue.note_refused(now_ms, b"greedy")
+        offer_level(queue, now_ms, 2 * number, b"other%d" % number, 0)
+        offer_level(queue, now_ms, 2 * number + 1, b"greedy", 0)
+        waiter = queue.first()
+        assert waiter is not None
+        served.append(waiter.caller)
+        queue.place(now_ms)
+    others = [caller for caller in served if caller != b"greedy"]
+    assert len(others) >= 20
+
+
+def test_displaced_flow_is_the_newest_of_the_least_urgent_level() -> None:
+    """Guards against an urgent flow that is refused while others keep their place."""
+    queue = scheduler_queue()
+    for number, level in enumerate((2, 1, 2, 1, 0)):
+        offer_level(queue, number, number, b"%d" % number, level)
+    displaced = []
+    while (waiter := queue.displace(0)) is not None:
+        displaced.append(waiter.item)
+    assert displaced == [2, 0, 3, 1]
+    assert serve_all(queue) == [4]
+
+
+def test_equal_level_is_not_displaced() -> None:
+    """Guards against flows of one level that displace one another."""
+    queue = scheduler_queue()
+    offer_level(queue, 0, 1, b"a", 1)
+    assert queue.displace(1) is None
+    assert queue.displace(2) is None
+    assert len(queue) == 1
+
+
+def test_iteration_is_in_the_order_of_service() -> None:
+    """Guards against a scheduler that serves another flow than the next one."""
+    queue = scheduler_queue(rate_per_s=1000)
+    queue.note_refused(0, b"c")
+    for number in range(60):
+        caller = b"aaabc"[number % 5 :][:1]
+        queue.note_refused(0, b"b")
+        offer_level(queue, 0, number, caller, number % 3)
+    order = [waiter.item for waiter in queue]
+    assert sorted(order) == list(range(60))
+    assert order == serve_all(queue)
+
+
+def test_flow_behind_a_blocked_one_can_be_placed_during_iteration() -> None:
+    """Guards against targets that idle because the next flow can't use them."""
+    queue = scheduler_queue()
+    for number in range(6):
+        offer_level(queue, 0, number, b"abc"[number % 3 :][:1], 0)
+    seen = []
+    for waiter in queue:
+        seen.append(waiter.item)
+        if waiter.item % 3:
+            queue.place_flow(0, waiter.flow)
+    assert seen == [0, 1, 2, 3, 4, 5]
+    assert serve_all(queue) == [0, 3]
+    with pytest.raises(KeyError):
+        queue.place_flow(0, (1).to_bytes(13, "big"))
+
+
+def test_flow_waits_for_its_own_time() -> None:
+    """Guards against a flow that is kept beyond the wait that it allows."""
+    queue = scheduler_queue(rate_per_s=100)
+    key = [number.to_bytes(13, "big") for number in range(4)]
+    assert queue.offer(0, key[0], b"a", 0, wait_ms=50) is None
+    assert queue.offer(0, key[1], b"b", 1) is None
+    assert queue.offer(0, key[2], b"c", 2, wait_ms=15) is not None
+    assert queue.offer(0, key[3], b"c", 3, wait_ms=0) is not None
+    assert queue.expire(49) == []
+    assert [waiter.item for waiter in queue.expire(50)] == [0]
+    assert [waiter.item for waiter in queue.expire(WAIT_MS)] == [1]
+
+
+def test_flows_that_left_do_not_count_in_a_queue_without_reservations() -> None:
+    """Guards against requests that are rejected for waiters that are gone."""
+    queue = scheduler_queue()
+    for number in range(20):
+        offer_level(queue, 0, number, b"%d" % number, 0)
+    for number in range(10):
+        queue.cancel(number.to_bytes(13, "big"))
+    assert queue.count_ahead(0, b"x") == 10
+    queue.expire(WAIT_MS)
+    assert queue.count_ahead(0, b"x") == 0
+
+
+def test_queue_without_reservations_gives_no_retry_time() -> None:
+    """Guards against reservations of callers that never learn of them."""
+    queue = scheduler_queue(rate_per_s=10)
+    refusals = [offer_level(queue, 0, n, b"%d" % n, 0) for n in range(6)]
+    refused = refusals[-1]
+    assert refused is not None and refused.retry_after_ms == 0
+
+
+def test_lanes_and_levels_without_waiters_are_deleted() -> None:
+    """Guards against memory that grows with the callers and levels ever seen."""
+    queue = scheduler_queue(rate_per_s=1e6)
+    offer_level(queue, 0, 0, b"blocked", 0)
+    for number in range(1, 5000):
+        offer_level(queue, 0, number, b"%d" % number, number % 1000)
+        queue.place_flow(0, number.to_bytes(13, "big"))
+    assert len(queue._levels) <= 20
+    assert sum(len(item.others._lanes) for item in queue._levels.values()) == 1
+
+
+@hypothesis.given(
+    steps=strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(["offer", "offer", "skip", "displace", "refuse"]),
+            strategies.integers(0, 30),
+            strategies.integers(0, 60),
+        ),
+        max_size=80,
+    )
+)
+def test_each_flow_has_one_outcome_and_urgent_ones_are_first(
+    steps: list[tuple[str, int, int]],
+) -> None:
+    """Guards against flows that are lost, answered twice or served out of order."""
+    queue = scheduler_queue(rate_per_s=400)
+    now_ms, live = 0, set()
+    for action, number, after_ms in steps:
+        now_ms += after_ms
+        for late in queue.expire(now_ms):
+            live.remove(late.item)
+        if action == "offer" and number not in live:
+            if offer_level(queue, now_ms, number, b"%d" % (number % 4), number % 3):
+                continue
+            live.add(number)
+        elif action == "skip" and live:
+            waiter = list(queue)[number % len(live)]
+            queue.place_flow(now_ms, waiter.flow)
+            live.remove(waiter.item)
+        elif action == "displace":
+            waiter_or_none = queue.displace(number % 3)
+            if waiter_or_none is not None:
+                live.remove(waiter_or_none.item)
+                assert waiter_or_none.priority > number % 3
+        elif action == "refuse":
+            queue.note_refused(now_ms, b"%d" % (number % 4))
+        order = list(queue)
+        assert {waiter.item for waiter in order} == live
+        assert len(order) == len(queue) == len(live)
+        levels = [waiter.priority for waiter in order]
+        assert levels == sorted(levels)
+        assert queue.first() == (order[0] if order else None)
+        ahead = queue.count_ahead(now_ms, b"new", 1)
+        if offer_level(queue, now_ms, 99, b"new", 1) is None:
+            assert [waiter.item for waiter in queue].index(99) == ahead
+            queue.cancel((99).to_bytes(13, "big"))
