Keep the lists of targets by difference

Change: a changed row touches its service only, services without new answers are not compared, and records are deleted only after removals.

--- a/eelgrasswick/cookie/catalog.py
+++ b/eelgrasswick/cookie/catalog.py
@@ -6,11 +6,14 @@
 from eelgrasswick import errors
 from eelgrasswick.cookie import (
     cold_targets,
+    dropped_routes,
+    entry_table,
     evacuation,
     model,
     owners,
     source,
     store_replica,
+    target_lists,
 )
 
 # An entry that is missing after an outage of the store stays usable for this long.
@@ -33,9 +36,6 @@
 # The VM keeps forwarding to a target for this long after its entry disappeared. A
 # flow may live for 60 s, and an entry may lapse while its target continues to serve.
 FORMER_TARGET_RETENTION_MS: typing.Final = 60_000
-# The VM records at most this many dropped routes. The design size has 8,100 addresses
-# and 13,000 changes a day, and flows of a dropped route live for a minute.
-MAX_DROPPED_ROUTES: typing.Final = 1000
 
 
 class LogEvent(typing.NamedTuple):
@@ -79,6 +79,7 @@
         config: The configuration in force; None before the first one.
         evacuations: Zones whose targets take no new flows.
         ages: Records when targets started.
+        entries: The targets with an entry in the store.
         on_ended: Called with each target that has certainly ended because another
             one took over its address, and with the row that shows it.
     """
@@ -89,12 +90,16 @@
         self.config: model.Config | None = None
         self.evacuations = evacuation.Evacuations()
         self.ages = cold_targets.Ages()
+        self.entries = entry_table.EntryTable()
         self.on_ended: typing.Callable[[model.Target, source.Row], None] = _ignore
-        self._by_name: dict[str, model.Target] = {}
         self._by_cookie: dict[int, model.Target] = {}
-        self._by_service: dict[str, list[model.Target]] = {}
-        # These targets get no new flows only because their zone is evacuated.
-        self._withheld: dict[str, list[model.Target]] = {}
+        # The lists also have the targets in `_lapsed`.
+        self._lists = target_lists.TargetLists(
+            lambda item: item.draining or self.has_ended(item.cookie),
+            self.evacuations.covers,
+        )
+        # These are the evacuated zones that the lists take into account.
+        self._listed_zones: frozenset[str] = frozenset()
         self._gone_ms: collections.OrderedDict[int, int] = collections.OrderedDict()
         # This table has the time for which each missing entry may still be restored.
         self._missing_left_ms: dict[int, int] = {}
@@ -103,8 +108,7 @@
         self._owners = owners.Owners()
         self._confirmed_ms = store_replica.NEVER_MS
         self._completion_left_ms = 0
-        # A dict keeps insertion order, so that the oldest route is evicted first.
-        self._dropped_routes: dict[tuple[bytes, int], None] = {}
+        self._dropped_routes = dropped_routes.DroppedRoutes()
         self._received_ms: dict[int, int] = {}
         self._config_source: RowSource | None = None
         # This table has the source of the latest row of each target, which may be the
@@ -114,7 +118,7 @@
     @property
     def ready(self) -> bool:
         """True when a configuration is in force and a target is present."""
-        return self.config is not None and bool(self._by_name)
+        return self.config is not None and bool(self.entries.targets)
 
     @property
     def entries_complete(self) -> bool:
@@ -124,7 +128,12 @@
     @property
     def targets(self) -> typing.Collection[model.Target]:
         """All targets with an entry in the store."""
-        return self._by_name.values()
+        return self.entries.targets
+
+    @property
+    def has_lapsed(self) -> bool:
+        """True while targets whose entries lapsed in an outage are still used."""
+        return bool(self._lapsed)
 
     @property
     def forwardable_cookies(self) -> typing.Collection[int]:
@@ -149,10 +158,8 @@
 
     def route_dropped(self, segment: model.Segment) -> bool:
         """Return True if this VM has recorded the removal of a segment's route."""
-        return (
-            segment.flow.service_ip,
-            segment.flow.service_port,
-        ) in self._dropped_routes
+        flow = segment.flow
+        return (flow.service_ip, flow.service_port) in self._dropped_routes
 
     def by_cookie(self, cookie: int) -> model.Target | None:
         """Return the target of a cookie, including one whose entry is recently gone."""
@@ -163,12 +170,33 @@
         return self._owners.has_ended(cookie)
 
     def accepting(self, service: str) -> list[model.Target]:
-        """Return the targets of a service that may get new flows."""
-        return self._by_service.get(service, [])
+        """Return the targets of a service that may get new flows.
+
+        The list must not be modified. It changes with the catalog.
+        """
+        return self._lists.accepting(service)
+
+    def accepting_split(self, service: str, zone: str) -> target_lists.Split:
+        """Return the targets that may get new flows in a zone and in all others.
+
+        The lists must not be modified. They change with the catalog.
+        """
+        return self._lists.accepting_split(service, zone)
+
+    def accepting_target(self, cookie: int) -> model.Target | None:
+        """Return the target of a cookie if it may get new flows."""
+        return self._lists.accepting_target(cookie)
 
     def withheld(self, service: str) -> list[model.Target]:
-        """Return a service's targets that only an evacuation excludes."""
-        return self._withheld.get(service, [])
+        """Return a service's targets that only an evacuation excludes.
+
+        The list must not be modified. It changes with the catalog.
+        """
+        return self._lists.withheld(service)
+
+    def withholds_in(self, service: str, zone: str) -> bool:
+        """Return True if only an evacuation excludes targets of a service and zone."""
+        return bool(self._lists.withheld_split(service, zone).own)
 
     def cold_ms(self, target: model.Target, now_ms: int) -> int:
         """Return for how many more ms a target is expected to be cold and slow."""
@@ -221,7 +249,7 @@
             self._completion_left_ms = LAPSED_ENTRY_GRACE_MS
         # Entries that return after an outage mostly belong to targets that started
         # earlier, so their arrival does not show when the target started.
-        watched = bool(self._by_name) and self.entries_complete
+        watched = bool(self.targets) and self.entries_complete
         events = []
         ended: list[tuple[model.Target, source.Row]] = []
         # The configuration is applied first, because it determines the services
@@ -236,7 +264,9 @@
                 events.append(self._update_target(now_ms, row, outage, row_source))
                 self._update_age(now_ms, row, watched)
                 ended += [(target, row) for target in self._former_targets(row)]
-        self._rebuild()
+        for target, _ in ended:
+            self._lists.mark(target.cookie)
+        self._update_lists()
         for target, row in ended:
             self.on_ended(target, row)
         return events
@@ -263,6 +293,7 @@
                 lapsed.append(name)
         for name in lapsed:
             del self._lapsed[name]
+            self._lists.remove_entry(name)
         while self._gone_ms:
             cookie, at_ms = next(iter(self._gone_ms.items()))
             if now_ms - at_ms < FORMER_TARGET_RETENTION_MS:
@@ -275,8 +306,12 @@
             self.ages.remove(cookie)
             if target is not None:
                 self._owners.remove(target)
+            # The target may still be listed, because its entry lapsed in an outage.
+            self._lists.mark(cookie)
+            self.entries.record_removal()
         if lapsed:
-            self._rebuild()
+            self.entries.record_removal()
+            self._update_lists()
 
     def _count_missing(self, elapsed_ms: int) -> None:
         for cookie, left_ms in self._missing_left_ms.items():
@@ -296,7 +331,8 @@
             # The last valid configuration stays in force, because without one the
             # VM serves nothing.
             return _refused(row, error)
-        self._record_dropped_routes(config)
+        if self.config is not None:
+            self._dropped_routes.record(self.config, config)
         self.config = config
         self._config_source = row_source
         routes = config.routes.values()
@@ -311,7 +347,7 @@
         )
 
     def _update_age(self, now_ms: int, row: source.Row, watched: bool) -> None:
-        target = self._by_name.get(row.key)
+        target = self.entries.get(row.key)
         if target is not None:
             self.ages.record_entry(now_ms, target, watched)
 
@@ -339,16 +375,6 @@
             fields["malformed"] = item.malformed
         return LogEvent("evacuation_in_force", fields)
 
-    def _record_dropped_routes(self, config: model.Config) -> None:
-        if self.config is None:
-            return
-        for key in self.config.routes.keys() - config.routes.keys():
-            self._dropped_routes[key] = None
-        for key in [key for key in self._dropped_routes if key in config.routes]:
-            del self._dropped_routes[key]
-        while len(self._dropped_routes) > MAX_DROPPED_ROUTES:
-            del self._dropped_routes[next(iter(self._dropped_routes))]
-
     def _update_target(
         self, now_ms: int, row: source.Row, outage: bool, row_source: RowSource
     ) -> LogEvent:
@@ -357,26 +383,29 @@
         try:
             target = self._reader.target(row)
         except errors.EntryInvalidError as error:
-            former = self._by_name.get(row.key)
+            former = self.entries.get(row.key)
             self._remove(now_ms, row, False, row_source)
             if former is not None:
                 # The row has another writer, and the server may be alive.
                 self._missing_left_ms.pop(former.cookie, None)
             return _refused(row, error)
-        before = self._by_name.get(row.key)
-        if before is not None and before.cookie != target.cookie:
+        cookie = target.cookie
+        before = self.entries.get(row.key)
+        if before is not None and before.cookie != cookie:
             self._record_missing(now_ms, before.cookie)
-        self._lapsed.pop(row.key, None)
-        self._by_name[row.key] = target
-        self._received_ms[target.cookie] = now_ms
-        self._row_sources[target.cookie] = row_source
-        self._gone_ms.pop(target.cookie, None)
-        self._missing_left_ms.pop(target.cookie, None)
+        if self._lapsed.pop(row.key, None) is not None:
+            self.entries.record_removal()
+        self.entries.put(row.key, target)
+        self._lists.set_entry(row.key, target)
+        self._received_ms[cookie] = now_ms
+        self._row_sources[cookie] = row_source
+        self._gone_ms.pop(cookie, None)
+        self._missing_left_ms.pop(cookie, None)
         return LogEvent(
             "target_known",
             {
                 "target": target.name,
-                "cookie": target.cookie,
+                "cookie": cookie,
                 "service": target.service,
                 "zone": target.zone,
                 "draining": int(target.draining),
@@ -385,7 +414,7 @@
         )
 
     def _former_targets(self, row: source.Row) -> list[model.Target]:
-        target = self._by_name.get(row.key)
+        target = self.entries.get(row.key)
         # A target whose service has no route does not replace another target,
         # because any writer could have created such an entry.
         if row.value is None or target is None or target.service not in self._services:
@@ -396,8 +425,10 @@
         if merge.previous_age_ms <= SHORT_OUTAGE_AGE_MS:
             return False
         rows = [row for row in merge.rows if row.value is None]
-        gone = [self._by_name[row.key] for row in rows if row.key in self._by_name]
-        counts = collections.Counter(item.service for item in gone if not item.draining)
+        gone = [self.entries.get(row.key) for row in rows]
+        counts = collections.Counter(
+            item.service for item in gone if item is not None and not item.draining
+        )
         return any(
             count >= 2 and count >= MASS_LAPSE_SHARE * self._serving(service)
             for service, count in counts.items()
@@ -409,7 +440,7 @@
     def _remove(
         self, now_ms: int, row: source.Row, outage: bool, row_source: RowSource
     ) -> LogEvent:
-        target = self._by_name.pop(row.key, None)
+        target = self.entries.pop(row.key)
         fields: dict[str, str | int] = {"key": row.key, "revision": row.revision}
         if target is not None:
             self._record_missing(now_ms, target.cookie)
@@ -417,27 +448,19 @@
             if outage and not target.draining:
                 self._lapsed[row.key] = _Lapsed(target, LAPSED_ENTRY_GRACE_MS)
                 fields["usable_ms"] = LAPSED_ENTRY_GRACE_MS
+            else:
+                self._lists.remove_entry(row.key)
         return LogEvent("target_gone", fields)
 
-    def _rebuild(self) -> None:
-        # Two targets with the same cookie would receive each other's packets. The
-        # older target keeps the cookie. The other one gets no flows, which only
-        # wastes its slots.
-        self._by_service = {}
-        self._withheld = {}
-        lapsed = [item.target for item in self._lapsed.values()]
-        present = [*self._by_name.values(), *lapsed]
-        owners: dict[int, model.Target] = {}
-        for target in sorted(present, key=lambda item: (item.born_ms, item.name)):
-            if target.cookie in owners:
-                continue
-            owners[target.cookie] = target
-            if target.draining or self.has_ended(target.cookie):
-                continue
-            evacuated = self.evacuations.covers(target)
-            by_service = self._withheld if evacuated else self._by_service
-            by_service.setdefault(target.service, []).append(target)
-        self._by_cookie.update(owners)
+    def _update_lists(self) -> None:
+        zones = self.evacuations.zones
+        if zones != self._listed_zones:
+            self._lists.mark_zones(zones ^ self._listed_zones)
+            self._listed_zones = zones
+        owners = self._lists.apply()
+        self.entries.record_cookies(owners.keys())
+        present = {c: target for c, target in owners.items() if target is not None}
+        self._by_cookie.update(present)
 
 
 def _ignore(_target: model.Target, _row: source.Row) -> None:
--- a/eelgrasswick/cookie/liveness.py
+++ b/eelgrasswick/cookie/liveness.py
@@ -46,6 +46,11 @@
         """Create an empty registry of checks."""
         self._checks: dict[int, _Check] = {}
 
+    @property
+    def cookies(self) -> typing.AbstractSet[int]:
+        """Cookies of the targets with a check."""
+        return self._checks.keys()
+
     def begin(self, now_ms: int, cookie: int, zone_answered_ms: int) -> bool:
         """Begin the check of a silent target; return True when to probe it now.
 
--- a/eelgrasswick/cookie/placing.py
+++ b/eelgrasswick/cookie/placing.py
@@ -111,18 +111,21 @@
 
 
 def sample_targets(
-    targets: typing.Sequence[model.Target], zone: str, position: float
+    own: typing.Sequence[model.Target],
+    others: typing.Sequence[model.Target],
+    position: float,
 ) -> list[model.Target]:
     """Return the targets that are considered for a flow, this VM's zone first.
 
+    The caller keeps the targets of the two groups apart, because separating thousands
+    of targets for each flow would delay the packets that follow.
+
     Args:
-        targets: All targets that take flows.
-        zone: Availability zone of this VM.
+        own: All targets of this VM's zone that take flows.
+        others: All targets of other zones that take flows.
         position: Number from 0 to 1, uniform over flows, so that all targets of a group
             are considered equally often.
     """
-    own = [item for item in targets if item.zone == zone]
-    others = [item for item in targets if item.zone != zone]
     return [*_window(own, position), *_window(others, position)]
 
 
@@ -143,12 +146,14 @@
     return shares[-1].service
 
 
-def _window(targets: list[model.Target], position: float) -> list[model.Target]:
+def _window(
+    targets: typing.Sequence[model.Target], position: float
+) -> typing.Sequence[model.Target]:
     if len(targets) <= SAMPLE_SIZE:
         return targets
     start = int(position * len(targets))
     found = targets[start : start + SAMPLE_SIZE]
-    return found + targets[: SAMPLE_SIZE - len(found)]
+    return [*found, *targets[: SAMPLE_SIZE - len(found)]]
 
 
 def _flows_per_slot(candidates: typing.Sequence[Candidate]) -> float:
--- a/eelgrasswick/cookie/reports.py
+++ b/eelgrasswick/cookie/reports.py
@@ -49,11 +49,14 @@
 
     Attributes:
         other_vms: Number of other live VMs.
+        changed: Cookies whose reported answer times may have changed since the set was
+            last emptied.
     """
 
     def __init__(self) -> None:
         """Create an empty registry."""
         self.other_vms = 0
+        self.changed: set[int] = set()
         self._scale = 1.0
         self._reports: dict[str, tuple[Report, int]] = {}
         # These sums are updated with each report, because summing hundreds of
@@ -72,6 +75,7 @@
         for entry in report:
             self._flows[entry.cookie] += entry.flows
             if entry.answer_ms:
+                self.changed.add(entry.cookie)
                 self._answers_ms.setdefault(entry.cookie, {})[host] = entry.answer_ms
             if entry.silent:
                 self._silent_ms.setdefault(entry.cookie, {})[host] = now_ms
@@ -83,7 +87,9 @@
             self._flows[entry.cookie] -= entry.flows
             if not self._flows[entry.cookie]:
                 del self._flows[entry.cookie]
-            _discard(self._answers_ms, entry.cookie, host)
+            if entry.answer_ms:
+                self.changed.add(entry.cookie)
+                _discard(self._answers_ms, entry.cookie, host)
             if entry.silent:
                 _discard(self._silent_ms, entry.cookie, host)
 
@@ -111,6 +117,11 @@
         """Return the answer times in ms that other VMs report for a target."""
         return list(self._answers_ms.get(cookie, {}).values())
 
+    @property
+    def silent_cookies(self) -> typing.AbstractSet[int]:
+        """Targets that the latest report of any VM has as silent."""
+        return self._silent_ms.keys()
+
     def count_silent_reports(self, now_ms: int, cookie: int) -> int:
         """Return how many other VMs recently reported a target as silent.
 
--- a/eelgrasswick/cookie/silence.py
+++ b/eelgrasswick/cookie/silence.py
@@ -62,6 +62,10 @@
         state = self._states.get(key)
         return state is not None and state.unanswered >= SILENT_AFTER_PACKETS
 
+    def __contains__(self, key: Key) -> bool:
+        """Return True when a key has unanswered packets."""
+        return key in self._states
+
     def keys(self) -> typing.AbstractSet[Key]:
         """Return the keys with unanswered packets."""
         return self._states.keys()
--- a/eelgrasswick/cookie/speed.py
+++ b/eelgrasswick/cookie/speed.py
@@ -33,14 +33,21 @@
 
 
 class AnswerTimes:
-    """Response times by cookie, as measured by this VM."""
+    """Response times by cookie, as measured by this VM.
+
+    Attributes:
+        changed: Cookies with new records or without their former records, since the
+            set was last emptied.
+    """
 
     def __init__(self) -> None:
         """Create an empty table."""
+        self.changed: set[int] = set()
         self._answers: dict[int, SmoothedAnswerTime] = {}
 
     def record(self, cookie: int, answer_ms: int) -> None:
         """Record the time of one response."""
+        self.changed.add(cookie)
         previous = self._answers.get(cookie)
         if previous is None:
             self._answers[cookie] = SmoothedAnswerTime(float(answer_ms), 1)
@@ -62,6 +69,7 @@
         """Delete the records of all other targets."""
         for cookie in [item for item in self._answers if item not in cookies]:
             del self._answers[cookie]
+            self.changed.add(cookie)
 
 
 def speed_factors(means_ms: typing.Mapping[int, float | None]) -> dict[int, float]:
--- a/tests/test_placing_cost.py
+++ b/tests/test_placing_cost.py
@@ -80,9 +80,10 @@
     target_catalog = catalog.Catalog(reader)
     target_catalog.update(0, store_replica.Merge(reader.rows(), 0))
     accepting = target_catalog.accepting(cookie_scenario.SERVICE)
+    own_targets, others = target_catalog.accepting_split(cookie_scenario.SERVICE, "z1")
     looked_at: collections.Counter[int] = collections.Counter()
     for step in range(1000):
-        found = placing.sample_targets(accepting, "z1", step / 1000)
+        found = placing.sample_targets(own_targets, others, step / 1000)
         assert len(found) == len(set(found)) == 2 * placing.SAMPLE_SIZE
         assert sum(item.zone == "z1" for item in found) == placing.SAMPLE_SIZE
         looked_at.update(item.cookie for item in found)
