Fetch an offer of rows beside the listing at the start

Cause: after a loss of power of all VMs with 1,527 routes, the listing took 0.65 to 0.7 s on links of 5 Mbit/s; only 149 of 1,518 requests of the next two seconds were in time. Change: a starting VM asks its seeds for compressed rows while the listing is in progress, and takes whichever comes first. A VM without rows sends a valid empty offer, strings after an offer no longer end the start, and a number that is too large for a float makes an entry invalid instead of ending the merge.

--- a/eelgrasswick/cookie/bootstrap.py
+++ b/eelgrasswick/cookie/bootstrap.py
@@ -28,6 +28,8 @@
 MAX_REQUESTS: typing.Final = 2
 _LENGTH: typing.Final = struct.Struct(">I")
 _ALL_ROWS: typing.Final = b"0"
+# Requests all rows, which are the changes after revision 0.
+REQUEST: typing.Final = _LENGTH.pack(len(_ALL_ROWS)) + _ALL_ROWS
 _CHUNK_BYTES: typing.Final = 65_536
 
 
@@ -58,29 +60,33 @@
         The first response with rows; None without one.
     """
     with contextlib.ExitStack() as held:
-        connected = _connect(_rotate(seeds), held, log)
+        connected = _connect(rotate(seeds), held, log)
         for address, connection in connected[:MAX_REQUESTS]:
             requested_ms = clock.now_ms()
             try:
                 received = _request_rows(connection)
             except (errors.MessageInvalidError, OSError) as fault:
-                _log_failure(log, address, fault)
+                log_failure(log, address, fault)
                 continue
             if received.changes.rows:
                 return Response(address.host, requested_ms, received)
     return None
 
 
-def _log_failure(
+def log_failure(
     log: event_log.EventLog, address: model.Address, fault: Exception
 ) -> None:
+    """Log that a VM did not send rows."""
     detail = f"{type(fault).__name__}: {fault}"
     log.write("bootstrap_failed", peer=address.host, detail=detail)
 
 
-def _rotate(seeds: typing.Sequence[model.Address]) -> list[model.Address]:
-    # All VMs have the same seeds. The rotation spreads the requests of VMs that start
-    # together over different seeds.
+def rotate(seeds: typing.Sequence[model.Address]) -> list[model.Address]:
+    """Return the seeds, beginning with one that depends on the time.
+
+    All VMs have the same seeds. The rotation spreads the requests of VMs that start
+    together over different seeds.
+    """
     if not seeds:
         return []
     first = time.monotonic_ns() // 1000 % len(seeds)
@@ -111,18 +117,18 @@
             address, connection = waiting.pop(descriptor)
             fault = connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
             if fault:
-                _log_failure(log, address, OSError(fault, "connect"))
+                log_failure(log, address, OSError(fault, "connect"))
             else:
                 accepted[address] = connection
     for address, _ in waiting.values():
-        _log_failure(log, address, TimeoutError("connect"))
+        log_failure(log, address, TimeoutError("connect"))
     return [(item, accepted[item]) for item in addresses if item in accepted]
 
 
 def _request_rows(connection: socket.socket) -> "offer.Offer":
     connection.setblocking(True)
     connection.settimeout(RESPONSE_TIMEOUT_S)
-    connection.sendall(_LENGTH.pack(len(_ALL_ROWS)) + _ALL_ROWS)
+    connection.sendall(REQUEST)
     # The module is imported only once another VM has accepted a connection. After a
     # loss of the whole fleet the VM saves the import and reads the store sooner.
     reader: typing.Any = importlib.import_module("eelgrasswick.cookie.offer")
@@ -143,11 +149,12 @@
         if not chunk:
             raise errors.MessageInvalidError("connection closed before the offer ended")
         data += chunk
-        strings += _strings(data, max_bytes)
-    return strings
+        strings += take_strings(data, max_bytes)
+    # Bytes after the offer are ignored.
+    return strings[:count]
 
 
-def _strings(data: bytearray, max_bytes: int) -> list[bytes]:
+def take_strings(data: bytearray, max_bytes: int) -> list[bytes]:
     """Remove the complete strings from the front of the buffer and return them."""
     found: list[bytes] = []
     while len(data) >= _LENGTH.size:
--- a/eelgrasswick/cookie/offer.py
+++ b/eelgrasswick/cookie/offer.py
@@ -70,7 +70,7 @@
         """
         self._changes_since = changes_since
         self._sender_state = sender_state
-        self._full_revision = 0
+        self._full_revision: int | None = None
         self._full = b""
 
     def encode(self, revision: int) -> tuple[bytes, bytes]:
--- a/eelgrasswick/platform/early.py
+++ b/eelgrasswick/platform/early.py
@@ -8,11 +8,17 @@
 forwarded. A VM that starts while others serve requests the rows from one of them first,
 which saves the store a listing and also provides the addresses of the other VMs.
 
+When all VMs start together, none has rows at first, and the listing of a large
+configuration takes long on a slow link. Beside the listing, the VM therefore asks its
+seeds for an offer again and again, and uses whichever arrives first. VMs with fast
+links have the rows early.
+
 An import in a thread would forward packets sooner, but the threads of a VM may
 alternate in turns of a tenth of a second.
 """
 
 import importlib
+import select
 import socket
 import time
 import typing
@@ -25,6 +31,7 @@
     carrying,
     clock,
     model,
+    offer_fetch,
     source,
     steering,
     store_replica,
@@ -92,6 +99,7 @@
         self.members: tuple[peers.Member, ...] = ()
         self._seeds = seeds
         self._reader: listing.ListingReader | None = None
+        self._fetch: offer_fetch.OfferFetch | None = None
         self._carrier = carrier
         self._data_socket = data_socket
         self._bound_ms = bound_ms
@@ -100,6 +108,10 @@
         """Read all rows, import the libraries, and forward packets meanwhile."""
         if not self._fetch_from_peer():
             self._reader = listing.ListingReader(store)
+            if self._seeds and not self._carrier.parts.replica.revision:
+                self._fetch = offer_fetch.OfferFetch(
+                    self._seeds, self._carrier.parts.log
+                )
             self._read(FIRST_IDLE_S, FIRST_READ_S)
         self._forward_waiting()
         for name in LIBRARIES:
@@ -109,6 +121,7 @@
         if not self._carrier.started:
             self._read(STALL_S, STALL_S * MAX_STALLS)
             self._forward_waiting()
+        self._close_fetch()
         if self._reader is not None:
             self._give_up("no response from the store in time")
 
@@ -116,44 +129,100 @@
         answer = bootstrap.fetch_rows(self._seeds, self._carrier.parts.log)
         if answer is None:
             return False
+        self._apply_offer(answer)
+        self.members = answer.offer.sender_state.members
+        return self._rows_recent()
+
+    def _apply_offer(self, answer: bootstrap.Response) -> None:
         replica = self._carrier.parts.replica
         now_ms = clock.now_ms()
         merge = answer.offer.merge_into(now_ms, answer.requested_ms, replica)
         self._carrier.apply_rows(now_ms, merge, answer.host)
-        self.members = answer.offer.sender_state.members
         self._carrier.parts.log.write(
             "bootstrapped",
             peer=answer.host,
             took_ms=now_ms - answer.requested_ms,
-            members=len(self.members),
+            members=len(answer.offer.sender_state.members),
             revision=replica.revision,
             age_ms=store_replica.reported_age_ms(replica.age_ms(now_ms)),
         )
+
+    def _rows_recent(self) -> bool:
         # Rows that are old because of an outage of the store are better than none, but
         # the store may be available again by now.
-        return replica.age_ms(now_ms) <= steering.MAX_CATALOG_AGE_MS
+        age_ms = self._carrier.parts.replica.age_ms(clock.now_ms())
+        return age_ms <= steering.MAX_CATALOG_AGE_MS
 
     def _read(self, idle_s: float, total_s: float) -> None:
-        """Continue to read the listing, if it is not complete.
+        """Continue to read the listing and to fetch an offer, until one starts the VM.
 
         Args:
             idle_s: How long to wait when no bytes arrive.
             total_s: How long to wait in total.
         """
         end_s = time.monotonic() + total_s
-        while self._reader is not None:
-            before_s = self._reader.progress_s
-            wait_s = min(before_s + idle_s, end_s) - time.monotonic()
-            try:
-                changes = self._reader.read(max(0.0, wait_s))
-            except (errors.EelgrasswickError, OSError, h11.ProtocolError) as error:
-                self._give_up(f"{type(error).__name__}: {error}")
+        while self._reader is not None or self._fetch is not None:
+            before_s = self._progress_s()
+            if self._read_listing() or self._poll_fetch():
                 return
-            if changes is not None:
-                self._merge(changes, self._reader.requested_ms)
-                self._close_reader()
-            elif wait_s <= 0 and self._reader.progress_s == before_s:
+            if self._progress_s() > before_s:
+                continue
+            wait_s = min(before_s + idle_s, end_s) - time.monotonic()
+            if wait_s <= 0 or not self._awaits_rows():
                 return
+            self._wait(wait_s)
+
+    def _awaits_rows(self) -> bool:
+        # After the listing failed, only an offer that a seed is about to send is
+        # awaited. All VMs may wait like this one, and none offers rows before its
+        # reactor runs.
+        if self._reader is not None:
+            return True
+        return self._fetch is not None and self._fetch.requested
+
+    def _progress_s(self) -> float:
+        sources = (self._reader, self._fetch)
+        return max((item.progress_s for item in sources if item), default=0.0)
+
+    def _wait(self, wait_s: float) -> None:
+        """Wait until the listing or the fetch can make progress."""
+        poll = select.poll()
+        if self._reader is not None:
+            self._reader.register(poll)
+        if self._fetch is not None:
+            self._fetch.register(poll)
+            wait_s = min(wait_s, self._fetch.due_s - time.monotonic())
+        poll.poll(1000 * max(0.0, wait_s))
+
+    def _read_listing(self) -> bool:
+        """Process received bytes of the listing; return True if it is complete."""
+        if self._reader is None:
+            return False
+        try:
+            changes = self._reader.read(0.0)
+        except (errors.EelgrasswickError, OSError, h11.ProtocolError) as error:
+            self._give_up(f"{type(error).__name__}: {error}")
+            return False
+        if changes is None:
+            return False
+        self._merge(changes, self._reader.requested_ms)
+        self._close_reader()
+        self._close_fetch()
+        return True
+
+    def _poll_fetch(self) -> bool:
+        """Advance the fetch of an offer; return True if this VM can start by it."""
+        answer = self._fetch.poll() if self._fetch is not None else None
+        if answer is None:
+            return False
+        # The members of the offer are not used. A seed that has just started lists
+        # only some VMs, and this VM would take its rank among them for reliable.
+        self._apply_offer(answer)
+        self._close_fetch()
+        ready = self._carrier.parts.catalog.ready
+        if ready and self._rows_recent():
+            self._close_reader()
+        return ready
 
     def _merge(self, changes: source.Changes, requested_ms: int) -> None:
         replica = self._carrier.parts.replica
@@ -170,6 +239,11 @@
             self._reader.close()
         self._reader = None
 
+    def _close_fetch(self) -> None:
+        if self._fetch is not None:
+            self._fetch.close()
+        self._fetch = None
+
     def _forward_waiting(self) -> None:
         if not self._carrier.parts.catalog.ready:
             return
--- a/eelgrasswick/platform/entries.py
+++ b/eelgrasswick/platform/entries.py
@@ -17,6 +17,8 @@
     TypeError,
     LookupError,
     OSError,
+    # A whole number may be too large for a float.
+    OverflowError,
     RecursionError,
 )
 _Body = dict[str, typing.Any]
--- a/eelgrasswick/platform/listing.py
+++ b/eelgrasswick/platform/listing.py
@@ -73,11 +73,15 @@
         self._handle_events()
         return self._listing.changes() if self._listing.query is None else None
 
-    def _ready(self, wait_s: float) -> bool:
-        poll = select.poll()
+    def register(self, poll: select.poll) -> None:
+        """Register the event that the listing waits for."""
         poll.register(
             self._socket, select.POLLIN if self._requested else select.POLLOUT
         )
+
+    def _ready(self, wait_s: float) -> bool:
+        poll = select.poll()
+        self.register(poll)
         return bool(poll.poll(1000 * wait_s))
 
     def _send_first(self) -> None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -10,7 +10,9 @@
 
 pytest_plugins = [
     "tests.control_steps",
+    "tests.early_parts",
     "tests.flow_steps",
+    "tests.reserving_fleet",
     "tests.steering_parts",
 ]
 
--- a/tests/test_early.py
+++ b/tests/test_early.py
@@ -1,141 +1,41 @@
 """Tests of forwarding packets before the libraries are imported."""
 
-import abc
-import base64
 import contextlib
 import importlib
-import json
 import os
 import socket
 import struct
-import threading
 import time
 import typing
 
 import pytest
 
 from eelgrasswick.cookie import (
-    carrying,
     clock,
     model,
     offer,
     peers,
-    settings,
     source,
 )
-from eelgrasswick.platform import early, entries, segments
-from tests import cookie_parts, entry_parts
+from eelgrasswick.platform import early
+from tests import cookie_parts, early_parts, entry_parts, offer_parts
 
-HOST: typing.Final = "127.0.0.1"
 DESTINATION: typing.Final = entry_parts.host(9)
-WAIT_S: typing.Final = 10.0
-
-
-def _item(row: source.Row) -> dict[str, object]:
-    value = base64.b64encode(row.value or b"").decode()
-    return {"key": row.key, "value": value, "revision": row.revision}
-
-
-def _page(items: typing.Sequence[object], more: bool) -> bytes:
-    body = {"items": items, "has_more": more, "store_revision": 7}
-    raw = json.dumps(body).encode()
-    head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(raw)}\r\n\r\n"
-    return head.encode() + raw
-
-
-def _answer(
-    connection: socket.socket, items: typing.Sequence[object], more: bool
-) -> str:
-    request = connection.recv(65536).decode()
-    connection.sendall(_page(items, more))
-    return request.split("\r\n", 1)[0]
-
-
-class OneConnectionServer(abc.ABC):
-    """A server that answers one connection in a thread."""
-
-    def __init__(self) -> None:
-        """Create a server that listens."""
-        self._socket = socket.create_server((HOST, 0))
-        self._thread = threading.Thread(target=self._run)
-        self._thread.start()
-
-    @property
-    def address(self) -> model.Address:
-        """The address on which the server listens."""
-        return model.Address(HOST, self._socket.getsockname()[1])
-
-    def end(self) -> None:
-        """Wait until the connection is answered, and close the socket."""
-        self._thread.join()
-        self._socket.close()
-
-    def _run(self) -> None:
-        connection, _ = self._socket.accept()
-        with connection:
-            self._answer(connection)
-
-    @abc.abstractmethod
-    def _answer(self, connection: socket.socket) -> None:
-        """Answer a connection."""
-
-
-class PagedStore(OneConnectionServer):
-    """A store that answers two calls with one page each, the configuration first."""
-
-    def __init__(self, *rows: source.Row) -> None:
-        """Create a store that answers with the given rows."""
-        self.requests: list[str] = []
-        self._items = [_item(row) for row in rows]
-        super().__init__()
-
-    def _answer(self, connection: socket.socket) -> None:
-        self.requests.append(_answer(connection, self._items[:1], True))
-        self.requests.append(_answer(connection, self._items[1:], False))
-
-
-@pytest.fixture
-def data_socket() -> typing.Iterator[socket.socket]:
-    """Return the data socket of a VM that starts."""
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as opened:
-        opened.setblocking(False)
-        opened.bind((HOST, 0))
-        yield opened
 
 
 @pytest.fixture
 def server() -> typing.Iterator[socket.socket]:
     """Return the socket of a target."""
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as opened:
-        opened.settimeout(WAIT_S)
+        opened.settimeout(early_parts.WAIT_S)
         opened.bind((DESTINATION, 0))
         yield opened
 
 
-@pytest.fixture
-def log() -> typing.Iterator[tuple[int, int]]:
-    """Return the two ends of a pipe for the log."""
-    pipe_ends = os.pipe()
-    yield pipe_ends
-    for end in pipe_ends:
-        with contextlib.suppress(OSError):
-            os.close(end)
-
-
-def _carrier(descriptor: int) -> carrying.Carrier:
-    text = "[vm]\nname = vm1\nzone = z1\n"
-    for key in ("data", "ready", "peer", "metrics"):
-        text += f"{key} = {HOST}:1\n"
-    loaded = settings.read(text + f"[store]\naddress = {HOST}:1\n")
-    return carrying.build_carrier(
-        loaded, segments.Codec(), entries.Reader(), descriptor
-    )
-
-
 def test_packets_are_forwarded_between_the_imports(
     data_socket: socket.socket,
     server: socket.socket,
-    log: tuple[int, int],
+    log_pipe: tuple[int, int],
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against packets that are not read until the libraries are imported.
@@ -144,7 +44,7 @@
     VM the imports take longer than many deadlines.
     """
     address = f"{DESTINATION}:{server.getsockname()[1]}"
-    pages = PagedStore(
+    pages = early_parts.PagedStore(
         cookie_parts.config_row(1), cookie_parts.target_row("i-0a", 2, address=address)
     )
     first = cookie_parts.packet(cookie_parts.SYN, 40_001)
@@ -160,7 +60,7 @@
         caller.sendto(first, data_socket.getsockname())
     monkeypatch.setattr(importlib, "import_module", import_module)
     monkeypatch.setattr(early, "LIBRARIES", ("one", "two"))
-    carrier = _carrier(log[1])
+    carrier = early_parts.carrier(log_pipe[1])
     early.StartupForwarder(carrier, data_socket, clock.now_ms()).run(pages.address)
     pages.end()
     assert forwarded_ports == [40_001, 40_002]
@@ -169,7 +69,9 @@
 
 
 def test_silent_store_does_not_block_the_start(
-    data_socket: socket.socket, log: tuple[int, int], monkeypatch: pytest.MonkeyPatch
+    data_socket: socket.socket,
+    log_pipe: tuple[int, int],
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against a VM that waits long for a store that doesn't answer.
 
@@ -177,47 +79,16 @@
     receives the rows from other VMs.
     """
     monkeypatch.setattr(early, "STALL_S", 0.05)
-    with socket.create_server((HOST, 0)) as silent:
-        carrier = _carrier(log[1])
-        address = model.Address(HOST, silent.getsockname()[1])
+    with socket.create_server((early_parts.HOST, 0)) as silent:
+        carrier = early_parts.carrier(log_pipe[1])
+        address = model.Address(early_parts.HOST, silent.getsockname()[1])
         early.StartupForwarder(carrier, data_socket, clock.now_ms()).run(address)
     assert not carrier.started
     carrier.parts.log.flush()
-    assert b"early_read_failed" in os.read(log[0], 65536)
+    assert b"early_read_failed" in os.read(log_pipe[0], 65536)
 
 
-class SlowStore(OneConnectionServer):
-    """A store whose link is full, so that its only page arrives in parts."""
-
-    def __init__(self, pause_s: float, *rows: source.Row) -> None:
-        """Create a store that sends the rows in parts, one after each pause."""
-        self._pause_s = pause_s
-        self._items = [_item(row) for row in rows]
-        super().__init__()
-
-    def _answer(self, connection: socket.socket) -> None:
-        connection.recv(65536)
-        raw = _page(self._items, False)
-        size = -(-len(raw) // 8)
-        for start in range(0, len(raw), size):
-            time.sleep(self._pause_s)
-            connection.sendall(raw[start : start + size])
-
-
-class ScriptedServer(OneConnectionServer):
-    """A server that answers the first request with prepared bytes."""
-
-    def __init__(self, raw: bytes) -> None:
-        """Create a server that answers with the given bytes."""
-        self._raw = raw
-        super().__init__()
-
-    def _answer(self, connection: socket.socket) -> None:
-        connection.recv(65536)
-        connection.sendall(self._raw)
-
-
-class StandInPeer(ScriptedServer):
+class StandInPeer(early_parts.ScriptedServer):
     """Stand-in of another VM that answers a VM that lacks rows."""
 
     def __init__(self, *strings: bytes) -> None:
@@ -236,19 +107,10 @@
     return offers.encode(0)
 
 
-ROWS: typing.Final = (
-    cookie_parts.config_row(1),
-    cookie_parts.target_row("i-0a", 2),
-)
-
-
-def _unused() -> model.Address:
-    with socket.create_server((HOST, 0)) as opened:
-        return model.Address(HOST, opened.getsockname()[1])
-
-
 def test_listing_that_arrives_slowly_is_read_to_its_end(
-    data_socket: socket.socket, log: tuple[int, int], monkeypatch: pytest.MonkeyPatch
+    data_socket: socket.socket,
+    log_pipe: tuple[int, int],
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against hundreds of VMs that list the store together and all give up.
 
@@ -256,8 +118,8 @@
     alone.
     """
     monkeypatch.setattr(early, "LIBRARIES", ())
-    store = SlowStore(0.04, *ROWS)
-    carrier = _carrier(log[1])
+    store = early_parts.SlowStore(0.04, *early_parts.ROWS)
+    carrier = early_parts.carrier(log_pipe[1])
     early.StartupForwarder(carrier, data_socket, clock.now_ms()).run(store.address)
     store.end()
     assert carrier.parts.replica.revision == 7
@@ -265,25 +127,31 @@
 
 
 def test_rows_are_kept_when_the_store_closes_after_its_last_page(
-    data_socket: socket.socket, log: tuple[int, int], monkeypatch: pytest.MonkeyPatch
+    data_socket: socket.socket,
+    log_pipe: tuple[int, int],
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against rows that are dropped because the connection can't be reused."""
     monkeypatch.setattr(early, "LIBRARIES", ())
-    raw = _page([_item(row) for row in ROWS], False)
+    raw = early_parts.page([early_parts.item(row) for row in early_parts.ROWS], False)
     head = b"HTTP/1.1 200 OK\r\n"
-    store = ScriptedServer(raw.replace(head, head + b"Connection: close\r\n"))
-    carrier = _carrier(log[1])
+    store = early_parts.ScriptedServer(
+        raw.replace(head, head + b"Connection: close\r\n")
+    )
+    carrier = early_parts.carrier(log_pipe[1])
     early.StartupForwarder(carrier, data_socket, clock.now_ms()).run(store.address)
     store.end()
     assert carrier.parts.replica.revision == 7
 
 
 def test_libraries_are_imported_while_the_store_answers(
-    data_socket: socket.socket, log: tuple[int, int], monkeypatch: pytest.MonkeyPatch
+    data_socket: socket.socket,
+    log_pipe: tuple[int, int],
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against a start that waits for the store with an idle processor."""
     imported: list[bool] = []
-    carrier = _carrier(log[1])
+    carrier = early_parts.carrier(log_pipe[1])
 
     def import_module(name: str) -> None:
         imported.append(carrier.started)
@@ -291,7 +159,7 @@
 
     monkeypatch.setattr(importlib, "import_module", import_module)
     monkeypatch.setattr(early, "LIBRARIES", ("one",) * 8)
-    store = SlowStore(0.06, *ROWS)
+    store = early_parts.SlowStore(0.06, *early_parts.ROWS)
     early.StartupForwarder(carrier, data_socket, clock.now_ms()).run(store.address)
     store.end()
     assert not imported[0]
@@ -299,43 +167,49 @@
 
 
 def test_vm_with_an_answering_peer_does_not_list_the_store(
-    data_socket: socket.socket, log: tuple[int, int], monkeypatch: pytest.MonkeyPatch
+    data_socket: socket.socket,
+    log_pipe: tuple[int, int],
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against a listing of the store for each of hundreds of restarts."""
     monkeypatch.setattr(early, "LIBRARIES", ())
-    peer = StandInPeer(*_offer(300, *ROWS))
-    carrier = _carrier(log[1])
+    peer = StandInPeer(*_offer(300, *early_parts.ROWS))
+    carrier = early_parts.carrier(log_pipe[1])
     forwarder = early.StartupForwarder(
         carrier, data_socket, clock.now_ms(), [peer.address]
     )
-    forwarder.run(_unused())
+    forwarder.run(offer_parts.unused_address())
     peer.end()
     replica = carrier.parts.replica
     assert replica.revision == 7
     assert 300 <= replica.age_ms(clock.now_ms()) < 2000
     assert forwarder.members == (peers.Member("10.0.0.8", "z1"),)
     assert carrier.started
-    assert b"early_read_failed" not in os.read(log[0], 65536)
+    assert b"early_read_failed" not in os.read(log_pipe[0], 65536)
 
 
 def test_old_rows_of_a_peer_are_used_while_the_store_is_unavailable(
-    data_socket: socket.socket, log: tuple[int, int], monkeypatch: pytest.MonkeyPatch
+    data_socket: socket.socket,
+    log_pipe: tuple[int, int],
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against a VM that serves no caller until the store is available."""
     monkeypatch.setattr(early, "LIBRARIES", ())
-    peer = StandInPeer(*_offer(9000, *ROWS))
-    carrier = _carrier(log[1])
+    peer = StandInPeer(*_offer(9000, *early_parts.ROWS))
+    carrier = early_parts.carrier(log_pipe[1])
     early.StartupForwarder(carrier, data_socket, clock.now_ms(), [peer.address]).run(
-        _unused()
+        offer_parts.unused_address()
     )
     peer.end()
     assert carrier.started
     assert 9000 <= carrier.parts.replica.age_ms(clock.now_ms()) < 9400
-    assert b"early_read_failed" in os.read(log[0], 65536)
+    assert b"early_read_failed" in os.read(log_pipe[0], 65536)
 
 
 def test_silent_seeds_do_not_block_the_start(
-    data_socket: socket.socket, log: tuple[int, int], monkeypatch: pytest.MonkeyPatch
+    data_socket: socket.socket,
+    log_pipe: tuple[int, int],
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against a start that waits for each seed after a power loss of all VMs.
 
@@ -343,9 +217,9 @@
     """
     monkeypatch.setattr(early, "LIBRARIES", ())
     with contextlib.ExitStack() as stack:
-        silent_seeds = [stack.enter_context(_full_queue()) for _ in range(3)]
-        pages = PagedStore(*ROWS)
-        carrier = _carrier(log[1])
+        silent_seeds = [stack.enter_context(early_parts.full_queue()) for _ in range(3)]
+        pages = early_parts.PagedStore(*early_parts.ROWS)
+        carrier = early_parts.carrier(log_pipe[1])
         early.StartupForwarder(carrier, data_socket, clock.now_ms(), silent_seeds).run(
             pages.address
         )
@@ -353,38 +227,29 @@
     assert carrier.started
     # All seeds time out together. If they were tried one after the other, only some
     # would be tried.
-    assert os.read(log[0], 65536).count(b"TimeoutError: connect") == 3
-
-
-@contextlib.contextmanager
-def _full_queue() -> typing.Iterator[model.Address]:
-    """Return an address where connections hang because its queue is full."""
-    with socket.create_server((HOST, 0), backlog=0) as listening:
-        address = model.Address(HOST, listening.getsockname()[1])
-        waiting = [socket.socket() for _ in range(4)]
-        for item in waiting:
-            item.setblocking(False)
-            item.connect_ex(address)
-        yield address
-        for item in waiting:
-            item.close()
+    assert os.read(log_pipe[0], 65536).count(b"TimeoutError: connect") == 3
 
 
 @pytest.mark.parametrize(
-    "strings", [(), (b"x", b"y"), _offer(0), (b"\xff" * 40,)], ids=repr
+    "strings",
+    [(), (b"x", b"y"), _offer(0), (b"\xff" * 40,), (b"x", b"y", b"z")],
+    ids=repr,
 )
 def test_store_is_listed_when_a_peer_has_no_valid_answer(
     data_socket: socket.socket,
-    log: tuple[int, int],
+    log_pipe: tuple[int, int],
     monkeypatch: pytest.MonkeyPatch,
     strings: tuple[bytes, ...],
 ) -> None:
     """Guards against a peer that has no rows or sends garbage."""
     monkeypatch.setattr(early, "LIBRARIES", ())
-    peer, pages = StandInPeer(*strings), PagedStore(*ROWS)
-    carrier = _carrier(log[1])
+    peer, pages = StandInPeer(*strings), early_parts.PagedStore(*early_parts.ROWS)
+    carrier = early_parts.carrier(log_pipe[1])
     forwarder = early.StartupForwarder(
-        carrier, data_socket, clock.now_ms(), [_unused(), peer.address]
+        carrier,
+        data_socket,
+        clock.now_ms(),
+        [offer_parts.unused_address(), peer.address],
     )
     forwarder.run(pages.address)
     peer.end()
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -140,3 +140,25 @@
         assert entries.Reader().evacuation(row).zone == key
     except errors.EntryInvalidError:
         assert not key
+
+
+@pytest.mark.parametrize("value", [10**400, 1e308], ids=["integer", "float"])
+def test_cold_start_too_long_for_a_number_of_ms_is_refused(
+    reader: entries.Reader, value: float
+) -> None:
+    """Guards against a row whose error ends a merge halfway, or a VM's start."""
+    service = {"name": "desk", "cold_start_s": value}
+    body = {"version": 1, "routes": [], "services": [service]}
+    row = source.Row("config", json.dumps(body).encode(), 1)
+    with pytest.raises(errors.EntryInvalidError):
+        reader.config(row)
+
+
+def test_weight_too_large_for_a_float_is_refused(reader: entries.Reader) -> None:
+    """Guards against a row whose error ends a merge halfway, or a VM's start."""
+    split = [{"service": "desk", "weight": 10**400}]
+    route = {"name": "r", "host": "198.18.0.1", "prefix": "/443/"}
+    body = {"version": 1, "routes": [{**route, "traffic_split": split}]}
+    row = source.Row("config", json.dumps(body).encode(), 1)
+    with pytest.raises(errors.EntryInvalidError):
+        reader.config(row)
--- a/tests/test_offer.py
+++ b/tests/test_offer.py
@@ -36,6 +36,38 @@
     assert replica.age_ms(9000) == 8300
 
 
+def test_vm_without_rows_encodes_an_offer_without_rows() -> None:
+    """Guards against invalid bytes from a seed that has just started."""
+    replica = store_replica.StoreReplica()
+    offers = offer.OfferEncoder(replica.changes_since, lambda: SENDER_STATE)
+    decoded = offer.decode(*offers.encode(0))
+    assert decoded.changes == source.Changes((), 0, 0)
+
+
+def test_late_offer_of_an_earlier_revision_changes_nothing(
+    offers: offer.OfferEncoder,
+) -> None:
+    """Guards against flows placed by rows older than the ones in force."""
+    late = offer.decode(*offers.encode(0))
+    replica = store_replica.StoreReplica()
+    current = (ROW._replace(value=b"w", revision=6),)
+    replica.merge(0, source.Changes(current, 6, 0))
+    replica.confirm(6, 500)
+    assert late.merge_into(9000, 8900, replica).rows == ()
+    assert tuple(replica.rows) == current
+    assert replica.age_ms(9000) == 8500
+
+
+def test_old_offer_of_the_same_revision_does_not_age_the_rows(
+    replica: store_replica.StoreReplica, offers: offer.OfferEncoder
+) -> None:
+    """Guards against rows that look outdated because a slow offer arrived last."""
+    replica.confirm(5, 8000)
+    late = offer.decode(*offers.encode(0))
+    assert late.merge_into(9000, 1000, replica).rows == ()
+    assert replica.age_ms(9000) == 1000
+
+
 def test_changed_rows_are_encoded_again(
     replica: store_replica.StoreReplica, offers: offer.OfferEncoder
 ) -> None:
