Reserve capacity for new flows of pools under pressure

Cause: with a third of the targets for one service, full targets rejected 10,382 of 42,457 arrivals while others idled; VMs reset 13,019 attempts. Change: while a pool is under pressure, an opening packet is held until a scheduler grants capacity, is placed as before when none replies in 40 ms, and is refused when no reachable zone can serve it in time. Requests of flows that the fabric has moved to other VMs are not counted as in flight, copies of refused flows are refused, and the setting [policy] reserve disables it. Without pressure nothing is sent or held.

--- a/eelgrasswick/cookie/carrying.py
+++ b/eelgrasswick/cookie/carrying.py
@@ -30,7 +30,10 @@
 NO_RETRANSMISSION: typing.Final = 1 << 32
 # Forwarded packets are counted but not logged, because a log line for each packet would
 # slow down forwarding.
-_UNLOGGED_OUTCOMES: typing.Final = frozenset({steering.Outcome.FORWARDED})
+# A held packet is logged with its resolution.
+_UNLOGGED_OUTCOMES: typing.Final = frozenset(
+    {steering.Outcome.FORWARDED, steering.Outcome.HELD}
+)
 
 
 Send = typing.Callable[[bytes, model.Address], None]
@@ -67,6 +70,7 @@
         last_packet_ms: Time when the last packet arrived.
         send: Sends a datagram to an address.
         probe: Called with each target to probe.
+        on_stall: Called with the time after each stall of this VM.
     """
 
     def __init__(self, zone: str, caller_port: int, parts: Parts) -> None:
@@ -86,6 +90,7 @@
         self.last_packet_ms = 0
         self.send: Send = _ignore_datagram
         self.probe: typing.Callable[[model.Target], None] = _ignore_target
+        self.on_stall: typing.Callable[[int], None] = _ignore_stall
         self._caller_port = caller_port
         self._codec = parts.codec
         self._replica = parts.replica
@@ -105,6 +110,7 @@
         gap_ms = self.stalls.record_activity(now_ms)
         if gap_ms > stall.PROBE_GAP_MS:
             self._observations.record_pause(now_ms)
+            self.on_stall(now_ms)
         if gap_ms > stall.STALL_MS:
             # Opening packets of the backlog are old, and other VMs may have opened
             # their flows in the meantime. If this VM placed such a flow, it would be
@@ -151,8 +157,8 @@
             return
         age_ms = self._replica.age_ms(now_ms)
         decision = self.steering.steer(now_ms, age_ms, segment, raw)
-        self._send(segment, decision)
-        self._account(now_ms, age_ms, segment, decision)
+        self.send_decision(segment, decision)
+        self.account(now_ms, age_ms, segment, decision)
         if decision.probe is not None:
             self.probe(decision.probe)
 
@@ -160,7 +166,10 @@
         in_backlog = now_ms < self._backlog_until_ms
         return in_backlog and segment.acknowledged < self._backlog_min_retransmission
 
-    def _send(self, segment: model.Segment, decision: steering.Decision) -> None:
+    def send_decision(
+        self, segment: model.Segment, decision: steering.Decision
+    ) -> None:
+        """Send the datagram of a decision, if any."""
         if decision.datagram is None:
             return
         address = decision.address or self.caller_address(segment.flow)
@@ -171,13 +180,23 @@
         host = ".".join(map(str, flow.caller_ip))
         return model.Address(host, self._caller_port)
 
-    def _account(
+    def account(
         self,
         now_ms: int,
         age_ms: int,
         segment: model.Segment,
         decision: steering.Decision,
+        **further_fields: object,
     ) -> None:
+        """Count and log a decision.
+
+        Args:
+            now_ms: Present time.
+            age_ms: Age of this VM's copy of the store.
+            segment: The packet that was decided about.
+            decision: The decision.
+            further_fields: Further fields of the log line.
+        """
         outcome = decision.outcome
         self._stats.counts[f"packets_{outcome.value}"] += 1
         if decision.answer_ms is not None:
@@ -201,6 +220,7 @@
             age_ms=store_replica.reported_age_ms(age_ms),
             **self._withheld_fields(decision),
             **self._overload_fields(target),
+            **further_fields,
         )
 
     def count_reset(self, reason: steering.ResetReason) -> None:
@@ -329,5 +349,9 @@
     """Send no datagram, before the forwarder sets the send function."""
 
 
+def _ignore_stall(now_ms: int) -> None:
+    """Do nothing about a stall, before reservations are in use."""
+
+
 def _ignore_target(target: model.Target) -> None:
     """Probe no target, before the forwarder sets the probe function."""
--- a/eelgrasswick/cookie/entry.py
+++ b/eelgrasswick/cookie/entry.py
@@ -12,8 +12,10 @@
     clock,
     forwarding,
     gossip,
+    held_packets,
     offer,
     peers,
+    reserving,
     settings,
     source,
     stopping,
@@ -26,6 +28,10 @@
 
 REQUEST_INTERVAL_S: typing.Final = 0.25
 CHECK_INTERVAL_S: typing.Final = 0.1
+# Held flows and usage of targets are checked this often while any pool is under
+# pressure. Requests take some tens of milliseconds, so that a later report of their end
+# would leave slots idle.
+RESERVATION_INTERVAL_S: typing.Final = 0.005
 # A starting VM checks this often whether it can forward packets. Its first read of
 # the store takes about 5 ms.
 READY_POLL_INTERVAL_S: typing.Final = 0.005
@@ -91,6 +97,12 @@
         self._gossip = gossip.Gossip(
             reactor, vm.peer, vm.zone, self._gossip_parts(), rng, self._on_unsent
         )
+        self._reservations = reserving.Reservations(
+            vm.peer.host, vm.zone, loaded.policy.reserve, self._reserving_parts(), rng
+        )
+        self._reservation_check = task.LoopingCall(self._check_reservations)
+        self._reservation_check.clock = reactor
+        self._connect_reservations()
         self._catalog.on_ended = self._forwarder.reset_ended_target
         self._forwarder.on_dead = self._gossip.report_dead_target
         self._store_watch = store_watch.StoreWatch(
@@ -101,6 +113,28 @@
         self._loops: list[task.LoopingCall] = []
         self._listening: list[typing.Any] = []
 
+    def _reserving_parts(self) -> reserving.Parts:
+        return reserving.Parts(
+            self._catalog,
+            self._observations,
+            self._gossip.peers,
+            self._log,
+            self._stats,
+            self._gossip.send,
+            held_packets.HeldPackets(self._carrier).resolve,
+            self._run_reservation_check,
+        )
+
+    def _connect_reservations(self) -> None:
+        self._carrier.steering.holder = self._reservations
+        self._carrier.on_stall = self._reservations.pause
+        self._observations.on_rejection = self._reservations.record_rejection
+        self._observations.on_response = self._reservations.record_response
+
+    def _on_reservation(self, now_ms: int, payload: bytes, host: str) -> None:
+        self._carrier.check_stall()
+        self._reservations.handle_datagram(now_ms, payload, host)
+
     def _gossip_parts(self) -> gossip.Parts:
         return gossip.Parts(
             self._replica,
@@ -110,6 +144,7 @@
             self._stats,
             self._forwarder.probe_reported,
             self._observations.record_witness,
+            self._on_reservation,
         )
 
     def start(self) -> None:
@@ -140,6 +175,8 @@
         """Close the sockets and end the tasks."""
         for loop in self._loops:
             loop.stop()
+        if self._reservation_check.running:
+            self._reservation_check.stop()
         for port in self._listening:
             await defer.maybeDeferred(port.stopListening)
 
@@ -150,6 +187,7 @@
     def reload(self, loaded: settings.Settings) -> None:
         """Apply changed settings; the VM's own addresses stay as they were."""
         self._settings = loaded
+        self._reservations.enabled = loaded.policy.reserve
         self._gossip.peers.add_hosts(clock.now_ms(), loaded.fleet.seeds)
         self._log.write("settings_reloaded", seeds=len(loaded.fleet.seeds))
 
@@ -162,6 +200,7 @@
         """Begin the shutdown: report not ready, and forward until traffic ends."""
         if self._stop_requested_ms is None:
             self._stop_requested_ms = clock.now_ms()
+            self._reservations.stop(self._stop_requested_ms)
             self._log.write("stopping", flows=len(self._observations.tracker))
 
     def _listen(self) -> None:
@@ -213,11 +252,23 @@
         vms = self._gossip.peers
         self._observations.cold.limits.update_fleet(now_ms, vms.hosts(), len(vms))
         self._carrier.log_overloads()
+        self._reservations.tick(now_ms)
+        if self._reservations.active:
+            self._run_reservation_check()
         self._catalog.tick(now_ms, self._replica.confirmed_ms)
         self._gossip.send_requests(
             now_ms, self._observations.report(), self._store_watch.store_responds
         )
 
+    def _run_reservation_check(self) -> None:
+        if not self._reservation_check.running:
+            self._reservation_check.start(RESERVATION_INTERVAL_S, now=False)
+
+    def _check_reservations(self) -> None:
+        self._reservations.check(self._carrier.check_stall())
+        if not self._reservations.active:
+            self._reservation_check.stop()
+
     def _check(self) -> None:
         now_ms = self._carrier.check_stall()
         self._gossip.send_witnesses(now_ms, self._forwarder.probe_overdue(now_ms))
@@ -263,6 +314,7 @@
                 self._replica.age_ms(now_ms)
             ),
             store_calls=self._store_watch.calls,
+            **self._reservations.gauges(now_ms),
         )
         return web.Page(200, self._stats.text())
 
--- a/eelgrasswick/cookie/gossip.py
+++ b/eelgrasswick/cookie/gossip.py
@@ -20,6 +20,7 @@
     transfer,
 )
 from eelgrasswick.decisions import ejection
+from eelgrasswick.reservations import codec as reservation_codec
 
 # A VM fetches rows from at most this many others at once. Each VM receives an
 # announcement from several, and a large configuration from each would congest its link.
@@ -40,6 +41,8 @@
             detected as dead.
         on_witness: Called with a witness against a target; returns True if the
             witness is to be passed on.
+        on_reservation: Called with the time, a datagram about reservations, and the
+            host of its sender.
     """
 
     replica: store_replica.StoreReplica
@@ -49,6 +52,7 @@
     stats: stats.Stats
     check_target: typing.Callable[[int], None]
     on_witness: typing.Callable[[int, ejection.Witness], bool]
+    on_reservation: typing.Callable[[int, bytes, str], None]
 
 
 class Gossip:
@@ -90,6 +94,7 @@
         self._reports = parts.reports
         self._check_target = parts.check_target
         self._on_witness = parts.on_witness
+        self._on_reservation = parts.on_reservation
         self._exchange = exchange.Exchange(
             zone, parts.replica, self.peers, parts.reports, rng
         )
@@ -149,6 +154,9 @@
 
     def _on_datagram(self, payload: bytes, host: str) -> None:
         now_ms = clock.now_ms()
+        if reservation_codec.is_reservation(payload):
+            self._on_reservation(now_ms, payload, host)
+            return
         try:
             received = self._exchange.receive(now_ms, host, payload)
         except errors.MessageInvalidError as error:
@@ -192,5 +200,9 @@
         )
         self.peers.add_members(now_ms, received.sender_state.members)
 
+    def send(self, host: str, payload: bytes) -> None:
+        """Send a datagram to another VM."""
+        self._send_peer(exchange.Outgoing(host, payload))
+
     def _send_peer(self, item: exchange.Outgoing) -> None:
         self.port.send(item.payload, model.Address(item.host, self._peer_port))
--- /dev/null
+++ b/eelgrasswick/cookie/held_packets.py
@@ -0,0 +1,55 @@
+"""Sends, refuses or drops opening packets that were held for a reservation."""
+
+from eelgrasswick.cookie import carrying, steering
+from eelgrasswick.reservations import held_flow
+
+
+class HeldPackets:
+    """Carries out the resolutions of held flows."""
+
+    def __init__(self, carrier: carrying.Carrier) -> None:
+        """Create the resolver of a VM.
+
+        Args:
+            carrier: Sends, logs and counts the results.
+        """
+        self._carrier = carrier
+
+    def resolve(self, now_ms: int, resolution: held_flow.Resolution) -> None:
+        """Place, refuse or drop a flow that was held."""
+        age_ms = self._carrier.parts.replica.age_ms(now_ms)
+        decision = self._decide(now_ms, age_ms, resolution)
+        segment = self._carrier.parts.codec.decode(resolution.raw)
+        self._carrier.send_decision(segment, decision)
+        self._carrier.account(
+            now_ms,
+            age_ms,
+            segment,
+            decision,
+            held_ms=resolution.waited_ms,
+            asked=resolution.asked,
+            expected_wait_ms=resolution.expected_wait_ms,
+            resolution=resolution.kind.value,
+            held_reason=resolution.reason.value,
+        )
+
+    def _decide(
+        self, now_ms: int, age_ms: int, resolution: held_flow.Resolution
+    ) -> steering.Decision:
+        raw = resolution.raw
+        steer = self._carrier.steering
+        tracker = self._carrier.parts.observations.tracker
+        if tracker.get(resolution.flow) is not None:
+            # Packets of the flow passed this VM in the meantime, so another VM has
+            # opened it with a copy of the held packet.
+            return steering.Decision(steering.Outcome.HELD_TOO_LONG, None, None, None)
+        match resolution.kind:
+            case held_flow.Kind.GRANTED:
+                return steer.place_reserved(now_ms, age_ms, raw, resolution.cookie)
+            case held_flow.Kind.PLACE_LOCALLY:
+                return steer.place_held(now_ms, age_ms, raw)
+            case held_flow.Kind.REFUSED:
+                return steer.refuse_held(now_ms, raw)
+            case held_flow.Kind.DROP:
+                outcome = steering.Outcome.HELD_TOO_LONG
+                return steering.Decision(outcome, None, None, None)
--- a/eelgrasswick/cookie/observations.py
+++ b/eelgrasswick/cookie/observations.py
@@ -13,10 +13,18 @@
     reports,
     silence,
     speed,
+    speed_comparison,
     store_replica,
+    target_usage,
     tracker,
 )
-from eelgrasswick.decisions import cold_start, ejection, overload, response_time
+from eelgrasswick.decisions import (
+    cold_start,
+    ejection,
+    flow_reuse,
+    overload,
+    response_time,
+)
 
 # The records of removed services and routes are deleted at this interval. Few are
 # removed a day, and the search walks thousands of targets.
@@ -53,6 +61,12 @@
         ejections: Outlier ejection of targets.
         load_shedder: Refuses new flows in an overload.
         levels: Priorities of the flows of each service.
+        flow_reuse: Services whose flows carry a single request each.
+        usage: Cumulative counts of this VM's requests at each target.
+        on_rejection: Called with the time and each target that refused a request
+            because it was full.
+        on_response: Called with the time, the target and the response time in ms of
+            each other response.
         reports: What the peers report about targets.
         liveness: Checks of silent targets.
         cold: Limits on flows to cold targets.
@@ -84,6 +98,10 @@
         self.ejections = ejection.OutlierEjection()
         self.load_shedder = overload.LoadShedder(refuse)
         self.levels = overload.PriorityLevels()
+        self.flow_reuse = flow_reuse.FlowReuse()
+        self.usage = target_usage.TargetUsage()
+        self.on_rejection: typing.Callable[[int, model.Target], None] = _ignore
+        self.on_response: typing.Callable[[int, model.Target, int], None] = _ignore
         self._response_sizes = overload.ResponseSizes()
         self._stall_end_ms = 0
         self._paused_ms = 0
@@ -102,7 +120,10 @@
             target_catalog.ages,
         )
         self._answered_ms: dict[str, int] = {}
-        self._factors: dict[int, float] = {}
+        self._changes = target_catalog.entries.watch()
+        self._speeds = speed_comparison.SpeedComparison(
+            target_catalog, self._changes, self.answer_times, self.reports
+        )
 
     def candidates(
         self,
@@ -124,26 +145,31 @@
                 a large set of targets.
             urgent: True for the most urgent flows of the service.
         """
-        accepting = placing.sample_targets(
-            self._catalog.accepting(service), self._zone, position
-        )
-        usable = []
-        for item in self._not_ejected(now_ms, accepting):
-            if self._suspected(now_ms, item):
-                self._catalog.ages.record_suspicion(now_ms, item.cookie)
-            else:
-                usable.append(item)
-        # If all targets are silent, the link of this VM or of the callers is more
-        # likely to be broken than all targets. Refusing all flows would make the
-        # outage worse.
-        usable = usable or accepting
-        if not usable:
+        split = self._catalog.accepting_split(service, self._zone)
+        accepting = placing.sample_targets(split.own, split.others, position)
+        if not accepting:
             return Candidates([])
-        found = self.cold.eligible(now_ms, usable, urgent)
+        found = self.usable(now_ms, accepting, urgent)
         eligible = self._retransmission_targets(found.targets, unanswered_cookie)
         items = [self._candidate(now_ms, item) for item in eligible]
         return Candidates(items, found.cold_excluded)
 
+    def usable(
+        self, now_ms: int, targets: typing.Sequence[model.Target], urgent: bool
+    ) -> cold_targets.Eligible:
+        """Return those of some targets of one service that may get a flow.
+
+        Args:
+            now_ms: Present time.
+            targets: Targets that take flows by their entries, at least one.
+            urgent: True for the most urgent flows of the service.
+        """
+        usable = self._not_suspected(now_ms, self._not_ejected(now_ms, targets))
+        # If all targets are silent, the link of this VM or of the callers is more
+        # likely to be broken than all targets. Refusing all flows would make the
+        # outage worse.
+        return self.cold.eligible(now_ms, usable or targets, urgent)
+
     def _retransmission_targets(
         self, targets: typing.Sequence[model.Target], unanswered_cookie: int
     ) -> typing.Sequence[model.Target]:
@@ -161,6 +187,7 @@
 
     def record_placement(self, now_ms: int, target: model.Target) -> None:
         """Record that a flow was placed on a target."""
+        self._note_record(target.cookie)
         self._silence.record_trial(now_ms, target.cookie)
         self._response_silence.record_trial(now_ms, target.cookie)
         self._zone_silence.record_trial(now_ms, target.zone)
@@ -188,6 +215,7 @@
 
     def record_answer_time(self, target: model.Target, answer_ms: int) -> None:
         """Record the response time of a target."""
+        self._note_record(target.cookie)
         self._response_silence.record_answer(target.cookie)
         self.answer_times.record(target.cookie, answer_ms)
         self.response_times.answered(target.service, answer_ms)
@@ -208,6 +236,13 @@
         if answer_ms is None or not route.objective_ms:
             return
         refused = self._response_sizes.refused(route.name, measurement.answer_bytes)
+        if refused:
+            self.usage.record_rejection(target.cookie)
+            self.on_rejection(now_ms, target)
+        else:
+            usual_ms = self.response_times.mean_ms(target.service)
+            self.usage.record_response(target.cookie, answer_ms, usual_ms)
+            self.on_response(now_ms, target, answer_ms)
         if measurement.request_retransmitted or now_ms - answer_ms < self._stall_end_ms:
             return
         levels = self.levels.rank(target.service, route.priority).levels
@@ -227,6 +262,7 @@
         """Record an unanswered packet; return True when to probe the target."""
         if target.zone != self._zone:
             self._zone_silence.record_unanswered(now_ms, target.zone)
+        self._note_record(target.cookie)
         self._silence.record_unanswered(now_ms, target.cookie)
         # A VM of a large fleet has about one flow on a target, and a second unanswered
         # packet takes 400 ms more. A probe is cheap and gives a definite result.
@@ -256,6 +292,7 @@
                 witnesses.append(item)
             if request.first_request:
                 continue
+            self._note_record(request.cookie)
             self._response_silence.record_unanswered(now_ms, request.cookie)
             if self.begin_check(now_ms, target):
                 found.append(target)
@@ -296,6 +333,22 @@
             allowed.update(self.ejections.allowed(now_ms, cookies))
         return [item for item in targets if item.cookie in allowed]
 
+    def _not_suspected(
+        self, now_ms: int, targets: typing.Sequence[model.Target]
+    ) -> typing.Sequence[model.Target]:
+        # Most targets have no record that could make them suspected, and the method
+        # runs for each opening packet.
+        recorded = self._silence.keys() | self._response_silence.keys()
+        recorded |= self.liveness.cookies | self.reports.silent_cookies
+        usable = []
+        for item in targets:
+            is_recorded = item.cookie in recorded or item.zone in self._zone_silence
+            if is_recorded and self._suspected(now_ms, item):
+                self._catalog.ages.record_suspicion(now_ms, item.cookie)
+            else:
+                usable.append(item)
+        return usable
+
     def should_reprobe(self, now_ms: int, target: model.Target) -> bool:
         """Return True when to probe a target whose dead state has expired."""
         lapsed = self.liveness.lapsed(now_ms, target.cookie)
@@ -303,6 +356,7 @@
 
     def begin_check(self, now_ms: int, target: model.Target) -> bool:
         """Begin the check of a suspected target; return True when to probe it now."""
+        self._note_record(target.cookie)
         return self.liveness.begin(now_ms, target.cookie, self.zone_answered_ms(target))
 
     def zone_answered_ms(self, target: model.Target) -> int:
@@ -341,37 +395,40 @@
         """Update sums and speed factors, and delete outdated records."""
         self.tracker.expire(now_ms)
         self.reports.tick(now_ms)
-        cookies = {item.cookie for item in self._catalog.targets}
-        self.answer_times.retain(cookies)
-        self._silence.retain(cookies)
-        self._response_silence.retain(cookies)
-        self.liveness.retain(self._catalog.forwardable_cookies)
+        cookies = self._catalog.entries.cookies
+        # Witnesses expire by time, too.
         self.ejections.retain(now_ms, cookies)
-        self.cold.limits.retain(cookies)
+        # A flow may be placed on a target whose entry lapsed at any time.
+        if self._changes.removed or self._catalog.has_lapsed:
+            self._changes.removed = False
+            self.answer_times.retain(cookies)
+            self._silence.retain(cookies)
+            self._response_silence.retain(cookies)
+            self.liveness.retain(self._catalog.forwardable_cookies)
+            self.cold.limits.retain(cookies)
         self._remove_stale_records(now_ms)
         if now_ms - self._compared_ms >= SPEED_INTERVAL_MS:
             self._compared_ms = now_ms
-            self._compare_speeds()
+            self._speeds.compare()
 
-    def _compare_speeds(self) -> None:
-        self._factors = {}
-        for service in {item.service for item in self._catalog.targets}:
-            accepting = self._catalog.accepting(service)
-            means_ms = {item.cookie: self._mean_ms(item.cookie) for item in accepting}
-            self._factors.update(speed.speed_factors(means_ms))
+    def _note_record(self, cookie: int) -> None:
+        """Let the next tick delete a record that concerns a removed target."""
+        entries, forwardable = self._catalog.entries, self._catalog.forwardable_cookies
+        if cookie not in entries.cookies or cookie not in forwardable:
+            self._changes.removed = True
 
     def _remove_stale_records(self, now_ms: int) -> None:
         if now_ms - self._removed_ms < REMOVAL_INTERVAL_MS:
             return
         self._removed_ms = now_ms
-        targets = self._catalog.targets
-        self.load_shedder.retain(
-            {overload.Pool(item.service, item.zone) for item in targets}
-        )
+        entries = self._catalog.entries
+        self.load_shedder.retain(entries.pools)
         config = self._catalog.config
         if config is not None:
             self._response_sizes.retain({item.name for item in config.routes.values()})
-        self.response_times.retain({item.service for item in targets})
+        self.response_times.retain(entries.services)
+        self.flow_reuse.retain(entries.services)
+        self.usage.retain(entries.cookies)
 
     def report(self) -> reports.Report:
         """Return the report for the peers, silent and then fullest targets first."""
@@ -421,13 +478,11 @@
         return placing.Candidate(
             target,
             self.tracker.flows_on(cookie) + self.reports.flows_on(cookie),
-            self._factors.get(cookie, 1.0),
+            self._speeds.factor(cookie),
             self._catalog.cold_ms(target, now_ms) > 0,
             self.tracker.waiting_flows.get(cookie, 0),
         )
 
-    def _mean_ms(self, cookie: int) -> float | None:
-        reported_ms: typing.Sequence[float] = self.reports.answers_ms(cookie)
-        own_ms = self.answer_times.mean_ms(cookie)
-        times_ms = [*reported_ms, own_ms] if own_ms is not None else reported_ms
-        return sum(times_ms) / len(times_ms) if times_ms else None
+
+def _ignore(*_: object) -> None:
+    """Do nothing about a response, while no reservations are in use."""
--- a/eelgrasswick/cookie/peers.py
+++ b/eelgrasswick/cookie/peers.py
@@ -215,6 +215,13 @@
         """Return the addresses of all registered VMs, including dead ones."""
         return tuple(self._peers)
 
+    def hosts_by_zone(self) -> dict[str, tuple[str, ...]]:
+        """Return the addresses of all live VMs by zone, including this one."""
+        found: dict[str, list[str]] = {self._zone: [self._host]}
+        for peer in self._alive_peers():
+            found.setdefault(peer.zone, []).append(peer.host)
+        return {zone: tuple(sorted(hosts)) for zone, hosts in found.items()}
+
     def members(self) -> list[Member]:
         """Return all live VMs, including this one."""
         alive = self._alive_peers()
--- a/eelgrasswick/cookie/settings.py
+++ b/eelgrasswick/cookie/settings.py
@@ -51,9 +51,15 @@
 
 
 class PolicySettings(typing.NamedTuple):
-    """Section ``policy``: whether flows are refused while targets answer late."""
+    """Section ``policy``: decisions about new flows under high load.
+
+    Attributes:
+        refuse: Whether flows are refused while targets answer late.
+        reserve: Whether flows of a pool under pressure reserve capacity at a target.
+    """
 
     refuse: bool
+    reserve: bool
 
 
 class ColdSettings(typing.NamedTuple):
@@ -106,6 +112,12 @@
     return text.strip() == "yes"
 
 
+def _auto_no(text: str) -> bool:
+    if text.strip() not in ("auto", "no"):
+        raise ValueError("must be auto or no")
+    return text.strip() == "auto"
+
+
 def _factor(text: str) -> float:
     value = float(text)
     if not 0 <= value <= 1000:
@@ -134,6 +146,9 @@
         "log", "lines_per_s", "lines of one sort per s", ini.integer(1, 1000), "50"
     ),
     ini.Entry("policy", "refuse", "yes or no, refuse in an overload", _yes_no, "yes"),
+    ini.Entry(
+        "policy", "reserve", "auto or no, reserve capacity at targets", _auto_no, "auto"
+    ),
     ini.Entry(
         "cold", "overage", "factor on the flows a cold target bears", _factor, "1.5"
     ),
--- a/eelgrasswick/cookie/steering.py
+++ b/eelgrasswick/cookie/steering.py
@@ -8,9 +8,11 @@
 from eelgrasswick.cookie import (
     catalog,
     codec,
+    holding,
     model,
     observations,
     placing,
+    refused_flows,
     tracker,
     unrouted,
 )
@@ -47,6 +49,9 @@
     NOT_READY = "not_ready"
     TARGET_DEAD = "target_dead_reset"
     OVERLOADED = "overloaded_reset"
+    HELD = "held"
+    NO_CAPACITY = "no_capacity_reset"
+    HELD_TOO_LONG = "held_too_long"
 
 
 class Reason(enum.Enum):
@@ -89,7 +94,11 @@
 
 
 class Steering:
-    """Decides about packets from the catalog and the observations of this VM."""
+    """Decides about packets from the catalog and the observations of this VM.
+
+    Attributes:
+        holder: Holds opening packets while capacity is reserved for them.
+    """
 
     def __init__(
         self,
@@ -111,6 +120,8 @@
         self._catalog = target_catalog
         self._observations = observed
         self._unrouted = unrouted.UnroutedFlows()
+        self.holder: holding.Holder = holding.NoHolder()
+        self._refused = refused_flows.RefusedFlows()
 
     def steer(
         self, now_ms: int, age_ms: int, segment: model.Segment, raw: bytes
@@ -167,13 +178,21 @@
         self, now_ms: int, route: model.Route, segment: model.Segment, raw: bytes
     ) -> Decision:
         flow = segment.flow
+        if self.holder.holds(flow):
+            # No target has received the flow yet, so the copy adds nothing.
+            return Decision(Outcome.HELD, None, None, None)
+        if self._refused.has(now_ms, flow):
+            return self.refuse_held(now_ms, raw)
         retransmissions = segment.acknowledged
         record = self._observations.tracker.get(flow)
         previous = (
             self._catalog.by_cookie(record.cookie) if record is not None else None
         )
         if record is None or previous is None or self._death_reason(now_ms, previous):
-            return self._place(now_ms, route, flow, raw, retransmissions, None)
+            # A flow whose packet went to a target that is dead by now must not be
+            # refused as if no target had received it, so its copies are not held.
+            first = record is None and not retransmissions
+            return self._place(now_ms, route, flow, raw, retransmissions, None, first)
         too_soon = now_ms - record.placed_ms < MIN_RETRANSMISSION_MS
         unanswered = retransmissions > record.retransmissions
         moves = unanswered or self._catalog.evacuations.covers(previous)
@@ -194,7 +213,19 @@
         raw: bytes,
         retransmissions: int,
         silent: model.Target | None,
+        first: bool = False,
     ) -> Decision:
+        """Choose the target of a flow, or hold the flow.
+
+        Args:
+            now_ms: Present time.
+            route: Route of the flow.
+            flow: The flow.
+            raw: Its opening packet.
+            retransmissions: Number of the opening packet, 0 for the original.
+            silent: The target that left the previous opening packet unanswered.
+            first: True for the first decision about the flow, which may be to hold it.
+        """
         service = placing.pick_service(route.shares, _draws(flow, 0).first)
         unanswered_cookie = silent.cookie if silent is not None else 0
         draws = _draws(flow, retransmissions)
@@ -207,6 +238,20 @@
         )
         candidates = eligible.candidates
         withheld = self._withheld(service, eligible.cold_excluded)
+        if first and candidates:
+            self._observations.levels.opened(now_ms, service, route.priority)
+            if self.holder.wants(now_ms, route, service) and self.holder.hold(
+                now_ms,
+                holding.HoldRequest(
+                    flow,
+                    route,
+                    service,
+                    raw,
+                    tuple(item.target for item in candidates),
+                    urgent,
+                ),
+            ):
+                return Decision(Outcome.HELD, None, None, None, withheld=withheld)
         chosen = placing.choose_target(candidates, self._zone, draws)
         if chosen is None:
             return self._without_target(flow, withheld)
@@ -221,20 +266,88 @@
             if alternative is None:
                 # No target has received the flow, so nothing of it has run. An
                 # admitted flow would be late and would delay the next ones.
+                self._refused.add(now_ms, flow)
                 datagram = self._codec.reset(flow, 0)
                 return Decision(Outcome.OVERLOADED, datagram, None, chosen)
             target = alternative
+        self._record_placement(now_ms, flow, target, retransmissions)
+        outcome = Outcome.PLACED if silent is None else Outcome.PLACED_AGAIN
+        return self._forwarded_to(outcome, target, raw)._replace(withheld=withheld)
+
+    def place_held(self, now_ms: int, age_ms: int, raw: bytes) -> Decision:
+        """Place a flow that was held, by this VM's own observations.
+
+        Args:
+            now_ms: Present time.
+            age_ms: Age of this VM's copy of the store.
+            raw: The held opening packet.
+        """
+        segment = self._codec.decode(raw)
+        route = self._catalog.route(segment)
+        if route is None:
+            return self._without_route(now_ms, age_ms, segment)
+        return self._place(now_ms, route, segment.flow, raw, 0, None)
+
+    def place_reserved(
+        self, now_ms: int, age_ms: int, raw: bytes, cookie: int
+    ) -> Decision:
+        """Place a held flow on the target at which capacity is reserved for it.
+
+        Args:
+            now_ms: Present time.
+            age_ms: Age of this VM's copy of the store.
+            raw: The held opening packet.
+            cookie: Cookie of the target.
+        """
+        segment = self._codec.decode(raw)
+        target = self._catalog.accepting_target(cookie)
+        route = self._catalog.route(segment)
+        if (
+            route is None
+            or target is None
+            or not self._takes(now_ms, route, segment.flow, target)
+        ):
+            # The configuration or the target has changed since the request.
+            return self.place_held(now_ms, age_ms, raw)
+        self._record_placement(now_ms, segment.flow, target, 0)
+        return self._forwarded_to(Outcome.PLACED, target, raw)
+
+    def _takes(
+        self,
+        now_ms: int,
+        route: model.Route,
+        flow: model.FlowId,
+        target: model.Target,
+    ) -> bool:
+        service = placing.pick_service(route.shares, _draws(flow, 0).first)
+        return service == target.service and not self._death_reason(now_ms, target)
+
+    def refuse_held(self, now_ms: int, raw: bytes) -> Decision:
+        """Refuse a held flow for which there is no capacity in time.
+
+        No target has received the flow, so nothing of it has run.
+        """
+        flow = self._codec.decode(raw).flow
+        self._refused.add(now_ms, flow)
+        datagram = self._codec.reset(flow, 0)
+        return Decision(Outcome.NO_CAPACITY, datagram, None, None)
+
+    def _record_placement(
+        self,
+        now_ms: int,
+        flow: model.FlowId,
+        target: model.Target,
+        retransmissions: int,
+    ) -> None:
         self._observations.tracker.record_placement(
             now_ms, flow, target.cookie, retransmissions
         )
         self._observations.record_placement(now_ms, target)
-        outcome = Outcome.PLACED if silent is None else Outcome.PLACED_AGAIN
-        return self._forwarded_to(outcome, target, raw)._replace(withheld=withheld)
 
     def _withheld(self, service: str, cold_excluded: bool) -> tuple[Reason, ...]:
         reasons = [Reason.COLD] if cold_excluded else []
-        evacuated = self._catalog.withheld(service)
-        in_own_zone = any(item.zone == self._zone for item in evacuated)
+        in_own_zone = self._catalog.withholds_in(service, self._zone)
+        evacuated = in_own_zone or bool(self._catalog.withheld(service))
         if in_own_zone or (evacuated and not self._catalog.accepting(service)):
             reasons.append(Reason.EVACUATION)
         return tuple(reasons)
@@ -274,7 +387,6 @@
         draws: placing.Draws,
     ) -> bool:
         observed = self._observations
-        observed.levels.opened(now_ms, target.service, route.priority)
         pool = overload.Pool(target.service, target.zone)
         if not observed.load_shedder.limiting(pool):
             return False
@@ -357,6 +469,10 @@
             self._observations.record_answer(now_ms, target)
         elif measurement.retransmitted:
             probe = self._observations.record_unanswered(now_ms, target)
+        if measurement.request_number:
+            self._observations.flow_reuse.record(
+                target.service, measurement.request_number
+            )
         if measurement.answer_ms is not None:
             self._observations.record_answer_time(target, measurement.answer_ms)
             self._observations.record_objective(now_ms, route, target, measurement)
--- a/eelgrasswick/cookie/tracker.py
+++ b/eelgrasswick/cookie/tracker.py
@@ -9,7 +9,7 @@
 import collections
 import typing
 
-from eelgrasswick.cookie import model
+from eelgrasswick.cookie import model, rehash
 
 # The number of records is limited, because each takes some hundred bytes.
 MAX_FLOWS: typing.Final = 20_000
@@ -27,6 +27,9 @@
 # given up, or another VM forwards the flow; if such requests were still counted, their
 # target would look full.
 MAX_WAIT_MS: typing.Final = 2000
+# A request is reported as in flight to the schedulers of its target for at most this
+# time. A target that does not answer for so long gets no new flows for other reasons.
+MAX_IN_FLIGHT_MS: typing.Final = 1000
 # Stream positions are counted modulo this number.
 _SEQUENCES: typing.Final = 2**32
 
@@ -41,6 +44,8 @@
         answer_bytes: Length of that part.
         request_retransmitted: True when the caller had retransmitted the request.
         retransmitted: True when this segment is a retransmission.
+        request_number: Number of the request that begins with this segment, among
+            those of a flow that this VM placed; 0 when none begins.
     """
 
     opened: bool
@@ -48,6 +53,7 @@
     answer_bytes: int
     request_retransmitted: bool
     retransmitted: bool
+    request_number: int = 0
 
 
 class Overdue(typing.NamedTuple):
@@ -85,6 +91,7 @@
         answered_promptly: True when the last response was acknowledged within
             `OVERDUE_MS`; None before the first response.
         request_retransmitted: True when the caller's last segment was a retransmission.
+        requests: Number of requests that began on the flow.
     """
 
     __slots__ = (
@@ -98,6 +105,7 @@
         "request_acknowledged",
         "request_ms",
         "request_retransmitted",
+        "requests",
         "retransmissions",
     )
 
@@ -119,6 +127,7 @@
         self.acknowledged = 0
         self.answered_promptly: bool | None = None
         self.request_retransmitted = False
+        self.requests = 0
 
 
 class Tracker:
@@ -143,6 +152,7 @@
         # This is the last time at which a flow that another VM had opened first arrived
         # here.
         self._flows_moved_ms = -1
+        self._rehash = rehash.RehashDetector()
 
     def __len__(self) -> int:
         """Return the number of recorded flows."""
@@ -161,6 +171,21 @@
         """
         return self._waiting_counts
 
+    def in_flight(self, now_ms: int) -> dict[int, int]:
+        """Return the requests that are in flight through this VM, by target.
+
+        Requests whose flow has probably moved to another VM are left out, because this
+        VM will not see their end.
+        """
+        since_ms = max(self._rehash.rehashed_ms, now_ms - MAX_IN_FLIGHT_MS)
+        counts: collections.Counter[int] = collections.Counter()
+        # The table is in the order of time, and the oldest waits are left out.
+        for flow, begun_ms in reversed(self._waiting_since_ms.items()):
+            if begun_ms < since_ms:
+                break
+            counts[self._records[flow].cookie] += 1
+        return counts
+
     def targets(self) -> set[int]:
         """Return the cookies of the targets that have flows."""
         return set(self._flows)
@@ -200,6 +225,7 @@
             record = Record(cookie, False)
             self._add(now_ms, segment.flow, record)
             self._flows_moved_ms = now_ms
+            self._rehash.record_arrival(now_ms, segment.flow)
         else:
             self._touch(now_ms, segment.flow)
         opened = not record.open and record.placed_here
@@ -210,9 +236,16 @@
         record.acknowledged = segment.acknowledged
         before_ms = record.request_ms
         answer_bytes = (segment.acknowledged - record.request_acknowledged) % _SEQUENCES
+        requests = record.requests
         answer_ms, retransmitted = _measure(now_ms, record, segment)
+        begun = record.placed_here and record.requests > requests
         measurement = Measurement(
-            opened, answer_ms, answer_bytes, record.request_retransmitted, retransmitted
+            opened,
+            answer_ms,
+            answer_bytes,
+            record.request_retransmitted,
+            retransmitted,
+            record.requests if begun else 0,
         )
         record.request_retransmitted = retransmitted
         if record.request_ms != before_ms:
@@ -231,6 +264,7 @@
             self._requests_ms.move_to_end(segment.flow)
         if segment.ending or segment.reset:
             self._drop(segment.flow)
+            self._rehash.record_ended(segment.flow)
         return measurement
 
     def take_overdue(self, now_ms: int) -> list[Overdue]:
@@ -344,6 +378,7 @@
     retransmitted = end == record.data_end
     record.data_end = end
     if not record.request_ms:
+        record.requests += 1
         record.request_ms = now_ms
         record.request_acknowledged = segment.acknowledged
     return answer_ms, retransmitted
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -45,6 +45,7 @@
             counters,
             lambda _: None,
             lambda *_: False,
+            lambda *_: None,
         )
         address = model.Address("10.1.0.9", 1)
         made = gossip.Gossip(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,6 +15,16 @@
     assert "breaches=0" in done.stdout
 
 
+def test_short_run_with_scarce_capacity_violates_no_invariant() -> None:
+    """Guards against false refusals, long waits and starvation under pressure."""
+    command = [sys.executable, "-m", "eelgrasswick.soak", "--seed", "10", "--scarce"]
+    command += ["--duration-s", "12", "--faults", "4"]
+    done = subprocess.run(command, capture_output=True, text=True, check=False)
+    assert done.returncode == 0, done.stdout + done.stderr[-2000:]
+    assert "breaches=0" in done.stdout
+    assert "granted=0" not in done.stdout
+
+
 def test_run_that_is_stopped_midway_leaves_no_process() -> None:
     """Processes that survive a stopped run hold addresses that the next run uses."""
     command = [sys.executable, "-m", "eelgrasswick.soak", "--seed", "2"]
--- a/tests/test_soak_history.py
+++ b/tests/test_soak_history.py
@@ -182,3 +182,14 @@
     other_cookie = raw[:10] + b"\0\0\0\1" + raw[14:]
     assert packets.decode(other_cookie) == item._replace(echo=1)
     assert packets.decode(raw[:-1] + b"x") is None
+
+
+def test_refusal_outside_an_overload_violates_config(good: list[history.Event]) -> None:
+    """Guards against an overload that excuses refusals for the rest of the run."""
+    overload = _event(1, K.FAULT, who="for 10.0", detail="overload ")
+    fields = {"who": "c", "flow": "2>443", "detail": history.RESET_BY_VM}
+    during = _event(9, K.REFUSED, sent_s=8.9, **fields)
+    after = _event(14, K.REFUSED, sent_s=13.9, **fields)
+    assert _violated([*good, overload, during]) == set()
+    assert _violated([*good, overload, after]) == {"config"}
+    assert _violated([*good, during]) == {"config"}
--- a/tests/test_soak_peer_links.py
+++ b/tests/test_soak_peer_links.py
@@ -1,5 +1,6 @@
 """Links between the entry VMs of a soak run, and faults on them."""
 
+import itertools
 import random
 import typing
 import zlib
@@ -7,6 +8,7 @@
 import pytest
 from twisted.internet import task
 
+from eelgrasswick.reservations import groups
 from eelgrasswick.soak import layout, peer_links
 
 
@@ -101,3 +103,19 @@
 def test_delayed_datagram_arrives(network: _Network) -> None:
     network.links.impairment = peer_links.Impairment(max_delay_s=0.4)
     assert _reaches(network, 0, 1)
+
+
+def test_most_vms_of_a_zone_agree_about_the_scheduler_of_a_group() -> None:
+    """Guards against aliases by which each VM of a zone selects another scheduler."""
+    agreed = total = 0
+    for block in (130, 131, 132):
+        hosts = [layout.Layout(block, 6, 1, 1).vm_ip(number) for number in range(6)]
+        aliases = peer_links.choose_aliases(block, hosts)
+        for number, service in itertools.product(range(3), layout.SERVICES):
+            key = f"{service}/{layout.ZONES[number]}/0"
+            first = [hosts[number], aliases[number + 3]]
+            second = [aliases[number], hosts[number + 3]]
+            selected = first.index(groups.scheduler_host(key, first) or "")
+            agreed += selected == second.index(groups.scheduler_host(key, second) or "")
+            total += 1
+    assert agreed / total > 0.8
--- a/tests/test_tracker.py
+++ b/tests/test_tracker.py
@@ -192,3 +192,39 @@
     _asked(flows, 1000, 4, 4100)
     flows.record_segment(1100, _segment(cookie_parts.RST, 4), 7)
     assert flows.take_overdue(2000) == []
+
+
+def test_requests_in_flight_are_counted_by_target(flows: tracker.Tracker) -> None:
+    """Guards against schedulers that see free slots where requests work."""
+    for number, cookie in enumerate((7, 7, 8)):
+        flows.record_placement(10, cookie_parts.flow(40_001 + number), cookie, 0)
+    assert flows.in_flight(20) == {7: 2, 8: 1}
+    flows.remove(cookie_parts.flow(40_002))
+    assert flows.in_flight(20) == {7: 1, 8: 1}
+
+
+def test_an_answered_request_is_not_in_flight(flows: tracker.Tracker) -> None:
+    """Guards against slots that stay occupied after their response."""
+    flows.record_placement(0, cookie_parts.flow(), 7, 0)
+    _asked(flows, 5, 1, 100)
+    assert flows.in_flight(10) == {7: 1}
+    flows.record_segment(30, _segment(acknowledged=2500), 7)
+    assert flows.in_flight(31) == {}
+
+
+def test_a_request_is_in_flight_for_1_s_at_most(flows: tracker.Tracker) -> None:
+    """Guards against targets that look full of requests whose end was not seen."""
+    flows.record_placement(100, cookie_parts.flow(), 7, 0)
+    flows.record_placement(600, cookie_parts.flow(40_002), 7, 0)
+    assert flows.in_flight(100 + tracker.MAX_IN_FLIGHT_MS) == {7: 2}
+    assert flows.in_flight(101 + tracker.MAX_IN_FLIGHT_MS) == {7: 1}
+
+
+def test_requests_before_a_rehash_are_not_in_flight(flows: tracker.Tracker) -> None:
+    """Guards against full targets after each change of the VMs in rotation."""
+    flows.record_placement(100, cookie_parts.flow(), 7, 0)
+    flows.record_placement(205, cookie_parts.flow(40_002), 8, 0)
+    for number in range(3):
+        raw = cookie_parts.packet(cookie_parts.ACK, 50_000 + number, acknowledged=9)
+        flows.record_segment(200 + number, segments.Codec().decode(raw), 9)
+    assert flows.in_flight(210) == {8: 1}
