Play scarce capacity in the soak and in the model of overload

Cause: no play had more demand than capacity with single-request flows. The model compares loads with and without reservations. Result: the soak found that a copy of a refused flow was placed, which made the refusal false; its seeds are regression seeds.

--- a/eelgrasswick/emulation/open_load.py
+++ b/eelgrasswick/emulation/open_load.py
@@ -9,11 +9,12 @@
 import random
 import typing
 
-from eelgrasswick.cookie import codec, steering
+from eelgrasswick.cookie import codec, model, steering
 from eelgrasswick.emulation import (
     cookie_scenario,
     open_scenario,
     packets,
+    reserving_fleet,
     scheduler,
     steered_fleet,
 )
@@ -126,6 +127,12 @@
             VMS_PER_ZONE,
             random.Random(seed),
         )
+        # Attempts whose opening packet may be held, by the port of their caller.
+        self._opening: dict[int, _Attempt] = {}
+        if load.reserves:
+            reserving_fleet.ReservingFleet(
+                self._scheduler, self._fleet, wire, self._finish_held
+            )
         self._ends: list[End] = []
         self._idle_flows: dict[tuple[str, int], list[_Flow]] = collections.defaultdict(
             list
@@ -214,7 +221,19 @@
         flow = attempt.flow
         if flow.target is not None or flow.ended:
             return
+        self._opening[flow.port] = attempt
         decision = self._steer(flow, packets.SYN, retransmissions, b"")
+        if decision.outcome is not steering.Outcome.HELD:
+            self._finish_opening(attempt, decision)
+
+    def _finish_held(self, flow: model.FlowId, decision: steering.Decision) -> None:
+        attempt = self._opening.get(flow.caller_port)
+        if attempt is not None and not attempt.flow.ended:
+            self._finish_opening(attempt, decision)
+
+    def _finish_opening(self, attempt: _Attempt, decision: steering.Decision) -> None:
+        flow = attempt.flow
+        self._opening.pop(flow.port, None)
         if decision.datagram is not None and decision.address is None:
             self._fail(attempt, arrived=False)
             return
--- a/eelgrasswick/emulation/open_scenario.py
+++ b/eelgrasswick/emulation/open_scenario.py
@@ -73,6 +73,7 @@
         queue_limit: Requests that a server queues beyond those it works on.
         events: Faults and changes during the run.
         zone_shares: Relative number of requests from callers of each zone.
+        reserves: True if the VMs reserve capacity under pressure.
     """
 
     servers: tuple[cookie_scenario.Server, ...]
@@ -84,6 +85,7 @@
     queue_limit: int = 12
     events: tuple[Event, ...] = ()
     zone_shares: tuple[float, float, float] = (1.0, 1.0, 1.0)
+    reserves: bool = False
 
     @property
     def capacity(self) -> float:
@@ -116,6 +118,11 @@
     Kind("feed", 7.0, 40.0, 200, 2000, 1.0, 0.3, 2, True),
     Kind("upload", 2.0, 52.0, 250, 2500, 2.0, 0.6, 1, False),
 )
+SINGLE_KINDS: typing.Final = (
+    Kind("urgent", 3.0, 34.0, 500, 2500, 2.0, 0.6, 0, False),
+    Kind("look_up", 7.0, 34.0, 900, 2500, 1.0, 0.3, 1, False),
+)
+PAIRS: typing.Final = _servers(2, (1.0,))
 EVEN: typing.Final = _servers(3, (1.0,))
 UNEQUAL: typing.Final = _servers(2, (1 / 0.3, 1.0, 1 / 2.2))
 UNEQUAL_THREE: typing.Final = _servers(3, (1 / 0.3, 1.0, 1 / 2.2))
@@ -126,6 +133,13 @@
         f"demand_{percent}": Load(EVEN, KINDS, percent / 100)
         for percent in (50, 70, 80, 100, 120, 150, 200, 300)
     },
+    **{
+        f"single_{percent}{suffix}": Load(
+            PAIRS, SINGLE_KINDS, percent / 100, queue_limit=8, reserves=bool(suffix)
+        )
+        for percent in (70, 120, 150, 300)
+        for suffix in ("", "_reserved")
+    },
     "burst_ends": Load(
         EVEN, KINDS, 0.7, events=(Event(4000, 7000, "burst", factor=2.5),)
     ),
--- a/eelgrasswick/soak/__main__.py
+++ b/eelgrasswick/soak/__main__.py
@@ -8,7 +8,7 @@
 
 from twisted.internet import defer, task
 
-from eelgrasswick.soak import faults, layout, regression_seeds, run
+from eelgrasswick.soak import faults, layout, regression_seeds, run, scarcity
 
 
 def _options() -> argparse.Namespace:
@@ -23,6 +23,9 @@
     parser.add_argument(
         "--kept", action="store_true", help="the seeds that failed once, as they were"
     )
+    parser.add_argument(
+        "--scarce", action="store_true", help="too little capacity for any seed"
+    )
     parser.add_argument("--plot", type=pathlib.Path, help="picture of the last run")
     parser.add_argument("--keep", type=pathlib.Path, help="folder for failing seeds")
     return parser.parse_args()
@@ -30,22 +33,21 @@
 
 async def _run_seeds(reactor: typing.Any, options: argparse.Namespace) -> None:
     end = options.seed + options.seeds
-    seeds: dict[int, tuple[str, ...]] = dict.fromkeys(
-        range(options.seed, end), faults.KINDS
-    )
-    if options.kept:
-        seeds = {item.seed: item.kinds for item in regression_seeds.SEEDS}
+    seeds: tuple[regression_seeds.RegressionSeed, ...] = regression_seeds.SEEDS
+    if not options.kept:
+        seeds = tuple(_drawn(seed, options) for seed in range(options.seed, end))
     failed = 0
-    for seed, kinds in seeds.items():
+    for item in seeds:
         run_options = run.Options(
-            seed,
+            item.seed,
             options.duration_s,
             options.vms,
             options.targets,
             options.flows_per_s,
             options.faults,
-            kinds,
+            item.kinds,
             options.plot,
+            item.scarce,
         )
         failed += not await _run_seed(reactor, run_options, options.keep)
     print(f"{len(seeds) - failed} passed, {failed} failed")
@@ -53,6 +55,11 @@
         raise SystemExit(1)
 
 
+def _drawn(seed: int, options: argparse.Namespace) -> regression_seeds.RegressionSeed:
+    scarce = options.scarce or scarcity.is_drawn(seed)
+    return regression_seeds.RegressionSeed(seed, "", faults.KINDS, scarce)
+
+
 async def _run_seed(
     reactor: typing.Any, options: run.Options, keep: pathlib.Path | None
 ) -> bool:
--- a/eelgrasswick/soak/caller.py
+++ b/eelgrasswick/soak/caller.py
@@ -33,6 +33,7 @@
         requests: Number of requests, sent one after the other.
         response_bytes: Size of each response.
         pause_s: Time between a response and the next request.
+        retries: How often the caller opens another flow when this one is refused.
     """
 
     service_ip: str
@@ -40,6 +41,7 @@
     requests: int
     response_bytes: int
     pause_s: float
+    retries: int = 0
 
 
 class Flow:
@@ -48,12 +50,14 @@
     Attributes:
         name: Source port and service port, as in events.
         done: True once the flow is closed, reset or given up.
+        retry: Plan of the flow that replaces this one once it is done; None for none.
     """
 
     def __init__(self, caller: "Caller", port: int, plan: FlowPlan) -> None:
         """Create a flow from a source port that was not used before."""
         self.name = f"{port}>{plan.service_port}"
         self.done = False
+        self.retry: FlowPlan | None = None
         self._caller = caller
         self._port = port
         self._plan = plan
@@ -111,6 +115,7 @@
             self._syns_sent < len(SYN_TIMES_S)
             and elapsed_s >= SYN_TIMES_S[self._syns_sent]
         ):
+            self._record(history.Kind.SENT, str(self._syns_sent))
             self._send(packets.SYN, self._initial_sequence, b"", self._syns_sent)
             self._syns_sent += 1
 
@@ -142,6 +147,11 @@
         )
 
     def _on_data(self, now_s: float) -> None:
+        if self._response == history.FULL_RESPONSE:
+            self._send(packets.RST, self._sequence, b"")
+            self._end(history.Kind.TURNED_AWAY, "")
+            self._plan_retry()
+            return
         if len(self._response) < self._plan.response_bytes:
             return
         self._record(history.Kind.ANSWERED, history.response_digest(self._response))
@@ -152,8 +162,14 @@
 
     def _on_reset(self, by_vm: bool) -> None:
         kind = history.Kind.RESET if self._open else history.Kind.REFUSED
+        if not self._open:
+            self._plan_retry()
         self._end(kind, history.RESET_BY_VM if by_vm else history.RESET_BY_TARGET)
 
+    def _plan_retry(self) -> None:
+        if self._plan.retries:
+            self.retry = self._plan._replace(retries=self._plan.retries - 1)
+
     def _end(self, kind: history.Kind, detail: str) -> None:
         self.done = True
         self._record(kind, detail)
@@ -222,9 +238,12 @@
     def tick(self, now_s: float) -> None:
         """Send the due packets of all flows, and remove flows that are done."""
         for port, flow in list(self.flows.items()):
-            flow.tick(now_s)
+            if not flow.done:
+                flow.tick(now_s)
             if flow.done:
                 del self.flows[port]
+                if flow.retry is not None:
+                    self.open_flow(flow.retry)
 
     def send(self, raw: bytes, port: int) -> None:
         """Send a packet through the fabric."""
--- a/eelgrasswick/soak/history.py
+++ b/eelgrasswick/soak/history.py
@@ -30,6 +30,10 @@
 RESET_BY_TARGET: typing.Final = "by a target"
 # Kind of the fault that suspends a target.
 PAUSE_FAULT: typing.Final = "target_pause"
+# Kind of the fault that asks for more than the targets can serve, so that VMs refuse
+# flows. Queues of targets are empty again this long after it.
+OVERLOAD_FAULT: typing.Final = "overload"
+OVERLOAD_EFFECT_S: typing.Final = 2.0
 # A pause lasts up to 4 s, and late resets by the target are allowed for 4 s after it.
 PAUSE_EFFECT_S: typing.Final = 8.0
 
@@ -37,12 +41,15 @@
 class Kind(enum.Enum):
     """Kinds of recorded events."""
 
+    SENT = "sent"
+    ARRIVED = "arrived"
     OPENED = "opened"
     RAN = "ran"
     ANSWERED = "answered"
     RESET = "reset"
     REFUSED = "refused"
     LOST = "lost"
+    TURNED_AWAY = "turned_away"
     DRAINED = "drained"
     ROUTE_ADDED = "route_added"
     ROUTE_DROPPED = "route_dropped"
@@ -54,7 +61,7 @@
 
 
 REQUEST_ENDS: typing.Final = frozenset(
-    {Kind.ANSWERED, Kind.LOST, Kind.RESET, Kind.REFUSED}
+    {Kind.ANSWERED, Kind.LOST, Kind.RESET, Kind.REFUSED, Kind.TURNED_AWAY}
 )
 
 
@@ -69,7 +76,8 @@
             route event has the service port alone.
         request: Id of the request, for events about a request.
         detail: The service, the digest of a response, the zone where a target
-            starts, drains or ends, the sender of a reset, or the fault.
+            starts, drains or ends, the sender of a reset, the number of a copy of
+            an opening packet, or the fault.
         sent_s: Monotonic time at which the caller began to open the flow; 0 where
             it does not matter.
     """
@@ -97,6 +105,10 @@
     detail: str
 
 
+# Response of a target that has no room for a request.
+FULL_RESPONSE: typing.Final = b"full"
+
+
 def expected_response(request: str, size_bytes: int) -> bytes:
     """Return the only correct response to a request."""
     seed = hashlib.blake2b(request.encode(), digest_size=32).digest()
@@ -286,7 +298,10 @@
 def _check_routes(events: typing.Sequence[Event]) -> typing.Iterator[Violation]:
     dropped_s: dict[str, float] = {}
     added_s: dict[str, float] = {}
+    overload_end_s = 0.0
     for item in events:
+        if item.kind is Kind.FAULT and item.detail.startswith(OVERLOAD_FAULT):
+            overload_end_s = fault_end_s(item) + OVERLOAD_EFFECT_S
         if item.kind is Kind.ROUTE_DROPPED:
             dropped_s[item.flow] = item.at_s
         elif item.kind is Kind.ROUTE_ADDED:
@@ -301,7 +316,9 @@
                     item,
                     f"flow begun {late_s:.2f} s after the route was dropped",
                 )
-        if item.kind is Kind.REFUSED and port in added_s and port not in dropped_s:
+        if item.kind is not Kind.REFUSED or item.at_s <= overload_end_s:
+            continue
+        if port in added_s and port not in dropped_s:
             late_s = item.sent_s - added_s[port]
             if late_s > CONFIG_LIMIT_S + TOLERANCE_S:
                 yield Violation(
@@ -311,6 +328,12 @@
                 )
 
 
+def fault_end_s(item: Event) -> float:
+    """Return the end of a fault, which is recorded with its duration in ``who``."""
+    prefix, _, duration = item.who.partition(" ")
+    return item.at_s + (float(duration) if prefix == "for" else 0.0)
+
+
 def _check_open_flows(events: typing.Sequence[Event]) -> typing.Iterator[Violation]:
     lifetimes: dict[str, list[tuple[float, float]]] = collections.defaultdict(list)
     for item in events:
--- a/eelgrasswick/soak/layout.py
+++ b/eelgrasswick/soak/layout.py
@@ -7,6 +7,7 @@
 from eelgrasswick import errors
 
 ZONES: typing.Final = ("z1", "z2", "z3")
+SERVICES: typing.Final = ("desk", "vault")
 DATA_PORT: typing.Final = 20172
 READY_PORT: typing.Final = 20167
 PEER_PORT: typing.Final = 20170
--- a/eelgrasswick/soak/operator.py
+++ b/eelgrasswick/soak/operator.py
@@ -7,7 +7,7 @@
 import treq
 from twisted.internet import defer
 
-from eelgrasswick.soak import history, layout
+from eelgrasswick.soak import history, layout, scarcity
 
 TIMEOUT_S: typing.Final = 1.0
 # Service ports of the routes that are added during a run start here.
@@ -31,13 +31,24 @@
         reactor: typing.Any,
         store: str,
         on_event: typing.Callable[[history.Event], None],
+        scarce: bool = False,
     ) -> None:
-        """Write to the store at an address, and record what it confirms."""
+        """Write to the store at an address, and record what it confirms.
+
+        Args:
+            reactor: Reactor of the run.
+            store: Address of the store as ``ip:port``.
+            on_event: Records an event.
+            scarce: True to give the routes a latency target and two priorities.
+        """
         self.added_ports: list[int] = []
         self._reactor = reactor
         self._store = store
         self._on_event = on_event
+        self._scarce = scarce
         self._routes = {443: "desk", 444: "vault"}
+        if scarce:
+            self._routes[scarcity.SECOND_PORT] = "desk"
         self._confirmed_routes: dict[int, str] = {}
         self._version = 0
         self._evacuated_zone = ""
@@ -89,6 +100,9 @@
         self._version += 1
         wanted = dict(self._routes)
         routes = [_route(port, service) for port, service in wanted.items()]
+        if self._scarce:
+            for route in routes:
+                route |= scarcity.route_fields(route["name"])
         body = {
             "version": self._version,
             "routes": routes,
--- a/eelgrasswick/soak/peer_links.py
+++ b/eelgrasswick/soak/peer_links.py
@@ -5,6 +5,8 @@
 from the alias of the sender. Connections to an alias go through a proxy.
 """
 
+import hashlib
+import heapq
 import random
 import typing
 import zlib
@@ -16,6 +18,8 @@
 # Aliases are chosen from these values of the third part of 127.BLOCK/16; the
 # addresses of the layout use lower ones.
 ALIAS_NETS: typing.Final = range(64, 256)
+# The checksums of this many aliases differ by at most 1% from the one of an address.
+SIMILAR_ALIASES: typing.Final = 480
 
 
 class Impairment(typing.NamedTuple):
@@ -35,18 +39,49 @@
 
     VMs determine by a checksum of their addresses which of them watches the store.
     A VM uses its own address for itself and the aliases of the others, so that an
-    alias needs nearly the same checksum as the address that it stands for.
+    alias needs nearly the same checksum as the address that it stands for. The
+    schedulers of groups are selected by another hash, so that the alias with the most
+    similar hashes is chosen among those with a similar checksum. Otherwise the VMs of
+    a zone would disagree about the scheduler of every second group.
     """
     free = {f"127.{block}.{net}.{last}" for net in ALIAS_NETS for last in range(1, 255)}
     chosen = []
-    for host in hosts:
-        wanted = zlib.crc32(host.encode())
-        alias = min(free, key=lambda item: abs(zlib.crc32(item.encode()) - wanted))
+    for number, host in enumerate(hosts):
+        similar = heapq.nsmallest(
+            SIMILAR_ALIASES, free, key=lambda item: _difference(item, host)
+        )
+        # Half the distance to the next host keeps the order of the checksums.
+        limit = min(
+            (_difference(item, host) for item in hosts if item != host), default=0
+        )
+        close = [item for item in similar if 2 * _difference(item, host) < limit]
+        zone = layout.ZONES[number % len(layout.ZONES)]
+        scores = _scheduler_scores(zone, host)
+        alias = min(
+            close or similar[:1], key=lambda item: _distance(scores, zone, item)
+        )
         free.remove(alias)
         chosen.append(alias)
     return chosen
 
 
+def _difference(one: str, other: str) -> int:
+    return abs(zlib.crc32(one.encode()) - zlib.crc32(other.encode()))
+
+
+def _scheduler_scores(zone: str, host: str) -> list[int]:
+    keys = [f"{service}/{zone}/0 {host}" for service in layout.SERVICES]
+    return [
+        int.from_bytes(hashlib.blake2b(key.encode(), digest_size=8).digest(), "big")
+        for key in keys
+    ]
+
+
+def _distance(scores: typing.Sequence[int], zone: str, host: str) -> int:
+    others = _scheduler_scores(zone, host)
+    return max(abs(one - other) for one, other in zip(scores, others, strict=True))
+
+
 class PeerLinks:
     """All links between the VMs of a run.
 
--- a/eelgrasswick/soak/regression_seeds.py
+++ b/eelgrasswick/soak/regression_seeds.py
@@ -12,11 +12,13 @@
         seed: Seed of the load and the faults.
         cause: Cause of the failure.
         kinds: Kinds from which its faults are drawn, as they were when it failed.
+        scarce: True if it ran with too little capacity.
     """
 
     seed: int
     cause: str
     kinds: tuple[str, ...] = faults.ORIGINAL_KINDS
+    scarce: bool = False
 
 
 SEEDS: typing.Final = (
@@ -49,4 +51,17 @@
         "a target killed again while it started was counted as alive until then",
         faults.KINDS,
     ),
+    RegressionSeed(
+        3,
+        "a retransmission that crossed the reset of a refused flow was placed",
+        faults.KINDS,
+        scarce=True,
+    ),
+    RegressionSeed(5, "as seed 3 with scarce capacity", faults.KINDS, scarce=True),
+    RegressionSeed(
+        8803,
+        "a duplicate of a refused opening packet was held again and granted",
+        ("fabric_doubles",),
+        scarce=True,
+    ),
 )
--- a/eelgrasswick/soak/run.py
+++ b/eelgrasswick/soak/run.py
@@ -20,8 +20,10 @@
     operator,
     peer_links,
     plot,
+    pressure_checks,
     processes,
     proxy,
+    scarcity,
 )
 
 # A run waits START_TIMEOUT_S, and START_TIMEOUT_PER_PROCESS_S for each process, until
@@ -36,6 +38,7 @@
 # After the load, pending requests reach their timeouts and late events are recorded.
 SETTLE_S: typing.Final = 4.0
 TARGET_SLOTS: typing.Final = 2
+UNBOUNDED_QUEUE: typing.Final = 1_000_000
 LONG_FLOW_SHARE: typing.Final = 0.5
 
 
@@ -51,6 +54,7 @@
         faults: Number of faults.
         kinds: Kinds from which the faults are drawn.
         plot: Output file for a chart of the run; None for no chart.
+        scarce: True for too little capacity and flows of a single request.
     """
 
     seed: int
@@ -61,6 +65,7 @@
     faults: int
     kinds: tuple[str, ...]
     plot: pathlib.Path | None
+    scarce: bool = False
 
 
 class Verdict(typing.NamedTuple):
@@ -73,6 +78,8 @@
         lost: Number of flows that timed out, while opening or during a request.
         reset: Number of open flows that were reset.
         refused: Number of flows that were reset before they were open.
+        turned_away: Number of requests that full targets did not execute.
+        granted: Number of flows that were placed on a reservation, as VMs logged.
         served_at_end: Share of the requests at the end that were answered.
         breaches: All violations of invariants.
     """
@@ -83,6 +90,8 @@
     lost: int
     reset: int
     refused: int
+    turned_away: int
+    granted: int
     served_at_end: float
     breaches: tuple[history.Violation, ...]
 
@@ -120,7 +129,7 @@
         self._store: processes.Process | None = None
         self._store_proxies: list[proxy.Proxy] = []
         self._operator = operator.Operator(
-            reactor, self._layout.store_address, self._events.append
+            reactor, self._layout.store_address, self._events.append, options.scarce
         )
         self._injector = actions.FaultInjector(
             reactor,
@@ -137,6 +146,7 @@
         self._ports: list[typing.Any] = self._peers.ports
         self._load_start_s = 0.0
         self._flows = 0
+        self._overloaded = False
 
     async def execute(self) -> Verdict:
         """Execute the run, and return its verdict.
@@ -189,6 +199,7 @@
         self._ports.append(port)
 
     def _target_settings(self, number: int) -> dict[str, typing.Any]:
+        factor = scarcity.WORK_FACTOR if self._options.scarce else 1
         return {
             "name": f"i-{number + 16:x}",
             "service": "vault" if number % 3 == 2 else "desk",
@@ -199,7 +210,8 @@
             "store": self._layout.store_address,
             "events": str(self._folder / f"target{number}.events"),
             "slots": TARGET_SLOTS,
-            "work_ms": 20 if number % 2 else 35,
+            "queue": scarcity.QUEUE if self._options.scarce else UNBOUNDED_QUEUE,
+            "work_ms": (20 if number % 2 else 35) * factor,
         }
 
     async def _load(self) -> None:
@@ -214,7 +226,7 @@
             (task.LoopingCall(self._tick_callers), CALLER_TICK_S),
             (task.LoopingCall(self._probe_readiness), READINESS_PROBE_INTERVAL_S),
             (task.LoopingCall(self._restart_ended), MAX_RESTART_DELAY_S / 2),
-            (task.LoopingCall(self._open_flow), 1 / self._options.flows_per_s),
+            (task.LoopingCall(self._open_flows), 1 / self._options.flows_per_s),
         ]
         for loop, interval_s in loops:
             loop.start(interval_s)
@@ -226,6 +238,22 @@
         for loop, _ in loops[:-1]:
             loop.stop()
 
+    def _open_flows(self) -> None:
+        if not self._options.scarce:
+            self._open_flow()
+            return
+        elapsed_s = time.monotonic() - self._load_start_s
+        duration_s = self._options.duration_s
+        if elapsed_s >= scarcity.PRESSURE_START_S and not self._overloaded:
+            self._overloaded = True
+            left_s = duration_s - scarcity.PRESSURE_END_S - elapsed_s
+            self._injector.record(history.OVERLOAD_FAULT, f"for {left_s:.2f}", "")
+        hosts = sorted(self._fabric.callers)
+        for _ in range(scarcity.burst(elapsed_s, duration_s)):
+            self._flows += 1
+            host, plan = scarcity.draw_flow(self._rng, hosts)
+            self._fabric.callers[host].open_flow(plan)
+
     def _open_flow(self) -> None:
         self._flows += 1
         host = self._rng.choice(sorted(self._fabric.callers))
@@ -327,8 +355,12 @@
             count[history.Kind.LOST],
             count[history.Kind.RESET],
             count[history.Kind.REFUSED],
+            count[history.Kind.TURNED_AWAY],
+            scarcity.count_granted(self._folder),
             round(served, 3),
             tuple(
-                history.check_invariants(events) + history.check_recovery(events, end_s)
+                history.check_invariants(events)
+                + pressure_checks.check(events)
+                + history.check_recovery(events, end_s)
             ),
         )
--- a/eelgrasswick/soak/target.py
+++ b/eelgrasswick/soak/target.py
@@ -43,6 +43,7 @@
         store: Address of the store as ``ip:port``.
         events: Path of the file to which events are appended.
         slots: Number of requests that are executed at the same time.
+        queue: Number of requests that wait; further ones are turned away.
         work_ms: Mean duration of a request.
     """
 
@@ -55,6 +56,7 @@
     store: str
     events: str
     slots: int
+    queue: int
     work_ms: int
 
 
@@ -179,6 +181,7 @@
         self._record(kind, detail=self._settings["zone"])
 
     def _open(self, key: _FlowKey, flow: Flow | None, item: packets.Packet) -> None:
+        self._record(history.Kind.ARRIVED, item, detail=str(item.acknowledged))
         if flow is None:
             flow = Flow(item, self._rng.randrange(1, 2**31))
             self._flows[key] = flow
@@ -219,6 +222,8 @@
             request, _, size = line.decode().partition(" ")
             self._queued_requests.append((flow, request, int(size)))
         self._run_queued()
+        while len(self._queued_requests) > self._settings["queue"]:
+            self._respond(self._queued_requests.pop()[0], history.FULL_RESPONSE)
 
     def _run_queued(self) -> None:
         while (
@@ -240,11 +245,14 @@
 
     def _finish_request(self, flow: Flow, response: bytes) -> None:
         self._running_requests -= 1
+        self._respond(flow, response)
+        self._run_queued()
+
+    def _respond(self, flow: Flow, response: bytes) -> None:
         unacknowledged = flow.response[flow.acknowledged - flow.response_start :]
         flow.response = unacknowledged + response
         flow.response_start = flow.acknowledged
         self._send_data(flow)
-        self._run_queued()
 
     def _send_data(self, flow: Flow) -> None:
         end = flow.response_start + len(flow.response)
