Drop a refused flow that may be open instead of resetting it

Change: a refusal is sent only while the packet's time in the socket, known from the pauses of this VM, and its time in the hold are at most 170 ms; the caller retransmits otherwise. The time that a VM needs for its backlog has one definition.

--- a/eelgrasswick/cookie/carrying.py
+++ b/eelgrasswick/cookie/carrying.py
@@ -22,9 +22,6 @@
 )
 from eelgrasswick.decisions import cold_start, overload
 
-# After a stall a VM needs this time to read the backlog of its socket: 200 KB are 2,000
-# packets of 100 bytes, at 25 us each.
-BACKLOG_MS: typing.Final = 50
 # This number is above that of any retransmission of an opening packet. As the lowest
 # number that is kept, it makes the VM drop all opening packets of the backlog.
 NO_RETRANSMISSION: typing.Final = 1 << 32
@@ -115,7 +112,7 @@
             # Opening packets of the backlog are old, and other VMs may have opened
             # their flows in the meantime. If this VM placed such a flow, it would be
             # open twice.
-            self._backlog_until_ms = now_ms + BACKLOG_MS
+            self._backlog_until_ms = now_ms + stall.BACKLOG_MS
             self._backlog_min_retransmission = NO_RETRANSMISSION
             self._observations.record_stall(now_ms)
             self._log.write("woke", stood_still_ms=gap_ms)
--- a/eelgrasswick/cookie/held_packets.py
+++ b/eelgrasswick/cookie/held_packets.py
@@ -1,8 +1,15 @@
 """Sends, refuses or drops opening packets that were held for a reservation."""
 
+import typing
+
 from eelgrasswick.cookie import carrying, steering
 from eelgrasswick.reservations import held_flow
 
+# A reset within this time after the caller has sent its opening packet reaches the
+# caller before its retransmission, after 200 ms, can have opened the flow at another
+# VM. The rest is for the way to the caller and for timers that fire late.
+MAX_REFUSAL_AGE_MS: typing.Final = 170
+
 
 class HeldPackets:
     """Carries out the resolutions of held flows."""
@@ -37,6 +44,9 @@
         self, now_ms: int, age_ms: int, resolution: held_flow.Resolution
     ) -> steering.Decision:
         raw = resolution.raw
+        if self._may_be_open(now_ms, resolution):
+            outcome = steering.Outcome.HELD_TOO_LONG
+            return steering.Decision(outcome, None, None, None)
         steer = self._carrier.steering
         tracker = self._carrier.parts.observations.tracker
         if tracker.get(resolution.flow) is not None:
@@ -53,3 +63,15 @@
             case held_flow.Kind.DROP:
                 outcome = steering.Outcome.HELD_TOO_LONG
                 return steering.Decision(outcome, None, None, None)
+
+    def _may_be_open(self, now_ms: int, resolution: held_flow.Resolution) -> bool:
+        """Return True when a refused flow may have been opened through another VM.
+
+        After a pause or a start of this VM, an opening packet may have been queued in
+        the socket until the caller retransmitted it. A reset would end the open flow.
+        """
+        if resolution.kind is not held_flow.Kind.REFUSED:
+            return False
+        read_ms = now_ms - resolution.waited_ms
+        queued_ms = self._carrier.stalls.queued_ms(read_ms)
+        return queued_ms + resolution.waited_ms > MAX_REFUSAL_AGE_MS
--- a/eelgrasswick/cookie/stall.py
+++ b/eelgrasswick/cookie/stall.py
@@ -17,6 +17,9 @@
 # Gaps above MIN_RECORDED_GAP_MS are kept for the log, MAX_RECORDED_GAPS of them.
 MIN_RECORDED_GAP_MS: typing.Final = 20
 MAX_RECORDED_GAPS: typing.Final = 64
+# After a stall a VM needs this time to read the backlog of its socket: 200 KB are 2,000
+# packets of 100 bytes, at 25 us each.
+BACKLOG_MS: typing.Final = 50
 
 
 class Stalls:
@@ -50,6 +53,18 @@
         """
         return self._long_gap_ms > begun_ms or now_ms - self._active_ms > PROBE_GAP_MS
 
+    def queued_ms(self, read_ms: int) -> int:
+        """Return how long a packet may have been queued in the socket.
+
+        Args:
+            read_ms: Time when the packet was read.
+        """
+        first_ms = read_ms - BACKLOG_MS
+        return max(
+            (gap for ended_ms, gap in self._gaps if first_ms <= ended_ms <= read_ms),
+            default=0,
+        )
+
     def longest_gap_ms(self, begun_ms: int, now_ms: int) -> int:
         """Return the longest gap since a time, as far as gaps are recorded."""
         recorded = [gap_ms for ended_ms, gap_ms in self._gaps if ended_ms > begun_ms]
--- a/eelgrasswick/soak/regression_seeds.py
+++ b/eelgrasswick/soak/regression_seeds.py
@@ -64,4 +64,10 @@
         ("fabric_doubles",),
         scarce=True,
     ),
+    RegressionSeed(
+        9012,
+        "a VM that started refused a queued SYN packet of a flow opened elsewhere",
+        faults.KINDS,
+        scarce=True,
+    ),
 )
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -7,7 +7,6 @@
 import pytest
 
 from eelgrasswick.cookie import (
-    carrying,
     clock,
     comparison,
     observations,
@@ -161,7 +160,7 @@
     with pytest.raises(BlockingIOError):
         server.recv(2000)
     turning.until(lambda: lines.extend(vm.log()) or "event=woke" in str(lines))
-    time.sleep(carrying.BACKLOG_MS / 1000)
+    time.sleep(stall.BACKLOG_MS / 1000)
     _send(vm, cookie_parts.packet(cookie_parts.SYN, 40_002))
     assert _await_datagram(server)
 
--- a/tests/test_held_packets.py
+++ b/tests/test_held_packets.py
@@ -9,6 +9,7 @@
     model,
     observations,
     source,
+    stall,
     steering,
     store_replica,
 )
@@ -216,6 +217,33 @@
         assert sent == [target.address]
 
 
+@pytest.mark.parametrize(
+    ("queued_ms", "waited_ms", "resets"),
+    [(0, 130, 1), (100, 45, 1), (160, 45, 0), (100, 100, 0)],
+)
+def test_a_flow_that_was_queued_in_the_socket_too_long_is_not_reset(
+    make_fleet: reserving_fleet.Make, queued_ms: int, waited_ms: int, resets: int
+) -> None:
+    """Guards against a reset of a flow that the caller's retransmission has opened.
+
+    A VM that starts or was paused reads the original packet when the retransmission
+    has been placed by another VM.
+    """
+    vm = next(iter(make_fleet().vms.values()))
+    vm.carrier.stalls = stall.Stalls(1000)
+    vm.carrier.stalls.record_activity(1000 + queued_ms)
+    sent: list[model.Address] = []
+    vm.carrier.send = lambda raw, address: sent.append(address)
+    raw = reserving_vm.opening(30_000)
+    flow = segments.Codec().decode(raw).flow
+    resolution = held_flow.Resolution(
+        held_flow.Kind.REFUSED, flow, raw, 0, waited_ms, 1, 0, held_flow.Reason.FULL
+    )
+    now_ms = 1000 + queued_ms + 10 + waited_ms
+    held_packets.HeldPackets(vm.carrier).resolve(now_ms, resolution)
+    assert len(sent) == resets
+
+
 @pytest.mark.parametrize("kind", list(held_flow.Kind))
 def test_a_flow_that_another_vm_has_opened_is_dropped(
     make_fleet: reserving_fleet.Make, kind: held_flow.Kind
