--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 # so that their build is a check that they compile.
 set -euo pipefail
 cd "$(dirname "$0")"
-python3 -m compileall -q standins 1 2 3
+python3 -m compileall -q standins 1 3
