Refuse entries whose text has no encoding, and log any text

Callers: after a rolling restart no request was served.

Cause: json.loads of bytes decodes with surrogatepass, and the escape \ud83d gives the same string in valid JSON. The row counted as a target, and the line target_known could not be encoded in EventLog._line. The start has no event loop that would catch it.

The same mechanism in other places: a key of the store with half of a pair failed in the query of the next page and in every message to another VM; a number of any length passed the decoder and failed with each packet that considered the target (int too large for a float); a configuration with a field of another type failed with AttributeError.

Change: values are decoded as strict UTF-8, strings must have an encoding, numbers are at most 2**53-1 (RFC 8259, section 6). An item whose key can't be sent on is left out alone (row_refused). Log fields escape what can't be printed and are cut at 2,000 characters, so a log line can always be encoded.

--- a/eelgrasswick/cookie/carrying.py
+++ b/eelgrasswick/cookie/carrying.py
@@ -301,6 +301,9 @@
             merge: The rows.
             origin: Source of the rows, for the log.
         """
+        for detail in merge.refused:
+            self._stats.counts["rows_refused"] += 1
+            self._log.write("row_refused", detail=detail, origin=origin)
         if not merge.rows:
             return
         gap_ms = store_replica.reported_age_ms(merge.previous_age_ms)
--- a/eelgrasswick/cookie/exchange.py
+++ b/eelgrasswick/cookie/exchange.py
@@ -18,6 +18,7 @@
 # A message of this size and its headers fit in one packet on every link.
 MAX_BYTES: typing.Final = 1200
 MAX_ROWS: typing.Final = 40
+MAX_TEXT_CHARACTERS: typing.Final = 256
 # These are upper bounds for the encoded size of a message without its rows and its
 # report, and for one entry of a report.
 _FRAME_BYTES: typing.Final = 250
@@ -278,7 +279,7 @@
             self.reads_store,
             self._replica.revision,
             store_replica.reported_age_ms(self._replica.age_ms(now_ms)),
-            list(changes) if changes is not None else None,
+            _changes_item(changes) if changes is not None else None,
             [list(member) for member in self._peers.sample()],
             [list(entry) for entry in entries],
         ]
@@ -296,7 +297,11 @@
 
 def encode_changes(changes: source.Changes) -> bytes:
     """Encode changes for a transfer over a connection."""
-    return cbor2.dumps(list(changes))
+    return cbor2.dumps(_changes_item(changes))
+
+
+def _changes_item(changes: source.Changes) -> list[typing.Any]:
+    return [changes.rows, changes.revision, changes.base]
 
 
 def decode_changes(payload: bytes) -> source.Changes:
@@ -366,7 +371,9 @@
     key, value, revision = item
     if value is not None and not isinstance(value, bytes):
         raise TypeError("a row's value must be bytes or null")
-    return source.Row(_text(key), value, decode_count(revision))
+    return source.Row(
+        _text(key, source.MAX_KEY_CHARACTERS), value, decode_count(revision)
+    )
 
 
 def _entry(item: typing.Any) -> reports.TargetReport:
@@ -396,7 +403,7 @@
     return value
 
 
-def _text(value: object) -> str:
-    if not isinstance(value, str) or len(value) > 256:
-        raise TypeError("expected a text of at most 256 characters")
+def _text(value: object, max_characters: int = MAX_TEXT_CHARACTERS) -> str:
+    if not isinstance(value, str) or len(value) > max_characters:
+        raise TypeError(f"expected a text of at most {max_characters} characters")
     return value
--- a/eelgrasswick/cookie/source.py
+++ b/eelgrasswick/cookie/source.py
@@ -5,6 +5,10 @@
 
 from eelgrasswick.cookie import model
 
+# Messages between VMs carry keys of at most this length. The store's limit is lower.
+MAX_KEY_CHARACTERS: typing.Final = 256
+MAX_REVISION: typing.Final = 2**63 - 1
+
 
 class Row(typing.NamedTuple):
     """The last change of one key of the store.
@@ -29,11 +33,13 @@
             up to ``base``.
         base: 0 when ``rows`` is a full listing; otherwise the rows include every
             change after this revision.
+        refused: Reasons why items of the store are not among the rows, one for each.
     """
 
     rows: tuple[Row, ...]
     revision: int
     base: int
+    refused: tuple[str, ...] = ()
 
 
 class ChangeSource(abc.ABC):
--- a/eelgrasswick/cookie/store_replica.py
+++ b/eelgrasswick/cookie/store_replica.py
@@ -31,10 +31,12 @@
     Attributes:
         rows: The rows that are new to this VM.
         previous_age_ms: Age of the VM's copy before the merge.
+        refused: Reasons why items of the store are not among the rows.
     """
 
     rows: tuple[source.Row, ...]
     previous_age_ms: int
+    refused: tuple[str, ...] = ()
 
 
 class StoreReplica:
@@ -82,12 +84,12 @@
         """
         gap_ms = self.age_ms(now_ms)
         if changes.base > self.revision or changes.revision < self.revision:
-            return Merge((), gap_ms)
+            return Merge((), gap_ms, changes.refused)
         new = [row for row in changes.rows if self._merge_row(row)]
         if changes.base == 0 and changes.revision > self.revision:
             new += self._drop_missing(changes)
         self.revision = changes.revision
-        return Merge(tuple(new), gap_ms)
+        return Merge(tuple(new), gap_ms, changes.refused)
 
     def changes_since(self, revision: int) -> source.Changes:
         """Return the rows that a VM lacks which has all changes up to a revision."""
--- a/eelgrasswick/cookie/store_watch.py
+++ b/eelgrasswick/cookie/store_watch.py
@@ -97,14 +97,15 @@
         requested_ms = clock.now_ms()
         before = self._replica.revision
         changes = await self._source.changes(before, watch_policy.WATCH_TIMEOUT_MS)
-        if not changes.rows and changes.revision > before:
+        answered = bool(changes.rows or changes.refused)
+        if not answered and changes.revision > before:
             # The store returned a later revision without the changes up to it. If
             # the VM adopted that revision, it would never receive those changes.
             self._needs_listing = True
             return
         self._merge(changes)
-        # A watch that returns no rows has waited for its whole time-out.
-        waited_ms = 0 if changes.rows else watch_policy.WATCH_TIMEOUT_MS
+        # A watch that returns nothing has waited for its whole time-out.
+        waited_ms = 0 if answered else watch_policy.WATCH_TIMEOUT_MS
         self._replica.confirm(changes.revision, requested_ms + waited_ms)
 
     def _merge(self, changes: source.Changes) -> None:
--- a/eelgrasswick/ini.py
+++ b/eelgrasswick/ini.py
@@ -73,7 +73,7 @@
         errors.SettingsInvalidError: The file can't be read.
     """
     try:
-        return path.read_text()
+        return path.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         raise errors.SettingsInvalidError(f"{path}: {error}") from error
 
--- a/eelgrasswick/log_line.py
+++ b/eelgrasswick/log_line.py
@@ -7,6 +7,8 @@
 import typing
 
 _UNQUOTED: typing.Final = re.compile(r"[^\s=\"]+")
+# Longer values are cut off, so that one field can't fill the log.
+MAX_VALUE_CHARACTERS: typing.Final = 2000
 
 
 def render(at_s: float, event: str, fields: typing.Mapping[str, object]) -> str:
@@ -27,9 +29,15 @@
 
 
 def quote(value: object) -> str:
-    """Return a value as text, quoted when it is not a plain word."""
+    """Return a value as text that can be encoded, quoted when it is no plain word.
+
+    Characters that can't be printed are escaped. They include lone surrogates, which
+    have no encoding, and control characters, which a terminal would act on.
+    """
     text = str(value)
-    if _UNQUOTED.fullmatch(text):
+    if len(text) > MAX_VALUE_CHARACTERS:
+        text = text[:MAX_VALUE_CHARACTERS] + "..."
+    if text.isprintable() and _UNQUOTED.fullmatch(text):
         return text
     return json.dumps(text)
 
--- a/eelgrasswick/platform/answers.py
+++ b/eelgrasswick/platform/answers.py
@@ -14,7 +14,7 @@
 MAX_BODY_BYTES: typing.Final = 16_000_000
 _HTTP_OK: typing.Final = 200
 _HTTP_GONE: typing.Final = 410
-DECODE_ERRORS: typing.Final = (ValueError, TypeError, LookupError)
+DECODE_ERRORS: typing.Final = (ValueError, TypeError, LookupError, RecursionError)
 Body = dict[str, typing.Any]
 
 
@@ -25,6 +25,18 @@
     body: bytes
 
 
+class Rows(typing.NamedTuple):
+    """The rows of an answer of the store.
+
+    Attributes:
+        rows: The rows whose keys can be used.
+        refused: Reasons why the other items are not among them.
+    """
+
+    rows: tuple[source.Row, ...]
+    refused: tuple[str, ...]
+
+
 class Listing:
     """All rows of the store, read page by page.
 
@@ -36,6 +48,7 @@
         """Create a listing without rows, with the query of the first page."""
         self.query: dict[str, str] | None = {"prefix": ""}
         self._rows: list[source.Row] = []
+        self._refused: list[str] = []
         self._revision = 0
 
     def add(self, body: Body) -> None:
@@ -45,25 +58,32 @@
             errors.StoreError: The body is not a page of rows.
         """
         try:
-            page = [row(item) for item in body["items"]]
+            items = body["items"]
+            page = rows(items)
             # Pages are not one snapshot. Changes after the first page are read again
             # from the revision of the first page.
             self._revision = self._revision or whole_number(body["store_revision"])
             more = bool(body["has_more"])
+            # The next page starts after the last key even if that item is refused.
+            last = _string(items[-1]["key"]) if more and items else None
         except DECODE_ERRORS as error:
             raise errors.StoreError(f"{names.RANGE_PATH}: {error!r}") from error
-        self._rows += page
-        last = {"prefix": "", "after": page[-1].key} if page else None
-        self.query = last if more else None
+        self._rows += page.rows
+        self._refused += page.refused
+        self.query = None if last is None else {"prefix": "", "after": last}
 
     def changes(self) -> source.Changes:
         """Return the rows that were read."""
-        return source.Changes(tuple(self._rows), self._revision, 0)
+        return source.Changes(
+            tuple(self._rows), self._revision, 0, tuple(self._refused)
+        )
 
 
 def request_target(path: str, query: dict[str, str]) -> str:
     """Return the request target of a call: its path and query."""
-    return f"{path}?{urllib.parse.urlencode(query)}"
+    # The store may list keys that are not valid Unicode, and the next page starts after
+    # such a key.
+    return f"{path}?{urllib.parse.urlencode(query, errors='surrogatepass')}"
 
 
 def encode_request(http: h11.Connection, host: str, target: str) -> bytes:
@@ -85,26 +105,62 @@
         raise errors.StoreError(f"{name}: HTTP status {response.status}")
     try:
         body = json.loads(response.body)
-    except ValueError as error:
+    except DECODE_ERRORS as error:
         raise errors.StoreError(f"{name}: {error}") from error
     if not isinstance(body, dict):
         raise errors.StoreError(f"{name}: the body is not a JSON object")
     return body
 
 
-def row(item: Body) -> source.Row:
-    """Return the row of a listed item or a watch event."""
+def rows(items: typing.Iterable[object]) -> Rows:
+    """Return the rows of listed items or watch events.
+
+    Any writer may have chosen the key of an item. An item whose key can't be used is
+    left out, so that the other rows take effect without it.
+    """
+    decoded: list[source.Row] = []
+    refused: list[str] = []
+    for item in items:
+        row = _row(item)
+        fault = _key_fault(row.key)
+        if fault:
+            refused.append(f"key {row.key!r}: {fault}")
+        else:
+            decoded.append(row)
+    return Rows(tuple(decoded), tuple(refused))
+
+
+def _row(item: object) -> source.Row:
+    if not isinstance(item, dict):
+        raise TypeError("an item is not a JSON object")
     value = None
     if not item.get("deleted"):
         value = base64.b64decode(item["value"], validate=True)
-    key = item["key"]
-    if not isinstance(key, str):
+    return source.Row(_string(item["key"]), value, whole_number(item["revision"]))
+
+
+def _key_fault(key: str) -> str:
+    # Messages to other VMs carry the key. A message that can't be encoded, or that the
+    # receivers refuse, would hold up the other rows.
+    if len(key) > source.MAX_KEY_CHARACTERS:
+        return f"{len(key)} characters"
+    try:
+        key.encode()
+    except UnicodeEncodeError as error:
+        return error.reason
+    return ""
+
+
+def _string(value: object) -> str:
+    if not isinstance(value, str):
         raise TypeError("a key is not a string")
-    return source.Row(key, value, whole_number(item["revision"]))
+    return value
 
 
 def whole_number(value: object) -> int:
-    """Return a value after checking that it is a whole number."""
+    """Return a value after checking that it is a whole number below 2**63."""
     if isinstance(value, bool) or not isinstance(value, int):
         raise TypeError(f"{value!r} is not a whole number")
+    if not 0 <= value <= source.MAX_REVISION:
+        raise ValueError(f"{value!r} is out of range")
     return value
--- a/eelgrasswick/platform/entries.py
+++ b/eelgrasswick/platform/entries.py
@@ -1,7 +1,6 @@
 """Decoding of the platform store's rows: configuration, evacuations, targets."""
 
 import json
-import math
 import re
 import socket
 import typing
@@ -11,14 +10,15 @@
 from eelgrasswick.platform import names
 
 _SERVER_ID: typing.Final = re.compile(r"(?:.*[^0-9a-f])?([0-9a-f]{1,16})")
+# Numbers up to this one have the same value in all implementations of JSON (RFC 8259,
+# section 6). Decisions would fail with a number that does not fit in a float.
+_MAX_NUMBER: typing.Final = 2**53 - 1
 _STATES: typing.Final = frozenset({"ready", "draining"})
 _DECODE_ERRORS: typing.Final = (
     ValueError,
     TypeError,
     LookupError,
     OSError,
-    # A whole number may be too large for a float.
-    OverflowError,
     RecursionError,
 )
 _Body = dict[str, typing.Any]
@@ -66,10 +66,14 @@
 
 
 def _body(value: bytes | None) -> _Body:
-    body = json.loads(value or b"")
-    if not isinstance(body, dict):
-        raise TypeError("the body is not a JSON object")
-    return body
+    # ``json.loads`` would accept bytes that are not valid UTF-8.
+    return _object(json.loads((value or b"").decode("utf-8-sig")))
+
+
+def _object(value: object) -> _Body:
+    if not isinstance(value, dict):
+        raise TypeError(f"{value!r} is not a JSON object")
+    return value
 
 
 def _config(body: _Body) -> model.Config:
@@ -77,9 +81,9 @@
     for item in body["routes"]:
         # ``prefix`` is the service port between slashes, and ``host`` the service
         # address.
-        port = int(item["prefix"].strip("/"))
-        routes[(socket.inet_aton(item["host"]), port)] = _route(item)
-    services = [_service(item) for item in body.get("services", [])]
+        port = int(_string(_object(item)["prefix"]).strip("/"))
+        routes[(socket.inet_aton(_string(item["host"])), port)] = _route(item)
+    services = [_service(_object(item)) for item in body.get("services", [])]
     return model.Config(
         _whole_number(body["version"]), routes, {item.name: item for item in services}
     )
@@ -98,7 +102,7 @@
     split = item.get("traffic_split")
     if split:
         shares = tuple(
-            model.Share(_string(part["service"]), float(part["weight"]))
+            model.Share(_string(part["service"]), _non_negative_number(part["weight"]))
             for part in split
         )
     else:
@@ -149,13 +153,15 @@
 def _whole_number(value: object) -> int:
     if isinstance(value, bool) or not isinstance(value, int) or value < 0:
         raise TypeError(f"{value!r} is not a whole number")
+    if value > _MAX_NUMBER:
+        raise ValueError(f"{value!r} is out of range")
     return value
 
 
 def _non_negative_number(value: object) -> float:
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise TypeError(f"{value!r} is not a number")
-    if not 0 <= value < math.inf:
+    if not 0 <= value <= _MAX_NUMBER:
         raise ValueError(f"{value!r} is out of range")
     return float(value)
 
@@ -163,4 +169,7 @@
 def _string(value: object) -> str:
     if not isinstance(value, str):
         raise TypeError(f"{value!r} is not a string")
+    # A JSON escape may denote half of a surrogate pair. Such a string has no encoding,
+    # and neither the log nor a message to other VMs could contain it.
+    value.encode()
     return value
--- a/eelgrasswick/platform/store.py
+++ b/eelgrasswick/platform/store.py
@@ -151,11 +151,11 @@
         query = {"prefix": "", "after": str(after), "wait_ms": str(wait_ms)}
         body = await self._call(names.WATCH_PATH, query, wait_ms + ANSWER_TIMEOUT_MS)
         try:
-            rows = tuple(answers.row(item) for item in body["events"])
+            answer = answers.rows(body["events"])
             revision = answers.whole_number(body["store_revision"])
         except answers.DECODE_ERRORS as failure:
             raise errors.StoreError(f"{names.WATCH_PATH}: {failure!r}") from failure
-        return source.Changes(rows, revision, after)
+        return source.Changes(answer.rows, revision, after, answer.refused)
 
     async def _call(
         self, name: str, query: dict[str, str], first_byte_ms: int
--- a/eelgrasswick/story.py
+++ b/eelgrasswick/story.py
@@ -30,6 +30,7 @@
         "evacuation_in_force",
         "evacuation_over",
         "entry_refused",
+        "row_refused",
         "store_lost",
         "store_regained",
         "store_history_gone",
--- a/tests/test_early.py
+++ b/tests/test_early.py
@@ -262,3 +262,45 @@
     """Guards against a library release that moves a module and breaks the start."""
     for name in early.LIBRARIES:
         importlib.import_module(name)
+
+
+def _with_bytes(name: str, revision: int, service: bytes) -> source.Row:
+    row = cookie_parts.target_row(name, revision, service="placeholder")
+    return row._replace(value=(row.value or b"").replace(b"placeholder", service))
+
+
+UNREADABLE_ROWS: typing.Final = (
+    _with_bytes("i-0b", 3, b"half-\xed\xa0\xbd"),
+    _with_bytes("i-0c", 4, b"half-\\ud83d"),
+    cookie_parts.target_row("i-0d", 5, concurrency=10**400),
+    source.Row("servers/x", b"\xff\xfe", 6),
+)
+
+
+@pytest.mark.parametrize("source_name", ["store", "peer"])
+def test_unreadable_entries_do_not_end_the_start(
+    data_socket: socket.socket,
+    log_pipe: tuple[int, int],
+    monkeypatch: pytest.MonkeyPatch,
+    source_name: str,
+) -> None:
+    """Guards against another writer's entry that keeps every VM from starting."""
+    monkeypatch.setattr(early, "LIBRARIES", ())
+    rows = (*early_parts.ROWS, *UNREADABLE_ROWS)
+    peer: early_parts.OneConnectionServer
+    if source_name == "peer":
+        peer = StandInPeer(*_offer(300, *rows))
+    else:
+        peer = early_parts.PagedStore(*rows)
+    seeds = [peer.address] if source_name == "peer" else []
+    unused = offer_parts.unused_address()
+    carrier = early_parts.carrier(log_pipe[1])
+    early.StartupForwarder(carrier, data_socket, clock.now_ms(), seeds).run(
+        unused if seeds else peer.address
+    )
+    peer.end()
+    assert carrier.started
+    assert [item.name for item in carrier.parts.catalog.targets] == ["i-0a"]
+    text = early_parts.log_text(carrier, log_pipe)
+    assert text.count(b"event=entry_refused") == len(UNREADABLE_ROWS)
+    assert b"event=target_known" in text
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -162,3 +162,101 @@
     row = source.Row("config", json.dumps(body).encode(), 1)
     with pytest.raises(errors.EntryInvalidError):
         reader.config(row)
+
+
+def _with_text(field: str, value: str) -> source.Row:
+    return cookie_parts.target_row("i-0a", 1, **{field: value})
+
+
+def _with_bytes(field: str, value: bytes) -> source.Row:
+    row = cookie_parts.target_row("i-0a", 1, **{field: "placeholder"})
+    return row._replace(value=(row.value or b"").replace(b"placeholder", value))
+
+
+@pytest.mark.parametrize("field", ["service", "zone", "version", "address", "state"])
+@pytest.mark.parametrize(
+    "value",
+    [b"\xed\xa0\xbd", b"\xed\xbf\xbf", b"\xff", b"\\ud83d", b"\\udc00x"],
+    ids=repr,
+)
+def test_target_whose_text_has_no_encoding_is_refused(
+    reader: entries.Reader, field: str, value: bytes
+) -> None:
+    """Guards against an entry that no log line and no message can contain.
+
+    Half of a surrogate pair is in the bytes, or the JSON has an escape for it.
+    """
+    with pytest.raises(errors.EntryInvalidError) as raised:
+        reader.target(_with_bytes(field, value))
+    assert raised.value.detail.encode()
+
+
+@hypothesis.given(strategies.text(strategies.characters(), max_size=8))
+def test_texts_of_a_decoded_target_have_an_encoding(value: str) -> None:
+    """Guards against an entry that ends a VM when it is logged or sent on."""
+    reader = entries.Reader()
+    for field in ("service", "zone", "version"):
+        try:
+            target = reader.target(_with_text(field, value))
+        except errors.EntryInvalidError as error:
+            assert error.detail.encode()
+        else:
+            assert f"{target.name} {target.service} {target.zone}".encode()
+
+
+@pytest.mark.parametrize("field", ["route", "service", "share"])
+def test_config_whose_name_has_no_encoding_is_refused(
+    reader: entries.Reader, field: str
+) -> None:
+    """Guards against a name in the configuration that no log line can contain."""
+    body = json.loads(cookie_parts.config_row(1).value or b"")
+    named = {
+        "route": body["routes"][0],
+        "service": body["services"][0],
+        "share": {"weight": 1},
+    }[field]
+    named["service" if field == "share" else "name"] = "half \ud83d"
+    if field == "share":
+        body["routes"][0]["traffic_split"] = [named]
+    with pytest.raises(errors.EntryInvalidError):
+        reader.config(source.Row("op/config", json.dumps(body).encode(), 1))
+
+
+@pytest.mark.parametrize("value", [2**53, 10**400], ids=["53 bits", "400 digits"])
+@pytest.mark.parametrize("field", ["concurrency", "cold_remaining_ms", "born"])
+def test_number_too_large_for_a_decision_is_refused(
+    reader: entries.Reader, field: str, value: int
+) -> None:
+    """Guards against an entry that fails with each packet that considers it."""
+    with pytest.raises(errors.EntryInvalidError):
+        reader.target(cookie_parts.target_row("i-0a", 1, **{field: value}))
+
+
+@hypothesis.given(
+    place=strategies.sampled_from(
+        [
+            ("routes",),
+            ("routes", 0),
+            ("routes", 0, "host"),
+            ("routes", 0, "prefix"),
+            ("routes", 0, "traffic_split"),
+            ("services",),
+            ("services", 0),
+            ("version",),
+        ]
+    ),
+    value=JSON,
+)
+def test_any_value_within_a_config_is_decoded_or_refused(
+    place: tuple[str | int, ...], value: object
+) -> None:
+    """Guards against a value of another type that makes the decoder fail."""
+    body = json.loads(cookie_parts.config_row(1).value or b"")
+    within: typing.Any = body
+    for step in place[:-1]:
+        within = within[step]
+    within[place[-1]] = value
+    try:
+        entries.Reader().config(source.Row("op/config", json.dumps(body).encode(), 1))
+    except errors.EntryInvalidError as error:
+        assert error.detail
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -259,3 +259,30 @@
     stand_in.parts, stand_in.interval_s = 1000, 0.02
     with pytest.raises(errors.StoreError):
         turning.result(client.changes(4, 50))
+
+
+def test_item_with_an_unusable_key_costs_no_other_row(start: Start) -> None:
+    """Guards against another writer's key that keeps a VM from reading its rows."""
+
+    def script(path: str, query: dict[str, str]) -> Answer:
+        if "after" in query:
+            return _json(
+                {"items": [_item("c", 9)], "has_more": False, "store_revision": 9}
+            )
+        items = [_item("a", 1), _item("x" * 300, 2), _item("half \ud83d", 3)]
+        return _json({"items": items, "has_more": True, "store_revision": 7})
+
+    _, client = start(script)
+    changes = turning.result(client.read_all())
+    assert [row.key for row in changes.rows] == ["a", "c"]
+    assert len(changes.refused) == 2
+    assert all(detail.encode() for detail in changes.refused)
+
+
+def test_watch_leaves_out_an_event_with_an_unusable_key(start: Start) -> None:
+    """Guards against another writer's key that hides the changes beside it."""
+    events = [_item("a", 5), _item("half \ud83d", 6), _item("b", 7)]
+    _, client = start(lambda *_: _json({"events": events, "store_revision": 7}))
+    changes = turning.result(client.changes(4, 1000))
+    assert [row.key for row in changes.rows] == ["a", "b"]
+    assert len(changes.refused) == 1
--- a/tests/test_store_watch.py
+++ b/tests/test_store_watch.py
@@ -200,3 +200,17 @@
     assert "eelgrasswick_flows 2" in text
     assert 'eelgrasswick_answer_ms_bucket{le="50"} 2' in text
     assert 'eelgrasswick_answer_ms_bucket{le="+Inf"} 3' in text
+
+
+def test_answer_with_only_refused_items_is_followed_by_a_watch(start: Start) -> None:
+    """Guards against a listing of the store for each entry that can't be read."""
+    script = ScriptedStore(
+        _listing(5, ROW),
+        source.Changes((), 6, 5, ("key",)),
+        source.Changes((), 6, 6),
+    )
+    task = start(script)
+    for _ in range(3):
+        task.step()
+    assert script.calls == ["list", "watch 5", "watch 6"]
+    assert task.merges[1].refused == ("key",)
