Refuse peer messages with addresses or counts that can't be used

Cause: a message of another VM lists members by address, and any text passed. The VM went on to forward packets while its rows aged, and the address reached the other VMs as a member too. CBOR also has integers of any length, of which one of 4,300 digits or more can't be written into a log line.

Change: members must have an IPv4 address, counts at most 63 bits, as those of messages about reservations already had (one check now). Port.send reports an invalid address like any datagram that can't be sent.

Evidence: on the code before, eight cases of the tests in test_exchange.py fail, and test_vm_goes_on_after_a_message_with_an_invalid_address gets no further request of the VM within 20 s, with LoopingCall ended. With the change they pass.

--- a/eelgrasswick/cookie/exchange.py
+++ b/eelgrasswick/cookie/exchange.py
@@ -7,6 +7,7 @@
 """
 
 import random
+import socket
 import typing
 
 import cbor2
@@ -19,6 +20,9 @@
 MAX_BYTES: typing.Final = 1200
 MAX_ROWS: typing.Final = 40
 MAX_TEXT_CHARACTERS: typing.Final = 256
+# CBOR has integers of any length, and one that does not fit in a float would fail in
+# the decisions that use it.
+MAX_COUNT: typing.Final = 2**63 - 1
 # These are upper bounds for the encoded size of a message without its rows and its
 # report, and for one entry of a report.
 _FRAME_BYTES: typing.Final = 250
@@ -386,7 +390,7 @@
 def decode_member(item: typing.Any) -> peers.Member:
     """Convert a decoded CBOR value to a member."""
     host, zone = item
-    return peers.Member(_text(host), _text(zone))
+    return peers.Member(_ip(host), _text(zone))
 
 
 def _witness(item: typing.Any) -> ejection.Witness:
@@ -397,12 +401,28 @@
 
 
 def decode_count(value: object) -> int:
-    """Return a decoded value after checking that it is a non-negative integer."""
+    """Return a decoded value after checking that it is a non-negative integer.
+
+    Raises:
+        TypeError: The value is no such integer.
+        ValueError: It exceeds ``MAX_COUNT``.
+    """
     if not isinstance(value, int) or isinstance(value, bool) or value < 0:
         raise TypeError(f"{value!r} is not a non-negative integer")
+    if value > MAX_COUNT:
+        raise ValueError("a count exceeds 63 bits")
     return value
 
 
+def _ip(value: object) -> str:
+    text = _text(value)
+    try:
+        socket.inet_pton(socket.AF_INET, text)
+    except OSError as error:
+        raise ValueError(f"{text!r} is not an IPv4 address") from error
+    return text
+
+
 def _text(value: object, max_characters: int = MAX_TEXT_CHARACTERS) -> str:
     if not isinstance(value, str) or len(value) > max_characters:
         raise TypeError(f"expected a text of at most {max_characters} characters")
--- a/eelgrasswick/cookie/ports.py
+++ b/eelgrasswick/cookie/ports.py
@@ -31,5 +31,9 @@
         """Send a datagram; if sending fails, report the error and drop the datagram."""
         try:
             typing.cast(typing.Any, self.transport).write(datagram, address)
-        except (OSError, error.MessageLengthError) as failure:
+        except (
+            OSError,
+            error.MessageLengthError,
+            error.InvalidAddressError,
+        ) as failure:
             self._on_unsent(address.host, failure)
--- a/eelgrasswick/reservations/codec.py
+++ b/eelgrasswick/reservations/codec.py
@@ -12,9 +12,6 @@
 from eelgrasswick.cookie import exchange
 from eelgrasswick.reservations import messages
 
-# Larger counts can't occur, and an integer of arbitrary length can't always be
-# converted to a float.
-MAX_COUNT: typing.Final = 2**63 - 1
 # A message with this many entries of usage fits in a datagram of `exchange.MAX_BYTES`.
 MAX_USAGE: typing.Final = 40
 MAX_TEXT: typing.Final = 256
@@ -72,44 +69,49 @@
     incarnation, number, acknowledged, group, *rest = fields
     request, priority, wait_ms, caller, candidates, usage = rest
     return messages.Reserve(
-        _count(incarnation),
-        _count(number),
+        exchange.decode_count(incarnation),
+        exchange.decode_count(number),
         _acknowledged(acknowledged),
         _group(group),
-        _count(request),
-        _count(priority),
-        _count(wait_ms),
-        _count(caller),
+        exchange.decode_count(request),
+        exchange.decode_count(priority),
+        exchange.decode_count(wait_ms),
+        exchange.decode_count(caller),
         _candidates(candidates),
         _usage(usage),
     )
 
 
 def _grant(fields: list[typing.Any]) -> messages.Grant:
-    incarnation, request, cookie, grant, expected_wait_ms = map(_count, fields)
+    incarnation, request, cookie, grant, expected_wait_ms = map(
+        exchange.decode_count, fields
+    )
     return messages.Grant(incarnation, request, cookie, grant, expected_wait_ms)
 
 
 def _queued(fields: list[typing.Any]) -> messages.Queued:
-    request, expected_wait_ms = map(_count, fields)
+    request, expected_wait_ms = map(exchange.decode_count, fields)
     return messages.Queued(request, expected_wait_ms)
 
 
 def _reject(fields: list[typing.Any]) -> messages.Reject:
-    request, reason, expected_wait_ms = map(_count, fields)
+    request, reason, expected_wait_ms = map(exchange.decode_count, fields)
     return messages.Reject(request, messages.RejectReason(reason), expected_wait_ms)
 
 
 def _usage_update(fields: list[typing.Any]) -> messages.UsageUpdate:
     incarnation, number, acknowledged, usage = fields
     return messages.UsageUpdate(
-        _count(incarnation), _count(number), _acknowledged(acknowledged), _usage(usage)
+        exchange.decode_count(incarnation),
+        exchange.decode_count(number),
+        _acknowledged(acknowledged),
+        _usage(usage),
     )
 
 
 def _pressure(fields: list[typing.Any]) -> messages.Pressure:
     service, zone, number = fields
-    return messages.Pressure(_text(service), _text(zone), _count(number))
+    return messages.Pressure(_text(service), _text(zone), exchange.decode_count(number))
 
 
 _DECODERS: typing.Final[
@@ -125,7 +127,7 @@
 
 
 def _acknowledged(item: object) -> messages.Acknowledged:
-    incarnation, grant = map(_count, _list(item))
+    incarnation, grant = map(exchange.decode_count, _list(item))
     return messages.Acknowledged(incarnation, grant)
 
 
@@ -137,7 +139,7 @@
 
 
 def _candidate(item: object) -> messages.Candidate:
-    cookie, slots = map(_count, _list(item))
+    cookie, slots = map(exchange.decode_count, _list(item))
     return messages.Candidate(cookie, slots)
 
 
@@ -146,17 +148,12 @@
 
 
 def _usage_entry(item: object) -> messages.Usage:
-    cookie, in_flight, completed, busy_ms, rejected = map(_count, _list(item))
+    cookie, in_flight, completed, busy_ms, rejected = map(
+        exchange.decode_count, _list(item)
+    )
     return messages.Usage(cookie, in_flight, completed, busy_ms, rejected)
 
 
-def _count(value: object) -> int:
-    count = exchange.decode_count(value)
-    if count > MAX_COUNT:
-        raise ValueError("a count exceeds 63 bits")
-    return count
-
-
 def _text(value: object) -> str:
     if not isinstance(value, str) or len(value) > MAX_TEXT:
         raise TypeError(f"expected a text of at most {MAX_TEXT} characters")
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -4,6 +4,7 @@
 import time
 import typing
 
+import cbor2
 import pytest
 
 from eelgrasswick.cookie import (
@@ -346,3 +347,24 @@
     lines = _probe_all_refused(monkeypatch, vm, stall.PROBE_GAP_MS / 1000 + 0.1)
     assert "event=target_probed" in lines[0]
     assert "flows_reset=0" in lines[0]
+
+
+def test_vm_goes_on_after_a_message_with_an_invalid_address(
+    start: Start, store: entry_parts.MemoryStore
+) -> None:
+    """Guards against one peer message that ends the exchange with all VMs."""
+    vm = start(entry_parts.host(1), store)
+    _await_ready(vm)
+    peer_port = entry_parts.DATA_PORT + 2
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as peer:
+        peer.bind((entry_parts.host(2), peer_port))
+        peer.setblocking(False)
+        message = [1, 1, "z1", True, 0, 0, None, [["not an address", "z1"]], []]
+        peer.sendto(cbor2.dumps(message), (vm.host, peer_port))
+        lines: list[str] = []
+        turning.until(lambda: lines.extend(vm.log()) or "_refused" in str(lines))
+        valid = [*message[:7], [], []]
+        peer.sendto(cbor2.dumps(valid), (vm.host, peer_port))
+        # The response to the valid message, and requests of later ticks.
+        for _ in range(4):
+            assert _await_datagram(peer)
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -3,6 +3,7 @@
 import random
 import typing
 
+import cbor2
 import hypothesis
 import pytest
 from hypothesis import strategies
@@ -313,3 +314,17 @@
         second.exchange.receive(fleet.now_ms, first.host, item.payload)
     second.reports.tick(fleet.now_ms)
     assert second.reports.flows_on(5) == 9
+
+
+@pytest.mark.parametrize("host", ["", "vm-1", "10.0.0", "10.0.0.1\0", "::1", "1"])
+def test_member_whose_address_is_invalid_is_refused(host: str) -> None:
+    """Guards against an address to which no datagram can be sent."""
+    with pytest.raises(exchange.DECODE_ERRORS):
+        exchange.decode_member([host, "z1"])
+
+
+@pytest.mark.parametrize("value", [2**63, 10**5000], ids=["64 bits", "5000 digits"])
+def test_count_of_any_length_is_refused(value: int) -> None:
+    """Guards against a revision or age that no log line can contain."""
+    with pytest.raises(errors.MessageInvalidError):
+        exchange.decode_changes(cbor2.dumps([[["a", b"", value]], 1, 0]))
--- a/tests/test_reservation_codec.py
+++ b/tests/test_reservation_codec.py
@@ -11,7 +11,7 @@
 from eelgrasswick.cookie import exchange
 from eelgrasswick.reservations import codec, messages
 
-COUNT: typing.Final = strategies.integers(0, codec.MAX_COUNT)
+COUNT: typing.Final = strategies.integers(0, exchange.MAX_COUNT)
 TEXT: typing.Final = strategies.text(max_size=codec.MAX_TEXT)
 GROUP: typing.Final = strategies.tuples(*[strategies.text(max_size=80)] * 3).map(
     "/".join
