Let an exception cost one row, one run of a task or one start

Cause: no place between a row and the process contained an exception. Rows behind a failing one were lost for good, as the copy of the store already had them.

Change: periodic tasks go on after the interval and log task_failed; Catalog.update contains the failure of one row (row_failed); a failure before the event loop is logged (early_start_failed), and the VM starts with a new carrier that reads all rows; a start that fails ends the process with exit code 1 (start_failed).

--- a/eelgrasswick/cookie/catalog.py
+++ b/eelgrasswick/cookie/catalog.py
@@ -256,14 +256,19 @@
         # whose entries can end other targets.
         for row in sorted(merge.rows, key=lambda row: self._reader.is_target(row.key)):
             row_source = RowSource(row.revision, origin, now_ms)
-            if self._reader.is_config(row.key):
-                events.append(self._update_config(row, row_source))
-            elif self._reader.is_evacuation(row.key):
-                events.append(self._update_evacuation(now_ms, row))
-            elif self._reader.is_target(row.key):
-                events.append(self._update_target(now_ms, row, outage, row_source))
-                self._update_age(now_ms, row, watched)
-                ended += [(target, row) for target in self._former_targets(row)]
+            try:
+                if self._reader.is_config(row.key):
+                    events.append(self._update_config(row, row_source))
+                elif self._reader.is_evacuation(row.key):
+                    events.append(self._update_evacuation(now_ms, row))
+                elif self._reader.is_target(row.key):
+                    events.append(self._update_target(now_ms, row, outage, row_source))
+                    self._update_age(now_ms, row, watched)
+                    ended += [(target, row) for target in self._former_targets(row)]
+            except Exception as error:  # noqa: BLE001
+                # The other rows must take effect. They would not be merged again,
+                # because this VM's copy of the store already has them.
+                events.append(_failed(row, error))
         for target, _ in ended:
             self._lists.mark(target.cookie)
         self._update_lists()
@@ -467,6 +472,17 @@
     """Do nothing when a target has ended."""
 
 
+def _failed(row: source.Row, error: Exception) -> LogEvent:
+    return LogEvent(
+        "row_failed",
+        {
+            "key": row.key,
+            "revision": row.revision,
+            "detail": f"{type(error).__name__}: {error}",
+        },
+    )
+
+
 def _refused(row: source.Row, error: errors.EelgrasswickError) -> LogEvent:
     return LogEvent(
         "entry_refused",
--- a/eelgrasswick/cookie/entry.py
+++ b/eelgrasswick/cookie/entry.py
@@ -4,7 +4,7 @@
 import socket
 import typing
 
-from twisted.internet import defer, task
+from twisted.internet import defer
 
 from eelgrasswick import errors
 from eelgrasswick.cookie import (
@@ -15,6 +15,7 @@
     held_packets,
     offer,
     peers,
+    periodic,
     reserving,
     settings,
     source,
@@ -100,8 +101,12 @@
         self._reservations = reserving.Reservations(
             vm.peer.host, vm.zone, loaded.policy.reserve, self._reserving_parts(), rng
         )
-        self._reservation_check = task.LoopingCall(self._check_reservations)
-        self._reservation_check.clock = reactor
+        self._reservation_check = self._task(
+            "reservations", self._check_reservations, RESERVATION_INTERVAL_S
+        )
+        self._data_port_opening = self._task(
+            "data_port", self._poll_data_port, READY_POLL_INTERVAL_S
+        )
         self._connect_reservations()
         self._catalog.on_ended = self._forwarder.reset_ended_target
         self._forwarder.on_dead = self._gossip.report_dead_target
@@ -110,7 +115,7 @@
         )
         self._stop_requested_ms: int | None = None
         self._was_ready = False
-        self._loops: list[task.LoopingCall] = []
+        self._tasks = [self._reservation_check, self._data_port_opening]
         self._listening: list[typing.Any] = []
 
     def _reserving_parts(self) -> reserving.Parts:
@@ -161,22 +166,50 @@
             self._gossip.peers.add_members(now_ms, self._members)
             self._store_watch.mark_rank_reliable(now_ms)
         self._listen()
-        self._open_data_port()
-        self._start_loop(self._check, CHECK_INTERVAL_S)
-        self._start_loop(self._tick, REQUEST_INTERVAL_S)
+        if self._data_port_readable:
+            self._open_data_port()
+        else:
+            self._data_port_opening.start(now=False)
+        self.run_periodically("check", self._check, CHECK_INTERVAL_S)
+        self.run_periodically("tick", self._tick, REQUEST_INTERVAL_S)
 
-    def _start_loop(self, work: typing.Callable[[], None], every_s: float) -> None:
-        loop = task.LoopingCall(work)
-        loop.clock = self._reactor
-        loop.start(every_s)
-        self._loops.append(loop)
+    def log_failed_start(self, failure: typing.Any) -> None:
+        """Log that ``start`` raised an exception."""
+        self._write_failure("start_failed", failure)
+
+    def run_periodically(
+        self, name: str, work: typing.Callable[[], None], interval_s: float
+    ) -> None:
+        """Call a function now and at an interval, for as long as this VM runs."""
+        added = self._task(name, work, interval_s)
+        self._tasks.append(added)
+        added.start()
+
+    def _task(
+        self, name: str, work: typing.Callable[[], None], interval_s: float
+    ) -> periodic.PeriodicTask:
+        return periodic.PeriodicTask(
+            self._reactor, name, work, interval_s, self._on_task_failure
+        )
+
+    def _on_task_failure(self, name: str, failure: typing.Any) -> None:
+        self._stats.counts["tasks_failed"] += 1
+        self._write_failure("task_failed", failure, task=name)
+
+    def _write_failure(self, event: str, failure: typing.Any, **fields: object) -> None:
+        self._log.write(
+            event,
+            **fields,
+            detail=failure.getErrorMessage(),
+            where=twisted_errors.trace(failure),
+        )
+        # The task that usually writes pending lines may be the one that failed.
+        self._log.flush()
 
     async def close(self) -> None:
         """Close the sockets and end the tasks."""
-        for loop in self._loops:
-            loop.stop()
-        if self._reservation_check.running:
-            self._reservation_check.stop()
+        for item in self._tasks:
+            item.stop()
         for port in self._listening:
             await defer.maybeDeferred(port.stopListening)
 
@@ -220,12 +253,21 @@
             reactor.listenTCP(vm.metrics.port, pages, interface=vm.metrics.host),
         ]
 
-    def _open_data_port(self) -> None:
-        """Open the port for callers' packets, or poll until it can be read.
+    @property
+    def _data_port_readable(self) -> bool:
+        """False while packets must wait in a socket that was bound early.
 
-        Packets in a socket that was bound early are read only once this VM has
-        routes and targets; packets read before that would be lost.
+        They are read only once this VM has routes and targets; packets read before
+        that would be lost.
         """
+        return self._bound_socket is None or self._catalog.ready
+
+    def _poll_data_port(self) -> None:
+        if self._data_port_readable:
+            self._data_port_opening.stop()
+            self._open_data_port()
+
+    def _open_data_port(self) -> None:
         vm = self._settings.vm
         port = self._forwarder.port
         if self._bound_socket is None:
@@ -233,7 +275,7 @@
             listener = self._reactor.listenUDP(
                 vm.data.port, port, vm.data.host, DATAGRAM_BYTES
             )
-        elif self._catalog.ready:
+        else:
             if not self._carrier.started:
                 self._carrier.start(clock.now_ms() - self._bound_ms)
             self._forwarder.begin()
@@ -241,9 +283,6 @@
                 self._bound_socket.fileno(), socket.AF_INET, port, DATAGRAM_BYTES
             )
             self._bound_socket.close()
-        else:
-            self._reactor.callLater(READY_POLL_INTERVAL_S, self._open_data_port)
-            return
         self._listening.append(listener)
 
     def _tick(self) -> None:
@@ -262,7 +301,7 @@
 
     def _run_reservation_check(self) -> None:
         if not self._reservation_check.running:
-            self._reservation_check.start(RESERVATION_INTERVAL_S, now=False)
+            self._reservation_check.start(now=False)
 
     def _check_reservations(self) -> None:
         self._reservations.check(self._carrier.check_stall())
--- a/eelgrasswick/cookie/event_log.py
+++ b/eelgrasswick/cookie/event_log.py
@@ -10,6 +10,9 @@
 # Pending output for the reader of standard output is limited to about this size.
 # Further lines are left out.
 MAX_PENDING_BYTES: typing.Final = 256_000
+# A logged traceback is limited to its end, where the innermost frames identify the
+# fault.
+MAX_TRACE_CHARACTERS: typing.Final = 600
 
 
 class EventLog:
--- a/eelgrasswick/cookie/twisted_errors.py
+++ b/eelgrasswick/cookie/twisted_errors.py
@@ -1,4 +1,4 @@
-"""Redirection of errors that Twisted reports to the event log."""
+"""Failures in the event log, and redirection of those that Twisted reports."""
 
 import typing
 
@@ -6,9 +6,6 @@
 
 from eelgrasswick.cookie import event_log, stats
 
-# The end of a traceback has the innermost frames, which identify the fault.
-MAX_TRACE_CHARACTERS: typing.Final = 600
-
 
 def redirect_to_log(log: event_log.EventLog, counters: stats.Stats) -> None:
     """Write errors that Twisted reports to an event log, and count them.
@@ -23,11 +20,18 @@
             logger.LogLevel.critical,
         ):
             counters.counts["internal_errors"] += 1
-            detail = logger.formatEvent(event)
             failure = event.get("log_failure")
-            where = failure.getTraceback()[-MAX_TRACE_CHARACTERS:] if failure else ""
-            log.write("internal_error", detail=detail, where=where)
+            log.write(
+                "internal_error",
+                detail=logger.formatEvent(event),
+                where=trace(failure) if failure else "",
+            )
 
     logger.globalLogBeginner.beginLoggingTo(
         [typing.cast(typing.Any, observer)], redirectStandardIO=False
     )
+
+
+def trace(failure: typing.Any) -> str:
+    """Return the innermost frames of a Twisted failure."""
+    return str(failure.getTraceback())[-event_log.MAX_TRACE_CHARACTERS :]
--- a/eelgrasswick/platform/__main__.py
+++ b/eelgrasswick/platform/__main__.py
@@ -42,17 +42,27 @@
     from eelgrasswick.cookie import carrying, model
     from eelgrasswick.platform import early, entries, segments
 
-    carrier = carrying.build_carrier(
-        file.settings, segments.Codec(), entries.Reader(), sys.stdout.fileno()
-    )
+    def build_carrier() -> carrying.Carrier:
+        return carrying.build_carrier(
+            file.settings, segments.Codec(), entries.Reader(), sys.stdout.fileno()
+        )
+
     vm = file.settings.vm
     seeds = [
         model.Address(host, vm.peer.port)
         for host in file.settings.fleet.seeds
         if host != vm.peer.host
     ]
+    carrier = build_carrier()
     forwarder = early.StartupForwarder(carrier, data_socket, bound_ms, seeds)
-    forwarder.run(file.settings.store.address)
+    try:
+        forwarder.run(file.settings.store.address)
+    except Exception as error:  # noqa: BLE001
+        # The VM can start without the early rows. The carrier may have merged them only
+        # in part, and a new one reads all of them again.
+        forwarder.close()
+        carrier = build_carrier()
+        early.log_failure(carrier.parts.log, error)
     program: typing.Any = importlib.import_module("eelgrasswick.platform.program")
     program.run(file, carrier, data_socket, bound_ms, forwarder.members)
 
--- a/eelgrasswick/platform/early.py
+++ b/eelgrasswick/platform/early.py
@@ -30,6 +30,7 @@
     bootstrap,
     carrying,
     clock,
+    event_log,
     model,
     offer_fetch,
     source,
@@ -125,6 +126,12 @@
         if self._reader is not None:
             self._give_up("no response from the store in time")
 
+    def close(self) -> None:
+        """Close the connections of a start that failed."""
+        self.members = ()
+        self._close_reader()
+        self._close_fetch()
+
     def _fetch_from_peer(self) -> bool:
         answer = bootstrap.fetch_rows(self._seeds, self._carrier.parts.log)
         if answer is None:
@@ -267,3 +274,15 @@
             self._carrier.parts.log.write(
                 "datagram_unsent", to=address.host, detail=str(failure)
             )
+
+
+def log_failure(log: event_log.EventLog, error: Exception) -> None:
+    """Log that the start failed before the reactor ran."""
+    # The module is imported only in this case, because its import takes time.
+    formatter: typing.Any = importlib.import_module("traceback")
+    where = "".join(formatter.format_tb(error.__traceback__))
+    log.write(
+        "early_start_failed",
+        detail=f"{type(error).__name__}: {error}",
+        where=where[-event_log.MAX_TRACE_CHARACTERS :],
+    )
--- a/eelgrasswick/platform/program.py
+++ b/eelgrasswick/platform/program.py
@@ -1,12 +1,14 @@
 """The composition root of the program that runs on the users' platform."""
 
+import functools
 import random
 import signal
 import socket
 import sys
 import typing
 
-from twisted.internet import epollreactor, task
+from twisted.internet import defer, epollreactor
+from twisted.python import failure
 
 from eelgrasswick import errors
 from eelgrasswick.cookie import carrying, entry, peers
@@ -15,6 +17,7 @@
 # The settings file is checked for changes at this interval. It may change without a
 # signal to the process.
 SETTINGS_POLL_S: typing.Final = 1.0
+START_FAILED_EXIT_CODE: typing.Final = 1
 
 
 def _reload(file: settings_file.SettingsFile, vm: entry.EntryVm) -> None:
@@ -47,6 +50,9 @@
         data_socket: The bound socket in which callers' packets wait.
         bound_ms: When the socket was bound, in milliseconds.
         members: The other VMs, if a peer has already sent them.
+
+    Raises:
+        SystemExit: A socket could not be opened, or the start failed otherwise.
     """
     # The reactor is installed before any import of the default reactor, which would
     # load TLS and several megabytes that an entry VM does not use.
@@ -63,7 +69,19 @@
     vm = entry.EntryVm(reactor, file.settings, parts, random.Random())
     signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(vm.stop))
     signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(_reload, file, vm))
-    reactor.callWhenRunning(vm.start)
-    poll = task.LoopingCall(_reload_if_changed, file, vm)
-    reactor.callWhenRunning(poll.start, SETTINGS_POLL_S, now=False)
+    failures: list[failure.Failure] = []
+
+    def end(fault: failure.Failure) -> None:
+        failures.append(fault)
+        vm.log_failed_start(fault)
+        reactor.stop()
+
+    # Without its sockets the process would never serve, and never end.
+    reactor.callWhenRunning(
+        lambda: defer.maybeDeferred(vm.start).addErrback(end) and None
+    )
+    poll = functools.partial(_reload_if_changed, file, vm)
+    reactor.callWhenRunning(vm.run_periodically, "settings", poll, SETTINGS_POLL_S)
     reactor.run(installSignalHandlers=False)
+    if failures:
+        raise SystemExit(START_FAILED_EXIT_CODE)
--- a/eelgrasswick/story.py
+++ b/eelgrasswick/story.py
@@ -38,6 +38,10 @@
         "peer_regained",
         "log_bounded",
         "internal_error",
+        "row_failed",
+        "task_failed",
+        "early_start_failed",
+        "start_failed",
     }
 )
 
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -234,3 +234,25 @@
     rows = (cookie_parts.gone_row("i-0a", 4), cookie_parts.gone_row("i-0b", 5))
     current.update(3000, store_replica.Merge(rows, 400))
     assert _names(current) == set()
+
+
+def test_row_that_fails_costs_no_other_row(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against rows that are lost for good behind one that fails."""
+    read_target = entries.Reader.target
+
+    def fail_once(reader: entries.Reader, row: source.Row) -> model.Target:
+        if row.key == "servers/i-0b":
+            raise RuntimeError("unexpected")
+        return read_target(reader, row)
+
+    monkeypatch.setattr(entries.Reader, "target", fail_once)
+    target_catalog = catalog.Catalog(entries.Reader())
+    rows = (
+        cookie_parts.target_row("i-0a", 1),
+        cookie_parts.target_row("i-0b", 2),
+        cookie_parts.target_row("i-0c", 3),
+        cookie_parts.config_row(4),
+    )
+    events = target_catalog.update(0, store_replica.Merge(rows, 0))
+    assert {item.name for item in target_catalog.targets} == {"i-0a", "i-0c"}
+    assert [item.event for item in events].count("row_failed") == 1
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -16,6 +16,7 @@
     source,
     stall,
     steering,
+    store_watch,
 )
 from tests import cookie_parts, entry_parts, turning
 
@@ -349,6 +350,37 @@
     assert "flows_reset=0" in lines[0]
 
 
+@pytest.mark.parametrize(
+    ("owner", "method"),
+    [
+        (observations.Observations, "tick"),
+        (store_watch.StoreWatch, "check"),
+    ],
+    ids=["tick", "check"],
+)
+def test_vm_goes_on_after_an_exception_in_a_periodic_task(
+    start: Start,
+    store: entry_parts.MemoryStore,
+    monkeypatch: pytest.MonkeyPatch,
+    owner: type,
+    method: str,
+) -> None:
+    """Guards against a VM that forwards packets by rows it never updates again."""
+    vm = start(entry_parts.host(1), store)
+    _await_ready(vm)
+
+    def fail(*_: object) -> None:
+        monkeypatch.undo()
+        raise RuntimeError("unexpected")
+
+    monkeypatch.setattr(owner, method, fail)
+    lines: list[str] = []
+    turning.until(lambda: lines.extend(vm.log()) or "event=task_failed" in str(lines))
+    assert "detail=unexpected" in str(lines)
+    store.write(cookie_parts.config_row(9, version=5))
+    turning.until(lambda: lines.extend(vm.log()) or "version=5" in str(lines))
+
+
 def test_vm_goes_on_after_a_message_with_an_invalid_address(
     start: Start, store: entry_parts.MemoryStore
 ) -> None:
