Set timers by the steady clock

Cause: Twisted's reactor sets timers by the time of day (ReactorBase.seconds is time.time). Set back by some seconds, no timer expires for as long: the watch of the store, the exchange with other VMs and the log stand still, while packets go on by rows that nobody updates. Set forward, timers expire too early: at 4.04 s a call of the store was given up for want of progress.

Change: the program's reactor overrides seconds(), the clock of IReactorTime, with the clock that ages follow already. All timers, time-outs and periodic tasks are set by it.

The tests step the time of day of their own processes only.

--- a/eelgrasswick/cookie/clock.py
+++ b/eelgrasswick/cookie/clock.py
@@ -1,4 +1,4 @@
-"""The monotonic clock for measuring ages."""
+"""The steady clock for ages and timers, which steps of the time of day leave alone."""
 
 import time
 
@@ -10,3 +10,8 @@
     seconds treat its outdated rows as current when it resumes.
     """
     return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
+
+
+def now_s() -> float:
+    """Return the same time in seconds, for timers."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/eelgrasswick/platform/program.py
+++ b/eelgrasswick/platform/program.py
@@ -4,14 +4,13 @@
 import random
 import signal
 import socket
-import sys
 import typing
 
-from twisted.internet import defer, epollreactor
+from twisted.internet import defer
 from twisted.python import failure
 
 from eelgrasswick import errors
-from eelgrasswick.cookie import carrying, entry, peers
+from eelgrasswick.cookie import carrying, entry, event_loop, peers
 from eelgrasswick.platform import names, settings_file, store
 
 # The settings file is checked for changes at this interval. It may change without a
@@ -56,8 +55,7 @@
     """
     # The reactor is installed before any import of the default reactor, which would
     # load TLS and several megabytes that an entry VM does not use.
-    epollreactor.install()
-    reactor: typing.Any = sys.modules["twisted.internet.reactor"]
+    reactor: typing.Any = event_loop.install()
     parts = entry.Parts(
         carrier,
         store.Store(reactor, file.settings.store.address),
--- a/eelgrasswick/soak/processes.py
+++ b/eelgrasswick/soak/processes.py
@@ -10,6 +10,7 @@
 import typing
 
 from eelgrasswick.platform import names
+from eelgrasswick.soak import stepped_vm
 
 # A process that does not end within this time after SIGTERM is killed.
 STOP_TIMEOUT_S: typing.Final = 8.0
@@ -93,9 +94,28 @@
     return Process("store", ("-m", "eelgrasswick.soak.store", address), folder)
 
 
-def start_entry_vm(name: str, settings: str, folder: pathlib.Path) -> Process:
-    """Start the process of an entry VM in the same way as the platform does."""
+def start_entry_vm(
+    name: str, settings: str, folder: pathlib.Path, steps_clock: bool = False
+) -> Process:
+    """Start the process of an entry VM.
+
+    Args:
+        name: Name of the VM.
+        settings: Text of its settings file.
+        folder: Folder for the settings and the log.
+        steps_clock: False to start it in the same way as the platform does; True to
+            let ``clock_file`` set its time of day.
+    """
     path = folder / f"{name}.ini"
     path.write_text(settings)
-    arguments = ("-m", "eelgrasswick.platform")
+    arguments: tuple[str, ...] = ("-m", "eelgrasswick.platform")
+    if steps_clock:
+        offset_file = clock_file(name, folder)
+        stepped_vm.write_offset(offset_file, 0.0)
+        arguments = ("-m", "eelgrasswick.soak.stepped_vm", str(offset_file))
     return Process(name, arguments, folder, {names.SETTINGS_VARIABLE: str(path)})
+
+
+def clock_file(name: str, folder: pathlib.Path) -> pathlib.Path:
+    """Return the path of the file with the offset of a VM's time of day."""
+    return folder / f"{name}.clock"
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -14,10 +14,12 @@
 import pytest
 
 from eelgrasswick.platform import names, program
-from eelgrasswick.soak import layout, processes
+from eelgrasswick.soak import layout, processes, stepped_vm
 from tests import cookie_parts
 
 LIMIT_S: typing.Final = 20.0
+# Several intervals of all periodic tasks of a VM.
+SETTLE_S: typing.Final = 0.6
 # Runs the program with a merge of the first rows that fails.
 FAILING_EARLY_START: typing.Final = """
 import runpy
@@ -69,6 +71,11 @@
         url = f"http://{self._store}/own/{path}"
         urllib.request.urlopen(url, body, timeout=2).close()
 
+    def write_config(self, version: int) -> None:
+        """Write a version of the configuration."""
+        row = cookie_parts.config_row(1, version=version)
+        self._post("config", row.value or b"")
+
     def ready(self) -> bool:
         """Return whether the VM's readiness probe succeeds; renew the target."""
         self._write_rows()
@@ -102,13 +109,15 @@
 
 @contextlib.contextmanager
 def _started(
-    deployment: Deployment, *arguments: str
+    deployment: Deployment,
+    *arguments: str,
+    output: int | typing.IO[str] = subprocess.PIPE,
 ) -> typing.Iterator["subprocess.Popen[str]"]:
     environment = {**os.environ, names.SETTINGS_VARIABLE: str(deployment.settings)}
     with subprocess.Popen(
         (sys.executable, *arguments),
         env=environment,
-        stdout=subprocess.PIPE,
+        stdout=output,
         stderr=subprocess.STDOUT,
         text=True,
     ) as process:
@@ -140,3 +149,28 @@
         output, _ = process.communicate(timeout=LIMIT_S)
     assert "event=early_start_failed" in output
     assert "event=target_known" in output
+
+
+@pytest.mark.parametrize(
+    "steps_s", [(-3600.0,), (3600.0, 0.0)], ids=["back", "forward and back"]
+)
+def test_program_hears_of_changes_while_its_time_of_day_is_set_back(
+    deployment: Deployment, tmp_path: pathlib.Path, steps_s: tuple[float, ...]
+) -> None:
+    """Guards against timers that stand still for as long as the clock is set back."""
+    offset_file = processes.clock_file("vm1", tmp_path)
+    stepped_vm.write_offset(offset_file, 0.0)
+    arguments = ("-m", "eelgrasswick.soak.stepped_vm", str(offset_file))
+    log = tmp_path / "vm.log"
+    with (
+        log.open("w") as output,
+        _started(deployment, *arguments, output=output) as process,
+    ):
+        _await(deployment.ready, "readiness")
+        for step_s in steps_s:
+            stepped_vm.write_offset(offset_file, step_s)
+            time.sleep(SETTLE_S)
+        deployment.write_config(5)
+        _await(lambda: "version=5" in log.read_text(), "the new configuration")
+        process.terminate()
+        assert process.wait(LIMIT_S) == 0
