Step the clocks and write unreadable entries in the soak

Cause: the soak played neither steps of the time of day nor entries of other writers, and no invariant saw a VM that ends by itself or stays silent.

Change: two kinds of fault, vm_clock_step and entry_unreadable, and two invariants, own end and harmless faults.

--- a/eelgrasswick/soak/__main__.py
+++ b/eelgrasswick/soak/__main__.py
@@ -26,6 +26,7 @@
     parser.add_argument(
         "--scarce", action="store_true", help="too little capacity for any seed"
     )
+    parser.add_argument("--kinds", help="kinds of faults to draw from, with commas")
     parser.add_argument("--plot", type=pathlib.Path, help="picture of the last run")
     parser.add_argument("--keep", type=pathlib.Path, help="folder for failing seeds")
     return parser.parse_args()
@@ -57,7 +58,8 @@
 
 def _drawn(seed: int, options: argparse.Namespace) -> regression_seeds.RegressionSeed:
     scarce = options.scarce or scarcity.is_drawn(seed)
-    return regression_seeds.RegressionSeed(seed, "", faults.KINDS, scarce)
+    kinds = tuple(options.kinds.split(",")) if options.kinds else faults.KINDS
+    return regression_seeds.RegressionSeed(seed, "", kinds, scarce)
 
 
 async def _run_seed(
--- a/eelgrasswick/soak/actions.py
+++ b/eelgrasswick/soak/actions.py
@@ -1,5 +1,6 @@
 """Injects the faults of a run from outside the programs."""
 
+import pathlib
 import signal
 import time
 import typing
@@ -13,6 +14,7 @@
     peer_links,
     processes,
     proxy,
+    stepped_vm,
 )
 
 CONFIG_SERIES_ROUTES: typing.Final = 6
@@ -21,6 +23,10 @@
 # cut is this short so that its VMs can be up to date again within the three seconds
 # that the operators require.
 MAX_ZONE_CUT_S: typing.Final = 2.0
+# The time of day of a VM steps by up to this time, forward or back.
+MAX_CLOCK_STEP_S: typing.Final = 10.0
+# Kind of the fault that needs VMs whose time of day can be set.
+CLOCK_STEP: typing.Final = "vm_clock_step"
 
 
 class Components(typing.NamedTuple):
@@ -51,8 +57,17 @@
         reactor: typing.Any,
         components: Components,
         on_event: typing.Callable[[history.Event], None],
+        folder: pathlib.Path,
     ) -> None:
-        """Create an injector for the components of a run that records its events."""
+        """Create an injector.
+
+        Args:
+            reactor: Reactor of the run.
+            components: Components that the faults affect.
+            on_event: Records an event.
+            folder: Folder of the run.
+        """
+        self._folder = folder
         self._reactor = reactor
         self._components = components
         self._on_event = on_event
@@ -84,6 +99,15 @@
         """Make an entry VM reload its settings with SIGHUP."""
         self._select_process(self._components.vms, item).signal(signal.SIGHUP)
 
+    def vm_clock_step(self, item: faults.Fault) -> None:
+        """Step the time of day of all VMs by seconds, and step it back later.
+
+        The strength selects the direction and the size of the step.
+        """
+        offset_s = (2 * item.strength - 1) * MAX_CLOCK_STEP_S
+        self._set_clocks(offset_s)
+        self._reactor.callLater(item.duration_s, self._set_clocks, 0.0)
+
     def vms_kill_all(self, item: faults.Fault) -> None:
         """Kill all entry VMs at once."""
         for process in self._components.vms:
@@ -237,6 +261,10 @@
         """Drop one of the routes that were added during the run."""
         self._components.operator.drop_route(item.selector)
 
+    def entry_unreadable(self, item: faults.Fault) -> None:
+        """Write an entry that no VM can read, and leave it until the end."""
+        self._components.operator.write_unreadable_entry(int(item.selector * 1000))
+
     def config_series(self, item: faults.Fault) -> None:
         """Add several routes in quick succession."""
         for number in range(CONFIG_SERIES_ROUTES):
@@ -287,6 +315,11 @@
             item.duration_s, setattr, peers, "impairment", peer_links.Impairment()
         )
 
+    def _set_clocks(self, offset_s: float) -> None:
+        for process in self._components.vms:
+            path = processes.clock_file(process.name, self._folder)
+            stepped_vm.write_offset(path, offset_s)
+
     def _pause(self, process: processes.Process, duration_s: float) -> None:
         process.signal(signal.SIGSTOP)
         self._reactor.callLater(duration_s, process.signal, signal.SIGCONT)
--- a/eelgrasswick/soak/faults.py
+++ b/eelgrasswick/soak/faults.py
@@ -64,7 +64,9 @@
     "peers_lose",
     "peers_delay",
 )
-KINDS: typing.Final = (*KINDS_WITH_PARTITIONS, "zone_evacuate")
+# Regression seeds that failed before the last two kinds were added draw from these.
+KINDS_WITH_EVACUATIONS: typing.Final = (*KINDS_WITH_PARTITIONS, "zone_evacuate")
+KINDS: typing.Final = (*KINDS_WITH_EVACUATIONS, "vm_clock_step", "entry_unreadable")
 
 
 def draw(
--- a/eelgrasswick/soak/history.py
+++ b/eelgrasswick/soak/history.py
@@ -34,6 +34,14 @@
 # flows. Queues of targets are empty again this long after it.
 OVERLOAD_FAULT: typing.Final = "overload"
 OVERLOAD_EFFECT_S: typing.Final = 2.0
+# Kind of the event that a process has ended and is started again, with its exit code.
+RESTART: typing.Final = "restart"
+# Names of entry VMs begin with this prefix.
+VM_PREFIX: typing.Final = "vm"
+# A run that has these faults alone loses no flow.
+HARMLESS_FAULTS: typing.Final = frozenset(
+    {"vm_clock_step", "entry_unreadable", "route_add", "config_series", "vm_hup"}
+)
 # A pause lasts up to 4 s, and late resets by the target are allowed for 4 s after it.
 PAUSE_EFFECT_S: typing.Final = 8.0
 
@@ -155,6 +163,8 @@
         _check_cold_targets,
         _check_routes,
         _check_open_flows,
+        _check_own_ends,
+        _check_harmless_faults,
     )
     return [violation for check in checks for violation in check(ordered)]
 
@@ -368,6 +378,27 @@
             )
 
 
+def _check_own_ends(events: typing.Sequence[Event]) -> typing.Iterator[Violation]:
+    for item in events:
+        kind, _, exit_code = item.detail.partition(" ")
+        if item.kind is not Kind.FAULT or kind != RESTART:
+            continue
+        # An end by a signal has a negative exit code, a planned stop has 0.
+        if item.who.startswith(VM_PREFIX) and int(exit_code) > 0:
+            yield Violation("own end", item, f"ended by itself, exit code {exit_code}")
+
+
+def _check_harmless_faults(
+    events: typing.Sequence[Event],
+) -> typing.Iterator[Violation]:
+    details = [item.detail for item in events if item.kind is Kind.FAULT]
+    if not all(detail.partition(" ")[0] in HARMLESS_FAULTS for detail in details):
+        return
+    for item in events:
+        if details and item.kind is Kind.LOST:
+            yield Violation("harmless faults", item, "no fault explains the loss")
+
+
 def _soon_after_pause(pauses_s: typing.Sequence[float], at_s: float) -> bool:
     return any(0 <= at_s - pause_s <= PAUSE_EFFECT_S for pause_s in pauses_s)
 
--- a/eelgrasswick/soak/operator.py
+++ b/eelgrasswick/soak/operator.py
@@ -91,6 +91,10 @@
                 history.Event(time.monotonic(), history.Kind.EVACUATED, zone)
             )
 
+    def write_unreadable_entry(self, number: int) -> None:
+        """Write an entry of another writer that names no target and can't be read."""
+        self._post("foreign", {"number": number})
+
     def set_store_fault(self, fields: dict[str, typing.Any]) -> None:
         """Replace the faults of the store; an empty table removes all."""
         self._post("fault", fields)
--- a/eelgrasswick/soak/regression_seeds.py
+++ b/eelgrasswick/soak/regression_seeds.py
@@ -49,15 +49,17 @@
     RegressionSeed(
         7014,
         "a target killed again while it started was counted as alive until then",
-        faults.KINDS,
+        faults.KINDS_WITH_EVACUATIONS,
     ),
     RegressionSeed(
         3,
         "a retransmission that crossed the reset of a refused flow was placed",
-        faults.KINDS,
+        faults.KINDS_WITH_EVACUATIONS,
         scarce=True,
     ),
-    RegressionSeed(5, "as seed 3 with scarce capacity", faults.KINDS, scarce=True),
+    RegressionSeed(
+        5, "as seed 3 with scarce capacity", faults.KINDS_WITH_EVACUATIONS, scarce=True
+    ),
     RegressionSeed(
         8803,
         "a duplicate of a refused opening packet was held again and granted",
@@ -67,13 +69,13 @@
     RegressionSeed(
         9012,
         "a VM that started refused a queued SYN packet of a flow opened elsewhere",
-        faults.KINDS,
+        faults.KINDS_WITH_EVACUATIONS,
         scarce=True,
     ),
     RegressionSeed(
         9048,
         "a refusal after a hold of 166 ms crossed the caller's retransmission",
-        faults.KINDS,
+        faults.KINDS_WITH_EVACUATIONS,
         scarce=True,
     ),
 )
--- a/eelgrasswick/soak/run.py
+++ b/eelgrasswick/soak/run.py
@@ -142,6 +142,7 @@
                 self._operator,
             ),
             self._events.append,
+            folder,
         )
         self._ports: list[typing.Any] = self._peers.ports
         self._load_start_s = 0.0
@@ -186,7 +187,12 @@
         for number in range(self._options.vms):
             settings_text = self._layout.vm_settings(number, self._peers.aliases)
             self._vms.append(
-                processes.start_entry_vm(f"vm{number}", settings_text, self._folder)
+                processes.start_entry_vm(
+                    f"{history.VM_PREFIX}{number}",
+                    settings_text,
+                    self._folder,
+                    actions.CLOCK_STEP in self._options.kinds,
+                )
             )
         for number in range(self._layout.callers):
             self._add_caller(self._layout.caller_ip(number))
@@ -278,7 +284,7 @@
         # A target that is restarted begins a new incarnation.
         for item in (*self._vms, *self._targets):
             if not item.alive:
-                self._injector.record("restart", item.name, str(item.exit_code))
+                self._injector.record(history.RESTART, item.name, str(item.exit_code))
                 item.start()
 
     def _probe_readiness(self) -> None:
--- a/eelgrasswick/soak/store.py
+++ b/eelgrasswick/soak/store.py
@@ -20,6 +20,26 @@
 ENTRY_TTL_S: typing.Final = 3.6
 
 
+# Entries of other writers that VMs can't read: half of a surrogate pair as bytes, as an
+# escape and in the key, a number of 400 digits, bytes that are no JSON, and fields of
+# other types.
+_FIELDS: typing.Final = (
+    b'"address":"127.0.0.1:9","zone":"z1","version":"v1","state":"ready",'
+    b'"cold_remaining_ms":0,"sequence":1,"born":1'
+)
+UNREADABLE_ENTRIES: typing.Final = (
+    ("foreign-1", b'{"service":"desk-\xed\xa0\xbd","concurrency":2,' + _FIELDS + b"}"),
+    ("foreign-2", b'{"service":"desk-\\ud83d","concurrency":2,' + _FIELDS + b"}"),
+    ("foreign-\ud83d", b'{"service":"desk","concurrency":2,' + _FIELDS + b"}"),
+    (
+        "foreign-4",
+        b'{"service":"desk","concurrency":1' + b"0" * 400 + b"," + _FIELDS + b"}",
+    ),
+    ("foreign-5", b"\xff\xfe"),
+    ("foreign-6", b'{"service":["desk"],"concurrency":{},' + _FIELDS + b"}"),
+)
+
+
 class Item(typing.NamedTuple):
     """A change of a key.
 
@@ -162,6 +182,10 @@
             )
         if path == "/own/evacuation":
             return self._evacuation(json.loads(_untyped(request.content).read()))
+        if path == "/own/foreign":
+            body = json.loads(_untyped(request.content).read())
+            key, value = UNREADABLE_ENTRIES[body["number"] % len(UNREADABLE_ENTRIES)]
+            return 200, self._store.put(names.TARGET_PREFIX + key, value)
         if path == "/own/fault":
             return self._fault(json.loads(_untyped(request.content).read()))
         return 404, {}
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -43,3 +43,25 @@
 def _children(pid: int) -> list[int]:
     path = pathlib.Path(f"/proc/{pid}/task/{pid}/children")
     return [int(word) for word in path.read_text().split()]
+
+
+def test_short_run_with_stepped_clocks_loses_no_flow() -> None:
+    """Guards against VMs that hear of no change while their clocks are set right."""
+    kinds = (
+        "vm_clock_step,vm_clock_step,entry_unreadable,route_add,config_series,vm_hup"
+    )
+    command = [sys.executable, "-m", "eelgrasswick.soak", "--seed", "22"]
+    command += ["--duration-s", "12", "--faults", "8", "--kinds", kinds]
+    done = subprocess.run(command, capture_output=True, text=True, check=False)
+    assert done.returncode == 0, done.stdout + done.stderr[-2000:]
+    assert "breaches=0" in done.stdout
+
+
+def test_short_run_with_unreadable_entries_ends_no_vm() -> None:
+    """Guards against an entry that keeps restarted VMs from starting."""
+    kinds = "entry_unreadable,vm_term,vm_kill"
+    command = [sys.executable, "-m", "eelgrasswick.soak", "--seed", "2"]
+    command += ["--duration-s", "12", "--faults", "8", "--kinds", kinds]
+    done = subprocess.run(command, capture_output=True, text=True, check=False)
+    assert done.returncode == 0, done.stdout + done.stderr[-2000:]
+    assert "breaches=0" in done.stdout
--- a/tests/test_soak_history.py
+++ b/tests/test_soak_history.py
@@ -193,3 +193,25 @@
     assert _violated([*good, overload, during]) == set()
     assert _violated([*good, overload, after]) == {"config"}
     assert _violated([*good, during]) == {"config"}
+
+
+def test_vm_that_ends_by_itself_violates_own_end(good: list[history.Event]) -> None:
+    """Guards against VMs that crash and are restarted in time, unnoticed."""
+    ends = [
+        _event(6, K.FAULT, who=who, detail=f"{history.RESTART} {code}")
+        for who, code in (("vm1", 0), ("vm2", -9), ("i-10", 1))
+    ]
+    assert _violated([*good, *ends]) == set()
+    crashed = _event(6, K.FAULT, who="vm1", detail=f"{history.RESTART} 1")
+    assert _violated([*good, crashed]) == {"own end"}
+
+
+def test_loss_beside_harmless_faults_alone_is_a_violation(
+    good: list[history.Event],
+) -> None:
+    """Guards against VMs that stay silent while their clocks are set right."""
+    lost = _event(7, K.LOST, who="c", flow="2>443", detail="not opened")
+    step = _event(6, K.FAULT, who="for 1.0", detail="vm_clock_step 0.50")
+    killed = _event(6, K.FAULT, who="for 1.0", detail="vm_kill 0.50")
+    assert _violated([*good, lost, step]) == {"harmless faults"}
+    assert _violated([*good, lost, step, killed]) == set()
