Escape texts of the store that a terminal can't print

Operators: `eelgrasswick show` ended with UnicodeEncodeError when one name in the store had half of a surrogate pair, and printed control characters as they were.

Cause: json.loads of bytes decodes with surrogatepass, and the table printed the text.

Change: a value with characters that can't be printed is shown as a JSON string.

Evidence: test_table_shows_names_that_cannot_be_printed fails before with UnicodeEncodeError, and passes with the change.

--- a/eelgrasswick/commands/console.py
+++ b/eelgrasswick/commands/console.py
@@ -105,7 +105,9 @@
 
 def _format_value(value: Scalar) -> str:
     formatted = "; ".join(value) if isinstance(value, tuple) else str(value)
-    return json.dumps(formatted) if " " in formatted or not formatted else formatted
+    # Texts of the store may have characters that a terminal acts on or can't encode.
+    plain = formatted and " " not in formatted and formatted.isprintable()
+    return formatted if plain else json.dumps(formatted)
 
 
 def now_ms() -> int:
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -13,7 +13,7 @@
     errors,
     store,
 )
-from eelgrasswick.commands import command_operator
+from eelgrasswick.commands import command_operator, console
 from eelgrasswick.emulation import emulated_platform
 from tests import world
 
@@ -224,3 +224,11 @@
     result = accept(platform_world, rules_text, "wanjiru")
     assert result.outcome is change.Outcome.ACCEPTED
     assert platform_world.platform.rows(store.RULES_KEY)
+
+
+def test_table_shows_names_that_cannot_be_printed(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """Guards against one name in the store that hides the rows of the others."""
+    console.print_table([{"vm": "half-\ud83d"}, {"vm": "vm2"}], as_json=False)
+    assert capsys.readouterr().out == 'vm="half-\\ud83d"\nvm=vm2\n'
