--- a/eelgrasswick/cookie/exchange.py
+++ b/eelgrasswick/cookie/exchange.py
@@ -13,13 +13,12 @@
 import cbor2
 
 from eelgrasswick import errors
-from eelgrasswick.cookie import peers, reports, source, store_replica
+from eelgrasswick.cookie import model, peers, reports, source, store_replica
 from eelgrasswick.decisions import ejection
 
 # A message of this size and its headers fit in one packet on every link.
 MAX_BYTES: typing.Final = 1200
 MAX_ROWS: typing.Final = 40
-MAX_TEXT_CHARACTERS: typing.Final = 256
 # CBOR has integers of any length, and one that does not fit in a float would fail in
 # the decisions that use it.
 MAX_COUNT: typing.Final = 2**63 - 1
@@ -423,7 +422,7 @@
     return text
 
 
-def _text(value: object, max_characters: int = MAX_TEXT_CHARACTERS) -> str:
+def _text(value: object, max_characters: int = model.MAX_NAME_CHARACTERS) -> str:
     if not isinstance(value, str) or len(value) > max_characters:
         raise TypeError(f"expected a text of at most {max_characters} characters")
     return value
--- a/eelgrasswick/cookie/model.py
+++ b/eelgrasswick/cookie/model.py
@@ -5,6 +5,8 @@
 import types
 import typing
 
+# VMs refuse messages of other VMs with longer names.
+MAX_NAME_CHARACTERS: typing.Final = 256
 # The cache of cookies is larger than the 19,000 targets of the design size, so that
 # each incarnation is hashed once.
 _MAX_COOKIES: typing.Final = 32_768
--- a/eelgrasswick/cookie/settings.py
+++ b/eelgrasswick/cookie/settings.py
@@ -100,10 +100,13 @@
     return tuple(address(item).host for item in ini.items(text))
 
 
-def _non_empty(text: str) -> str:
-    if not text.strip():
+def _name(text: str) -> str:
+    name = text.strip()
+    if not name:
         raise ValueError("must not be empty")
-    return text.strip()
+    if len(name) > model.MAX_NAME_CHARACTERS:
+        raise ValueError(f"must have at most {model.MAX_NAME_CHARACTERS} characters")
+    return name
 
 
 def _yes_no(text: str) -> bool:
@@ -133,8 +136,8 @@
 
 
 ENTRIES: typing.Final = (
-    ini.Entry("vm", "name", "name of this VM", _non_empty, None),
-    ini.Entry("vm", "zone", "its availability zone", _non_empty, None),
+    ini.Entry("vm", "name", "name of this VM", _name, None),
+    ini.Entry("vm", "zone", "its availability zone", _name, None),
     ini.Entry("vm", "data", "IP:port for callers' packets", address, None),
     ini.Entry("vm", "ready", "IP:port of the readiness probe", address, None),
     ini.Entry("vm", "peer", "IP:port for other VMs", address, None),
--- a/eelgrasswick/reservations/codec.py
+++ b/eelgrasswick/reservations/codec.py
@@ -9,12 +9,11 @@
 import cbor2
 
 from eelgrasswick import errors
-from eelgrasswick.cookie import exchange
+from eelgrasswick.cookie import exchange, model
 from eelgrasswick.reservations import messages
 
 # A message with this many entries of usage fits in a datagram of `exchange.MAX_BYTES`.
 MAX_USAGE: typing.Final = 40
-MAX_TEXT: typing.Final = 256
 
 _RESERVE: typing.Final = 16
 _GRANT: typing.Final = 17
@@ -155,8 +154,8 @@
 
 
 def _text(value: object) -> str:
-    if not isinstance(value, str) or len(value) > MAX_TEXT:
-        raise TypeError(f"expected a text of at most {MAX_TEXT} characters")
+    if not isinstance(value, str) or len(value) > model.MAX_NAME_CHARACTERS:
+        raise TypeError("expected a text that is no longer than a name")
     return value
 
 
--- a/tests/test_cookie_settings.py
+++ b/tests/test_cookie_settings.py
@@ -63,3 +63,11 @@
     vm.reload(loaded)
     assert vm._reservations.enabled
     os.close(descriptor)
+
+
+@pytest.mark.parametrize("name", ["", " ", "z" * 257], ids=["empty", "blank", "long"])
+def test_zone_that_other_vms_refuse_is_refused_with_the_key(name: str) -> None:
+    """Guards against a VM whose messages no other VM accepts."""
+    with pytest.raises(errors.SettingsInvalidError) as caught:
+        settings.read(TEXT.replace("zone = z1", f"zone = {name}"))
+    assert "[vm] zone" in caught.value.detail
--- a/tests/test_reservation_codec.py
+++ b/tests/test_reservation_codec.py
@@ -8,11 +8,11 @@
 from hypothesis import strategies
 
 from eelgrasswick import errors
-from eelgrasswick.cookie import exchange
+from eelgrasswick.cookie import exchange, model
 from eelgrasswick.reservations import codec, messages
 
 COUNT: typing.Final = strategies.integers(0, exchange.MAX_COUNT)
-TEXT: typing.Final = strategies.text(max_size=codec.MAX_TEXT)
+TEXT: typing.Final = strategies.text(max_size=model.MAX_NAME_CHARACTERS)
 GROUP: typing.Final = strategies.tuples(*[strategies.text(max_size=80)] * 3).map(
     "/".join
 )
