Give the start of the event loop a name of its own

Cause: a lambda with two steps hid that a failed start ends the process. Change: two local functions; no change in what happens. tests/test_program.py passes.

--- a/eelgrasswick/platform/program.py
+++ b/eelgrasswick/platform/program.py
@@ -69,15 +69,17 @@
     signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(_reload, file, vm))
     failures: list[failure.Failure] = []
 
+    def start() -> None:
+        defer.maybeDeferred(vm.start).addErrback(end)
+
     def end(fault: failure.Failure) -> None:
+        # Without its sockets the process would never serve, and the platform starts a
+        # new one only after its end.
         failures.append(fault)
         vm.log_failed_start(fault)
         reactor.stop()
 
-    # Without its sockets the process would never serve, and never end.
-    reactor.callWhenRunning(
-        lambda: defer.maybeDeferred(vm.start).addErrback(end) and None
-    )
+    reactor.callWhenRunning(start)
     poll = functools.partial(_reload_if_changed, file, vm)
     reactor.callWhenRunning(vm.run_periodically, "settings", poll, SETTINGS_POLL_S)
     reactor.run(installSignalHandlers=False)
