Refuse an entry that has no start time

Cause: the field had a default of 0. The platform's page says that it is always there, always a whole number, and that an entry with missing fields names no server. The other fields with a default are in the configuration, which the store checks.

Evidence: the case {"born": None} of test_target_row_with_invalid_field_is_refused fails before, and passes with the change.

--- a/eelgrasswick/platform/entries.py
+++ b/eelgrasswick/platform/entries.py
@@ -129,7 +129,7 @@
         name,
         # ``born`` is the start time of this incarnation. A server may start again under
         # its previous id.
-        _whole_number(body.get("born", 0)),
+        _whole_number(body["born"]),
         # Datagrams to the target start with its token: the hexadecimal digits of its id
         # as a number of 8 bytes.
         int(match.group(1), 16).to_bytes(8, "big"),
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -78,6 +78,7 @@
         {"state": "sleeping"},
         {"concurrency": "2"},
         {"concurrency": True},
+        {"born": None},
         {"born": 1.5},
         {"sequence": None},
         {"version": 3},
