Handle signals from the first line of the program on

Operators: SIGHUP, which announces changed settings, ended a VM that was starting, and SIGTERM ended it without forwarding the packets that had arrived.

Cause: the handlers were installed after the imports and the first reads, some 0.25 s after the start; until then the default action ended the process.

Change: the first line installs handlers. SIGHUP needs no action, as the settings file is compared each second. A stop that was requested during the start begins when the event loop runs, counted from the signal. SIGPIPE is ignored by Python itself.

Tests send SIGHUP, SIGTERM and SIGPIPE at 20 ms steps.

--- a/eelgrasswick/cookie/entry.py
+++ b/eelgrasswick/cookie/entry.py
@@ -229,10 +229,14 @@
         detail = error.detail.replace("\n", "; ")
         self._log.write("settings_refused", kind=error.kind.value, detail=detail)
 
-    def stop(self) -> None:
-        """Begin the shutdown: report not ready, and forward until traffic ends."""
+    def stop(self, requested_ms: int | None = None) -> None:
+        """Begin the shutdown: report not ready, and forward until traffic ends.
+
+        Args:
+            requested_ms: When the stop was requested, if that was earlier.
+        """
         if self._stop_requested_ms is None:
-            self._stop_requested_ms = clock.now_ms()
+            self._stop_requested_ms = requested_ms or clock.now_ms()
             self._reservations.stop(self._stop_requested_ms)
             self._log.write("stopping", flows=len(self._observations.tracker))
 
--- a/eelgrasswick/platform/program.py
+++ b/eelgrasswick/platform/program.py
@@ -11,7 +11,7 @@
 
 from eelgrasswick import errors
 from eelgrasswick.cookie import carrying, entry, event_loop, peers
-from eelgrasswick.platform import names, settings_file, store
+from eelgrasswick.platform import early_signals, names, settings_file, store
 
 # The settings file is checked for changes at this interval. It may change without a
 # signal to the process.
@@ -40,6 +40,7 @@
     data_socket: socket.socket,
     bound_ms: int,
     members: tuple[peers.Member, ...],
+    signals: early_signals.EarlySignals,
 ) -> None:
     """Run an entry VM until SIGTERM.
 
@@ -49,6 +50,7 @@
         data_socket: The bound socket in which callers' packets wait.
         bound_ms: When the socket was bound, in milliseconds.
         members: The other VMs, if a peer has already sent them.
+        signals: Handled signals until now.
 
     Raises:
         SystemExit: A socket could not be opened, or the start failed otherwise.
@@ -80,6 +82,8 @@
         reactor.stop()
 
     reactor.callWhenRunning(start)
+    if signals.stop_requested_ms is not None:
+        reactor.callWhenRunning(vm.stop, signals.stop_requested_ms)
     poll = functools.partial(_reload_if_changed, file, vm)
     reactor.callWhenRunning(vm.run_periodically, "settings", poll, SETTINGS_POLL_S)
     reactor.run(installSignalHandlers=False)
--- a/eelgrasswick/platform/start.py
+++ b/eelgrasswick/platform/start.py
@@ -1,4 +1,4 @@
-"""Starts the program that runs on the users' platform.
+"""The start of the program up to its event loop.
 
 The socket for callers' packets is bound first of all. After a power loss of all VMs the
 routers send packets at once, and packets that arrive before the binding are lost. Their
@@ -14,13 +14,17 @@
 
 from eelgrasswick import errors
 from eelgrasswick.cookie import clock
-from eelgrasswick.platform import names, settings_file
+from eelgrasswick.platform import early_signals, names, settings_file
 
 _USAGE_EXIT_CODE: typing.Final = 2
 
 
-def main() -> None:
-    """Bind the socket, forward packets during the imports, then run the VM."""
+def main(signals: early_signals.EarlySignals) -> None:
+    """Bind the socket, forward packets during the imports, then run the VM.
+
+    Args:
+        signals: Handles signals until the event loop does.
+    """
     path = pathlib.Path(os.environ.get(names.SETTINGS_VARIABLE, ""))
     try:
         file = settings_file.SettingsFile(path)
@@ -31,11 +35,14 @@
     data_socket.setblocking(False)
     data_socket.bind(file.settings.vm.data)
     bound_ms = clock.now_ms()
-    _run(file, data_socket, bound_ms)
+    _run(file, data_socket, bound_ms, signals)
 
 
 def _run(
-    file: settings_file.SettingsFile, data_socket: socket.socket, bound_ms: int
+    file: settings_file.SettingsFile,
+    data_socket: socket.socket,
+    bound_ms: int,
+    signals: early_signals.EarlySignals,
 ) -> None:
     # These modules are imported after the socket is bound, because the binding must not
     # wait for their import.
@@ -64,7 +71,4 @@
         carrier = build_carrier()
         early.log_failure(carrier.parts.log, error)
     program: typing.Any = importlib.import_module("eelgrasswick.platform.program")
-    program.run(file, carrier, data_socket, bound_ms, forwarder.members)
-
-
-main()
+    program.run(file, carrier, data_socket, bound_ms, forwarder.members, signals)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -3,6 +3,7 @@
 import contextlib
 import os
 import pathlib
+import signal
 import socket
 import subprocess
 import sys
@@ -174,3 +175,49 @@
         _await(lambda: "version=5" in log.read_text(), "the new configuration")
         process.terminate()
         assert process.wait(LIMIT_S) == 0
+
+
+# Prints a line once the first line of the program has run.
+ANNOUNCED_START: typing.Final = """
+import runpy
+from eelgrasswick.platform import early_signals
+
+class Announced(early_signals.EarlySignals):
+    def __init__(self):
+        super().__init__()
+        print("begun", flush=True)
+
+early_signals.EarlySignals = Announced
+runpy.run_module("eelgrasswick.platform", run_name="__main__")
+"""
+SIGNAL_TIMES_S: typing.Final = [number * 0.02 for number in range(20)]
+
+
+def _after_begin(process: "subprocess.Popen[str]", delay_s: float) -> None:
+    assert process.stdout is not None
+    assert process.stdout.readline() == "begun\n"
+    time.sleep(delay_s)
+
+
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGPIPE])
+def test_signal_during_the_start_does_not_end_the_program(
+    deployment: Deployment, number: signal.Signals
+) -> None:
+    """Guards against a change of the settings that ends VMs which are starting."""
+    for delay_s in SIGNAL_TIMES_S:
+        with _started(deployment, "-c", ANNOUNCED_START) as process:
+            _after_begin(process, delay_s)
+            process.send_signal(number)
+            _await(deployment.ready, f"readiness, signal after {delay_s:.2f} s")
+            assert process.poll() is None
+
+
+def test_stop_during_the_start_ends_the_program_cleanly(deployment: Deployment) -> None:
+    """Guards against packets that are dropped by a VM which is stopped at its start."""
+    for delay_s in SIGNAL_TIMES_S:
+        with _started(deployment, "-c", ANNOUNCED_START) as process:
+            _after_begin(process, delay_s)
+            process.terminate()
+            output, _ = process.communicate(timeout=LIMIT_S)
+        assert process.returncode == 0, f"SIGTERM after {delay_s:.2f} s"
+        assert "event=stopped" in output
