Place copies of an opening packet alike on all VMs of a zone

Cause: the opening packet waited in the suspended VM, the copy opened the flow through another VM, and the two VMs chose targets by the loads that each saw. The later packets follow the answer that came last.

Change: a packet that is a copy, or was queued for more than 150 ms, goes to the target that rendezvous hashing of flow and target selects. Flows that two targets answered are counted and logged.

--- a/eelgrasswick/cookie/carrying.py
+++ b/eelgrasswick/cookie/carrying.py
@@ -96,6 +96,7 @@
         self._log = parts.log
         self._stats = parts.stats
         self._backlog_until_ms = 0
+        self._queued_until_ms = 0
         self._backlog_min_retransmission = NO_RETRANSMISSION
 
     def check_stall(self) -> int:
@@ -108,6 +109,8 @@
         if gap_ms > stall.PROBE_GAP_MS:
             self._observations.record_pause(now_ms)
             self.on_stall(now_ms)
+        if gap_ms > stall.QUEUED_MS:
+            self._queued_until_ms = now_ms + stall.BACKLOG_MS
         if gap_ms > stall.STALL_MS:
             # Opening packets of the backlog are old, and other VMs may have opened
             # their flows in the meantime. If this VM placed such a flow, it would be
@@ -153,7 +156,8 @@
             self._log.write("flow_dropped_old", flow=segment.flow)
             return
         age_ms = self._replica.age_ms(now_ms)
-        decision = self.steering.steer(now_ms, age_ms, segment, raw)
+        queued = now_ms < self._queued_until_ms
+        decision = self.steering.steer(now_ms, age_ms, segment, raw, queued)
         self.send_decision(segment, decision)
         self.account(now_ms, age_ms, segment, decision)
         if decision.probe is not None:
@@ -196,6 +200,15 @@
         """
         outcome = decision.outcome
         self._stats.counts[f"packets_{outcome.value}"] += 1
+        if decision.opened_twice:
+            self._stats.counts["flows_opened_twice"] += 1
+            self._log.write(
+                "flow_opened_twice",
+                flow=segment.flow,
+                target=decision.target.name if decision.target is not None else "-",
+                cookie=segment.cookie,
+                age_ms=store_replica.reported_age_ms(age_ms),
+            )
         if decision.answer_ms is not None:
             self._stats.observe("answer", decision.answer_ms)
         for reason in decision.withheld:
--- a/eelgrasswick/cookie/placing.py
+++ b/eelgrasswick/cookie/placing.py
@@ -15,6 +15,7 @@
 same target until the next reports.
 """
 
+import hashlib
 import typing
 
 from eelgrasswick.cookie import model
@@ -110,6 +111,33 @@
     return _less_loaded(chosen, draws).target
 
 
+def choose_agreed_target(
+    candidates: typing.Sequence[Candidate], zone: str, flow: model.FlowId
+) -> model.Target | None:
+    """Choose the target of a flow of which other VMs may place another copy.
+
+    VMs of a zone that know the same targets choose the same one, whatever load they
+    see, so that the flow is not opened at two targets.
+
+    Args:
+        candidates: Targets that may get the flow.
+        zone: Availability zone of this VM.
+        flow: The flow.
+
+    Returns:
+        The target, or None when there is no candidate.
+    """
+    targets = [item.target for item in candidates]
+    own = [item for item in targets if item.zone == zone]
+    text = flow.caller_ip + flow.caller_port.to_bytes(2, "big") + flow.service_ip
+    return max(own or targets, key=lambda item: _weight(text, item), default=None)
+
+
+def _weight(text: bytes, target: model.Target) -> bytes:
+    cookie = target.cookie.to_bytes(4, "big")
+    return hashlib.blake2b(text + cookie, digest_size=8).digest()
+
+
 def sample_targets(
     own: typing.Sequence[model.Target],
     others: typing.Sequence[model.Target],
--- a/eelgrasswick/cookie/stall.py
+++ b/eelgrasswick/cookie/stall.py
@@ -11,6 +11,10 @@
 # A VM without activity for longer than this was suspended or stalled. Its callers have
 # retransmitted by then, and the fabric has begun to exclude the VM.
 STALL_MS: typing.Final = 400
+# A caller sends the first copy of an opening packet after 200 ms. After a gap longer
+# than this, a queued packet may be answered only after its copy was sent, which another
+# VM may have received.
+QUEUED_MS: typing.Final = 150
 # A gap longer than this leaves too little of a probe's time-out of 250 ms. Without a
 # fault a VM is active at least every 100 ms.
 PROBE_GAP_MS: typing.Final = 175
--- a/eelgrasswick/cookie/steering.py
+++ b/eelgrasswick/cookie/steering.py
@@ -81,6 +81,8 @@
         probe: A silent target that is to be probed now, if any.
         withheld: Reasons for which targets were excluded for this flow.
         reset_reason: Reason for which an open flow is reset, if it is.
+        opened_twice: True for the first packet that shows that a second target answered
+            the opening packet.
     """
 
     outcome: Outcome
@@ -91,6 +93,7 @@
     probe: model.Target | None = None
     withheld: tuple[Reason, ...] = ()
     reset_reason: ResetReason | None = None
+    opened_twice: bool = False
 
 
 class Steering:
@@ -124,7 +127,12 @@
         self._refused = refused_flows.RefusedFlows()
 
     def steer(
-        self, now_ms: int, age_ms: int, segment: model.Segment, raw: bytes
+        self,
+        now_ms: int,
+        age_ms: int,
+        segment: model.Segment,
+        raw: bytes,
+        queued: bool = False,
     ) -> Decision:
         """Decide about one packet.
 
@@ -133,6 +141,8 @@
             age_ms: Age of this VM's copy of the store.
             segment: The decoded packet.
             raw: The packet as received.
+            queued: True when the packet may have been queued for so long that its
+                caller has sent it again.
         """
         if self._catalog.config is None:
             return Decision(Outcome.NOT_READY, None, None, None)
@@ -140,7 +150,7 @@
         if route is None:
             return self._without_route(now_ms, age_ms, segment)
         if segment.opening:
-            return self._open(now_ms, route, segment, raw)
+            return self._open(now_ms, route, segment, raw, queued)
         return self._forward(now_ms, route, segment, raw)
 
     def _without_route(
@@ -175,7 +185,12 @@
         return True
 
     def _open(
-        self, now_ms: int, route: model.Route, segment: model.Segment, raw: bytes
+        self,
+        now_ms: int,
+        route: model.Route,
+        segment: model.Segment,
+        raw: bytes,
+        queued: bool,
     ) -> Decision:
         flow = segment.flow
         if self.holder.holds(flow):
@@ -191,8 +206,13 @@
         if record is None or previous is None or self._death_reason(now_ms, previous):
             # A flow whose packet went to a target that is dead by now must not be
             # refused as if no target had received it, so its copies are not held.
-            first = record is None and not retransmissions
-            return self._place(now_ms, route, flow, raw, retransmissions, None, first)
+            repeated = bool(retransmissions) or queued
+            first = record is None and not repeated
+            # Another VM may place a copy of this packet.
+            agreed = record is None and repeated
+            return self._place(
+                now_ms, route, flow, raw, retransmissions, None, first, agreed
+            )
         too_soon = now_ms - record.placed_ms < MIN_RETRANSMISSION_MS
         unanswered = retransmissions > record.retransmissions
         moves = unanswered or self._catalog.evacuations.covers(previous)
@@ -214,6 +234,7 @@
         retransmissions: int,
         silent: model.Target | None,
         first: bool = False,
+        agreed: bool = False,
     ) -> Decision:
         """Choose the target of a flow, or hold the flow.
 
@@ -225,10 +246,12 @@
             retransmissions: Number of the opening packet, 0 for the original.
             silent: The target that left the previous opening packet unanswered.
             first: True for the first decision about the flow, which may be to hold it.
+            agreed: True to choose the target that other VMs choose for copies of the
+                packet.
         """
         service = placing.pick_service(route.shares, _draws(flow, 0).first)
         unanswered_cookie = silent.cookie if silent is not None else 0
-        draws = _draws(flow, retransmissions)
+        draws = _draws(flow, 0 if agreed else retransmissions)
         # The low bits of the draw are as uniform as its high bits and independent of
         # them.
         low_part = draws.second * _HIGH_BITS % 1
@@ -252,14 +275,18 @@
                 ),
             ):
                 return Decision(Outcome.HELD, None, None, None, withheld=withheld)
-        chosen = placing.choose_target(candidates, self._zone, draws)
+        if agreed:
+            chosen = placing.choose_agreed_target(candidates, self._zone, flow)
+        else:
+            chosen = placing.choose_target(candidates, self._zone, draws)
         if chosen is None:
             return self._without_target(flow, withheld)
         target = chosen
         # Only the first opening packet of a flow is refused. When a retransmission
         # arrives, a target may have accepted the packet before, and the caller may be
         # about to send its request there.
-        if not retransmissions and self._is_refused(now_ms, route, chosen, draws):
+        may_refuse = not retransmissions and not agreed
+        if may_refuse and self._is_refused(now_ms, route, chosen, draws):
             alternative = placing.choose_target(
                 self._without_overloaded(candidates), self._zone, draws
             )
@@ -411,6 +438,11 @@
             # the flow. The VM forwards the correct cookie, and the target returns it
             # to the caller.
             cookie = record.cookie
+        opened_twice = (
+            record is not None and cookie != segment.cookie and not record.opened_twice
+        )
+        if record is not None and opened_twice:
+            record.opened_twice = True
         target = self._catalog.by_cookie(cookie)
         if target is None:
             return Decision(Outcome.UNKNOWN_COOKIE, None, None, None)
@@ -438,6 +470,7 @@
             target,
             measurement.answer_ms,
             probe,
+            opened_twice=opened_twice,
         )
 
     def _death_reason(self, now_ms: int, target: model.Target) -> ResetReason | None:
--- a/eelgrasswick/cookie/tracker.py
+++ b/eelgrasswick/cookie/tracker.py
@@ -92,6 +92,7 @@
             `OVERDUE_MS`; None before the first response.
         request_retransmitted: True when the caller's last segment was a retransmission.
         requests: Number of requests that began on the flow.
+        opened_twice: True when a packet named another target than that of the flow.
     """
 
     __slots__ = (
@@ -100,6 +101,7 @@
         "cookie",
         "data_end",
         "open",
+        "opened_twice",
         "placed_here",
         "placed_ms",
         "request_acknowledged",
@@ -128,6 +130,7 @@
         self.answered_promptly: bool | None = None
         self.request_retransmitted = False
         self.requests = 0
+        self.opened_twice = False
 
 
 class Tracker:
--- a/tests/steering_parts.py
+++ b/tests/steering_parts.py
@@ -52,3 +52,22 @@
     target = steer(vm_steering, now_ms, raw).target
     assert target is not None
     return target
+
+
+def same_zone_vm(
+    *names: str, busy: int = 0
+) -> tuple[steering.Steering, catalog.Catalog]:
+    """Return the steering of a further VM of the first zone, and its catalog.
+
+    Args:
+        names: Names of the targets, all in that zone.
+        busy: Number of flows that the VM has placed before.
+    """
+    rows = [cookie_parts.target_row(name, 2 + n) for n, name in enumerate(names)]
+    made = cookie_parts.catalog_from(cookie_parts.config_row(1), *rows)
+    vm = steering.Steering(
+        "z1", segments.Codec(), made, observations.Observations("z1", made)
+    )
+    for number in range(busy):
+        opened(vm, port=50_000 + number)
+    return vm, made
