--- a/eelgrasswick/soak/actions.py
+++ b/eelgrasswick/soak/actions.py
@@ -23,6 +23,12 @@
 # cut is this short so that its VMs can be up to date again within the three seconds
 # that the operators require.
 MAX_ZONE_CUT_S: typing.Final = 2.0
+# A VM is suspended for so short a time that it is not taken out of rotation, though for
+# longer than callers wait before they send an opening packet again.
+BRIEF_PAUSES: typing.Final = 6
+MIN_BRIEF_PAUSE_S: typing.Final = 0.2
+MAX_BRIEF_PAUSE_S: typing.Final = 0.4
+BRIEF_PAUSE_INTERVAL_S: typing.Final = 0.6
 # The time of day of a VM steps by up to this time, forward or back.
 MAX_CLOCK_STEP_S: typing.Final = 10.0
 # Kind of the fault that needs VMs whose time of day can be set.
@@ -95,6 +101,16 @@
         """Suspend an entry VM for the duration of the fault."""
         self._pause(self._select_process(self._components.vms, item), item.duration_s)
 
+    def vm_pause_briefly(self, item: faults.Fault) -> None:
+        """Suspend an entry VM several times for a fraction of a second."""
+        process = self._select_process(self._components.vms, item)
+        range_s = MAX_BRIEF_PAUSE_S - MIN_BRIEF_PAUSE_S
+        duration_s = MIN_BRIEF_PAUSE_S + item.strength * range_s
+        for number in range(BRIEF_PAUSES):
+            self._reactor.callLater(
+                number * BRIEF_PAUSE_INTERVAL_S, self._pause, process, duration_s
+            )
+
     def vm_hup(self, item: faults.Fault) -> None:
         """Make an entry VM reload its settings with SIGHUP."""
         self._select_process(self._components.vms, item).signal(signal.SIGHUP)
--- a/eelgrasswick/soak/faults.py
+++ b/eelgrasswick/soak/faults.py
@@ -64,9 +64,14 @@
     "peers_lose",
     "peers_delay",
 )
-# Regression seeds that failed before the last two kinds were added draw from these.
+# Regression seeds that failed before the last kinds were added draw from these kinds.
 KINDS_WITH_EVACUATIONS: typing.Final = (*KINDS_WITH_PARTITIONS, "zone_evacuate")
-KINDS: typing.Final = (*KINDS_WITH_EVACUATIONS, "vm_clock_step", "entry_unreadable")
+KINDS: typing.Final = (
+    *KINDS_WITH_EVACUATIONS,
+    "vm_clock_step",
+    "entry_unreadable",
+    "vm_pause_briefly",
+)
 
 
 def draw(
--- a/eelgrasswick/soak/pressure_checks.py
+++ b/eelgrasswick/soak/pressure_checks.py
@@ -19,7 +19,7 @@
 # the time that a process takes afterwards to start or to read its socket.
 DELAYING_FAULTS: typing.Final = frozenset(
     {"vm_term", "vm_kill", "vm_pause", "vms_kill_all", "target_kill", "target_pause"}
-    | {"target_drain", "fabric_reorders", "restart"}
+    | {"vm_pause_briefly", "target_drain", "fabric_reorders", "restart"}
 )
 FAULT_EFFECT_S: typing.Final = 3.0
 
--- a/eelgrasswick/soak/store.py
+++ b/eelgrasswick/soak/store.py
@@ -189,9 +189,7 @@
         if path == "/own/evacuation":
             return self._evacuation(json.loads(_untyped(request.content).read()))
         if path == "/own/foreign":
-            body = json.loads(_untyped(request.content).read())
-            key, value = UNREADABLE_ENTRIES[body["number"] % len(UNREADABLE_ENTRIES)]
-            return 200, self._store.put(names.TARGET_PREFIX + key, value)
+            return self._foreign(json.loads(_untyped(request.content).read()))
         if path == "/own/fault":
             return self._fault(json.loads(_untyped(request.content).read()))
         return 404, {}
@@ -231,6 +229,10 @@
         key = names.EVACUATION_PREFIX + body["zone"]
         return 200, self._store.put(key, None if body["over"] else b"{}")
 
+    def _foreign(self, body: dict[str, typing.Any]) -> tuple[int, object]:
+        key, value = UNREADABLE_ENTRIES[body["number"] % len(UNREADABLE_ENTRIES)]
+        return 200, self._store.put(names.TARGET_PREFIX + key, value)
+
     def _fault(self, body: dict[str, typing.Any]) -> tuple[int, object]:
         self._store.fault = body.get("fault", "")
         self._store.delay_s = body.get("delay_s", 0.0)
