Review: planned restarts move flows with a lost SYN+ACK to the wrong server

Cause: a VM that has no record of a flow takes the cookie of its packet for the flow's server; a server whose SYN+ACK was lost sends it again for 9 s, and the consumer's packets carry its echo until the next answer.

--- a/review/standins2/consumer.py
+++ b/review/standins2/consumer.py
@@ -17,6 +17,8 @@
 MAX_INTERVAL_S: typing.Final = 1.6
 REQUEST_TIMEOUT_S: typing.Final = 2.5
 PROBE_INTERVAL_S: typing.Final = 0.5
+# One way between consumers and the platform.
+DELAY_S: typing.Final = 0.001
 READY_REQUEST: typing.Final = b"GET /api/readyz HTTP/1.1\r\nHost: vm\r\n\r\n"
 
 
@@ -85,11 +87,14 @@
         self.outcome = ""
         self.answered: list[str] = []
         self.answered_by: dict[str, str] = {}
+        self.loses = False
         self.lose_syn_acks = 0
         self.opened = asyncio.Event()
         self.response = asyncio.Event()
         self.syn_acks: list[int] = []
         self.first_syn_s = 0.0
+        # Keeps the coroutine that uses the flow from being collected.
+        self.task: asyncio.Task[None] | None = None
         self._owner = owner
         self._service = service
         self._echo = 0
@@ -265,16 +270,22 @@
     def send(self, raw: bytes, port: int) -> None:
         """Send a packet through the routers."""
         if self._udp is not None and self._router.rotation:
-            self._udp.sendto(
-                raw, (self._router.select(self.host, port), self._data_port)
-            )
+            vm = self._router.select(self.host, port)
+            asyncio.get_running_loop().call_later(DELAY_S, self._send_now, raw, vm)
+
+    def _send_now(self, raw: bytes, vm: str) -> None:
+        if self._udp is not None and not self._udp.is_closing():
+            self._udp.sendto(raw, (vm, self._data_port))
 
     def connection_made(self, transport: typing.Any) -> None:
         """Keep the socket."""
         self._udp = transport
 
     def datagram_received(self, data: bytes, addr: object) -> None:
-        """Hand a packet to its flow."""
+        """Hand a packet to its flow after the delay of the network."""
+        asyncio.get_running_loop().call_later(DELAY_S, self._deliver, data)
+
+    def _deliver(self, data: bytes) -> None:
         item = packets.decode(data)
         if item is None:
             self.log.write("BAD_PACKET", consumer=self.host)
--- a/review/standins2/fleet.py
+++ b/review/standins2/fleet.py
@@ -171,6 +171,18 @@
         self.log.write("signal", vm=host, signal=number.name)
         self.vms[host].send_signal(number)
 
+    async def restart_vm(self, number: int) -> None:
+        """Stop a VM as the platform does, and start it again."""
+        host = self.vm_host(number)
+        self.signal_vm(host, signal.SIGTERM)
+        end_s = time.monotonic() + GRACE_S
+        while self.vms[host].poll() is None and time.monotonic() < end_s:
+            await asyncio.sleep(0.05)
+        if self.vms[host].poll() is None:
+            self.signal_vm(host, signal.SIGKILL)
+            self.vms[host].wait()
+        self.start_vm(number)
+
     def vm_log(self, event: str) -> list[str]:
         """Return the log lines of all VMs with an event."""
         found = []
--- a/review/standins2/server.py
+++ b/review/standins2/server.py
@@ -276,7 +276,7 @@
             )
         )
         host = ".".join(map(str, item.source))
-        if self._udp is not None:
+        if self._udp is not None and not self._udp.is_closing():
             self._udp.sendto(raw, (host, self._consumer_port))
 
 
