Log how a VM knows the target of an open flow that it resets

A review saw a VM reset a flow whose target was alive, once, with 1% of the datagrams lost, and left no logs. Such a reset has two possible causes that the log could not tell apart: the VM takes a live target for dead, or it takes a dead target for that of the flow, because the packet had the cookie of a target that had answered the opening packet and does not hold the flow.

Resets of open flows are logged with known_by: placement, former_packet or cookie. No decision changes.

--- a/eelgrasswick/cookie/carrying.py
+++ b/eelgrasswick/cookie/carrying.py
@@ -244,6 +244,8 @@
         if decision.reset_reason is None:
             return fields
         fields["reason"] = decision.reset_reason.value
+        if decision.known_by is not None:
+            fields["known_by"] = decision.known_by.value
         if decision.target is None:
             return fields | self._catalog.config_fields(now_ms)
         fields |= self._catalog.target_fields(now_ms, decision.target)
--- a/eelgrasswick/cookie/forwarding.py
+++ b/eelgrasswick/cookie/forwarding.py
@@ -138,14 +138,15 @@
 
     def _reset_flows(self, target: model.Target, reason: steering.ResetReason) -> int:
         resets = self._carrier.steering.reset_flows(target)
-        for flow, datagram in resets:
-            self.port.send(datagram, self._carrier.caller_address(flow))
+        for item in resets:
+            self.port.send(item.datagram, self._carrier.caller_address(item.flow))
             self._carrier.count_reset(reason)
             self._log.write(
                 "flow_target_dead_reset",
-                flow=flow,
+                flow=item.flow,
                 target=target.name,
                 reason=reason.value,
+                known_by=item.known_by.value,
                 **self._catalog.target_fields(clock.now_ms(), target),
             )
         self._stats.counts["flows_abandoned"] += len(resets)
--- a/eelgrasswick/cookie/steering.py
+++ b/eelgrasswick/cookie/steering.py
@@ -69,6 +69,28 @@
     ROUTE_DROPPED = "route_dropped"
 
 
+class KnownBy(enum.Enum):
+    """How this VM knows the target of an open flow that it resets."""
+
+    PLACEMENT = "placement"
+    FORMER_PACKET = "former_packet"
+    COOKIE = "cookie"
+
+
+class FlowReset(typing.NamedTuple):
+    """The reset of an open flow whose target is dead.
+
+    Attributes:
+        flow: The flow.
+        datagram: The reset.
+        known_by: How this VM knows the target of the flow.
+    """
+
+    flow: model.FlowId
+    datagram: bytes
+    known_by: KnownBy
+
+
 class Decision(typing.NamedTuple):
     """The datagram to send for a packet, and the reasons for it.
 
@@ -83,6 +105,7 @@
         reset_reason: Reason for which an open flow is reset, if it is.
         opened_twice: True for the first packet that shows that a second target answered
             the opening packet.
+        known_by: How this VM knows the target of an open flow that it resets.
     """
 
     outcome: Outcome
@@ -94,6 +117,7 @@
     withheld: tuple[Reason, ...] = ()
     reset_reason: ResetReason | None = None
     opened_twice: bool = False
+    known_by: KnownBy | None = None
 
 
 class Steering:
@@ -451,7 +475,12 @@
             self._observations.tracker.remove(segment.flow)
             datagram = self._codec.reset(segment.flow, segment.acknowledged)
             return Decision(
-                Outcome.TARGET_DEAD, datagram, None, target, reset_reason=reason
+                Outcome.TARGET_DEAD,
+                datagram,
+                None,
+                target,
+                reset_reason=reason,
+                known_by=_known_by(record),
             )
         measurement = self._observations.tracker.record_segment(now_ms, segment, cookie)
         probe = (
@@ -480,15 +509,15 @@
             return ResetReason.PROBE_FAILED
         return None
 
-    def reset_flows(self, target: model.Target) -> list[tuple[model.FlowId, bytes]]:
+    def reset_flows(self, target: model.Target) -> list[FlowReset]:
         """Remove the open flows of a dead target, and return a reset for each."""
         flows = self._observations.tracker.open_flows(target.cookie)
-        for flow, _ in flows:
+        resets = []
+        for flow, record in flows:
+            datagram = self._codec.reset(flow, record.acknowledged)
+            resets.append(FlowReset(flow, datagram, _known_by(record)))
             self._observations.tracker.remove(flow)
-        return [
-            (flow, self._codec.reset(flow, acknowledged))
-            for flow, acknowledged in flows
-        ]
+        return resets
 
     def _record_measurement(
         self,
@@ -512,6 +541,12 @@
         return probe
 
 
+def _known_by(record: tracker.Record | None) -> KnownBy:
+    if record is None or not record.open:
+        return KnownBy.COOKIE
+    return KnownBy.PLACEMENT if record.placed_here else KnownBy.FORMER_PACKET
+
+
 def _draws(flow: model.FlowId, retransmissions: int) -> placing.Draws:
     text = flow.caller_ip + flow.caller_port.to_bytes(2, "big") + flow.service_ip
     digest = hashlib.blake2b(
--- a/eelgrasswick/cookie/tracker.py
+++ b/eelgrasswick/cookie/tracker.py
@@ -293,10 +293,10 @@
                 )
         return found
 
-    def open_flows(self, cookie: int) -> list[tuple[model.FlowId, int]]:
-        """Return the open flows of a target with the positions last acknowledged."""
+    def open_flows(self, cookie: int) -> list[tuple[model.FlowId, Record]]:
+        """Return the open flows of a target with their records."""
         return [
-            (flow, record.acknowledged)
+            (flow, record)
             for flow, record in self._records.items()
             if record.open and record.cookie == cookie
         ]
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -330,6 +330,7 @@
     assert "longest_gap_ms=" in dead
     assert "event=flow_target_dead_reset" in reset
     assert "reason=probe_failed" in reset
+    assert "known_by=former_packet" in reset
     for line in (reset, dead):
         assert "born_ms=1000 row_revision=2 row_origin=store row_age_ms=" in line
 
--- a/tests/test_steering_silent.py
+++ b/tests/test_steering_silent.py
@@ -187,13 +187,15 @@
     """Guards against callers of a crashed server that wait until their deadlines."""
     first = _crash(vm_steering, vm_observations)
     resets = vm_steering.reset_flows(first)
-    assert [flow for flow, _ in resets] == [cookie_parts.flow()]
+    assert [item.flow for item in resets] == [cookie_parts.flow()]
+    assert resets[0].known_by is steering.KnownBy.PLACEMENT
     raw = cookie_parts.packet(
         cookie_parts.ACK, 40_077, acknowledged=900, cookie=first.cookie, data=b"GET"
     )
     decision = steering_parts.steer(vm_steering, 710, raw)
     assert decision.outcome is steering.Outcome.TARGET_DEAD
     assert decision.reset_reason is steering.ResetReason.PROBE_FAILED
+    assert decision.known_by is steering.KnownBy.COOKIE
     assert decision.address is None
 
 
