Send the cookie of a flow's target to other targets that answered its opening

Cause: the answer of target A to an opening packet is lost, the caller's copy goes to target B, and the flow opens there. A repeats its answer for about ten seconds, and callers return the cookie that they received last. Only the record of one VM said otherwise.

Change: targets, too, return the cookie that they received last. The VM that sees the flow open at B sends the opening packet once more to A, with B's cookie, which A puts into its further answers. The update goes out with the first two packets of the flow, as one may be lost, and again when a later packet names A. It is left out when the VM did not see the opening of the flow (by sequence number), when the flow ends, when A repeats its answer no more, when A's address was taken over, and, for a target that only a later packet names, when it drains, is evacuated or is not allowed by the route. A new flow from the same port is no longer taken for a copy of the former one.

Still open: a VM that places a copy and does not know of the target of the first packet, which another VM placed.

--- a/eelgrasswick/cookie/carrying.py
+++ b/eelgrasswick/cookie/carrying.py
@@ -170,7 +170,9 @@
     def send_decision(
         self, segment: model.Segment, decision: steering.Decision
     ) -> None:
-        """Send the datagram of a decision, if any."""
+        """Send the datagrams of a decision, if any."""
+        for update in decision.updates:
+            self.send(update.datagram, update.target.address)
         if decision.datagram is None:
             return
         address = decision.address or self.caller_address(segment.flow)
@@ -209,6 +211,16 @@
                 cookie=segment.cookie,
                 age_ms=store_replica.reported_age_ms(age_ms),
             )
+        for update in decision.updates:
+            self._stats.counts["cookie_updates"] += 1
+            self._log.write(
+                "cookie_updated",
+                flow=segment.flow,
+                target=update.target.name,
+                of=decision.target.name if decision.target is not None else "-",
+                cookie=segment.cookie,
+                age_ms=store_replica.reported_age_ms(age_ms),
+            )
         if decision.answer_ms is not None:
             self._stats.observe("answer", decision.answer_ms)
         for reason in decision.withheld:
--- a/eelgrasswick/cookie/steering.py
+++ b/eelgrasswick/cookie/steering.py
@@ -8,6 +8,7 @@
 from eelgrasswick.cookie import (
     catalog,
     codec,
+    cookie_updates,
     holding,
     model,
     observations,
@@ -106,6 +107,7 @@
         opened_twice: True for the first packet that shows that a second target answered
             the opening packet.
         known_by: How this VM knows the target of an open flow that it resets.
+        updates: Opening packets to send again to targets without the flow.
     """
 
     outcome: Outcome
@@ -118,6 +120,7 @@
     reset_reason: ResetReason | None = None
     opened_twice: bool = False
     known_by: KnownBy | None = None
+    updates: tuple[cookie_updates.CookieUpdate, ...] = ()
 
 
 class Steering:
@@ -149,6 +152,7 @@
         self._unrouted = unrouted.UnroutedFlows()
         self.holder: holding.Holder = holding.NoHolder()
         self._refused = refused_flows.RefusedFlows()
+        self._updates = cookie_updates.CookieUpdates(segment_codec, target_catalog)
 
     def steer(
         self,
@@ -223,7 +227,7 @@
         if self._refused.has(now_ms, flow):
             return self.refuse_held(now_ms, raw)
         retransmissions = segment.acknowledged
-        record = self._observations.tracker.get(flow)
+        record = self._record_of(segment)
         previous = (
             self._catalog.by_cookie(record.cookie) if record is not None else None
         )
@@ -234,9 +238,7 @@
             first = record is None and not repeated
             # Another VM may place a copy of this packet.
             agreed = record is None and repeated
-            return self._place(
-                now_ms, route, flow, raw, retransmissions, None, first, agreed
-            )
+            return self._place(now_ms, route, segment, raw, None, first, agreed)
         too_soon = now_ms - record.placed_ms < MIN_RETRANSMISSION_MS
         unanswered = retransmissions > record.retransmissions
         moves = unanswered or self._catalog.evacuations.covers(previous)
@@ -244,18 +246,30 @@
             # The network duplicated the packet, or the packet was queued behind the
             # first one. Sent to a second target, it would open the flow twice.
             return self._forwarded_to(Outcome.PLACED, previous, raw)
-        decision = self._place(now_ms, route, flow, raw, retransmissions, previous)
+        decision = self._place(now_ms, route, segment, raw, previous)
         if unanswered and self._observations.record_unanswered(now_ms, previous):
             return decision._replace(probe=previous)
         return decision
 
+    def _record_of(self, opening: model.Segment) -> tracker.Record | None:
+        """Return the record of the flow that a packet opens.
+
+        The record of a former flow from the same port is deleted.
+        """
+        record = self._observations.tracker.get(opening.flow)
+        if record is None or record.opening is None:
+            return record
+        if record.opening.sequence == opening.sequence:
+            return record
+        self._observations.tracker.remove(opening.flow)
+        return None
+
     def _place(
         self,
         now_ms: int,
         route: model.Route,
-        flow: model.FlowId,
+        segment: model.Segment,
         raw: bytes,
-        retransmissions: int,
         silent: model.Target | None,
         first: bool = False,
         agreed: bool = False,
@@ -265,14 +279,15 @@
         Args:
             now_ms: Present time.
             route: Route of the flow.
-            flow: The flow.
-            raw: Its opening packet.
-            retransmissions: Number of the opening packet, 0 for the original.
+            segment: The decoded opening packet.
+            raw: The opening packet.
             silent: The target that left the previous opening packet unanswered.
             first: True for the first decision about the flow, which may be to hold it.
             agreed: True to choose the target that other VMs choose for copies of the
                 packet.
         """
+        flow = segment.flow
+        retransmissions = segment.acknowledged
         service = placing.pick_service(route.shares, _draws(flow, 0).first)
         unanswered_cookie = silent.cookie if silent is not None else 0
         draws = _draws(flow, 0 if agreed else retransmissions)
@@ -321,7 +336,7 @@
                 datagram = self._codec.reset(flow, 0)
                 return Decision(Outcome.OVERLOADED, datagram, None, chosen)
             target = alternative
-        self._record_placement(now_ms, flow, target, retransmissions)
+        self._record_placement(now_ms, segment, target, raw)
         outcome = Outcome.PLACED if silent is None else Outcome.PLACED_AGAIN
         return self._forwarded_to(outcome, target, raw)._replace(withheld=withheld)
 
@@ -337,7 +352,7 @@
         route = self._catalog.route(segment)
         if route is None:
             return self._without_route(now_ms, age_ms, segment)
-        return self._place(now_ms, route, segment.flow, raw, 0, None)
+        return self._place(now_ms, route, segment, raw, None)
 
     def place_reserved(
         self, now_ms: int, age_ms: int, raw: bytes, cookie: int
@@ -360,7 +375,7 @@
         ):
             # The configuration or the target has changed since the request.
             return self.place_held(now_ms, age_ms, raw)
-        self._record_placement(now_ms, segment.flow, target, 0)
+        self._record_placement(now_ms, segment, target, raw)
         return self._forwarded_to(Outcome.PLACED, target, raw)
 
     def _takes(
@@ -386,12 +401,16 @@
     def _record_placement(
         self,
         now_ms: int,
-        flow: model.FlowId,
+        segment: model.Segment,
         target: model.Target,
-        retransmissions: int,
+        raw: bytes,
     ) -> None:
         self._observations.tracker.record_placement(
-            now_ms, flow, target.cookie, retransmissions
+            now_ms,
+            segment.flow,
+            target.cookie,
+            segment.acknowledged,
+            tracker.Opening(segment.sequence, raw),
         )
         self._observations.record_placement(now_ms, target)
 
@@ -492,6 +511,9 @@
             probe = target
         if cookie != segment.cookie:
             raw = self._codec.with_cookie(raw, cookie)
+        updates: tuple[cookie_updates.CookieUpdate, ...] = ()
+        if record is not None and (record.unconfirmed or cookie != segment.cookie):
+            updates = self._updates.take_due(now_ms, record, segment, route)
         return Decision(
             Outcome.FORWARDED,
             self._codec.for_target(raw, target),
@@ -500,6 +522,7 @@
             measurement.answer_ms,
             probe,
             opened_twice=opened_twice,
+            updates=updates,
         )
 
     def _death_reason(self, now_ms: int, target: model.Target) -> ResetReason | None:
--- a/eelgrasswick/cookie/tracker.py
+++ b/eelgrasswick/cookie/tracker.py
@@ -73,6 +73,18 @@
     flows_moved: bool = False
 
 
+class Opening(typing.NamedTuple):
+    """An opening packet.
+
+    Attributes:
+        sequence: Position of the opening in the caller's stream.
+        raw: The packet as received.
+    """
+
+    sequence: int
+    raw: bytes
+
+
 class Record:
     """State of one flow.
 
@@ -93,6 +105,12 @@
         request_retransmitted: True when the caller's last segment was a retransmission.
         requests: Number of requests that began on the flow.
         opened_twice: True when a packet named another target than that of the flow.
+        opening: The opening packet that was last placed; None if this VM placed none,
+            or did not see which target the flow was opened at.
+        unconfirmed: Cookies of other targets that an opening packet was sent to.
+        packets: Number of further packets of the flow.
+        updated_ms: Time when another target was last sent the flow's cookie; 0 for
+            never.
     """
 
     __slots__ = (
@@ -102,6 +120,8 @@
         "data_end",
         "open",
         "opened_twice",
+        "opening",
+        "packets",
         "placed_here",
         "placed_ms",
         "request_acknowledged",
@@ -109,6 +129,8 @@
         "request_retransmitted",
         "requests",
         "retransmissions",
+        "unconfirmed",
+        "updated_ms",
     )
 
     def __init__(self, cookie: int, placed_here: bool) -> None:
@@ -131,6 +153,10 @@
         self.request_retransmitted = False
         self.requests = 0
         self.opened_twice = False
+        self.opening: Opening | None = None
+        self.unconfirmed: frozenset[int] = frozenset()
+        self.packets = 0
+        self.updated_ms = 0
 
 
 class Tracker:
@@ -198,7 +224,12 @@
         return self._records.get(flow)
 
     def record_placement(
-        self, now_ms: int, flow: model.FlowId, cookie: int, retransmissions: int
+        self,
+        now_ms: int,
+        flow: model.FlowId,
+        cookie: int,
+        retransmissions: int,
+        opening: Opening | None = None,
     ) -> None:
         """Record that a flow's opening packet was sent to a target.
 
@@ -207,6 +238,7 @@
             flow: The flow.
             cookie: Cookie of the target.
             retransmissions: Number of opening packets that the caller sent before.
+            opening: The opening packet, if it may be needed again.
         """
         record = self._records.get(flow)
         if record is None:
@@ -218,6 +250,7 @@
         self._begin_wait(now_ms, flow, record)
         record.retransmissions = retransmissions
         record.placed_ms = now_ms
+        record.opening = opening
 
     def record_segment(
         self, now_ms: int, segment: model.Segment, cookie: int
@@ -234,8 +267,11 @@
         opened = not record.open and record.placed_here
         if not record.open:
             record.open = True
+            if not _follows(segment, record.opening):
+                record.opening = None
             self._move(segment.flow, record, cookie)
             self._end_wait(segment.flow, cookie)
+        record.packets += 1
         record.acknowledged = segment.acknowledged
         before_ms = record.request_ms
         answer_bytes = (segment.acknowledged - record.request_acknowledged) % _SEQUENCES
@@ -347,6 +383,7 @@
         if flow in self._waiting_since_ms:
             _decrement(self._waiting_counts, record.cookie)
             self._waiting_counts[cookie] += 1
+        record.unconfirmed = (record.unconfirmed | {record.cookie}) - {cookie}
         record.cookie = cookie
 
     def _drop(self, flow: model.FlowId) -> None:
@@ -363,6 +400,17 @@
         del counts[cookie]
 
 
+def _follows(segment: model.Segment, opening: Opening | None) -> bool:
+    """Return True for the first data, or the packet before it, of a flow's caller.
+
+    Its cookie is that of the target at which the caller opened the flow. Later packets
+    may have the cookie of another target.
+    """
+    if opening is None:
+        return False
+    return segment.sequence == (opening.sequence + 1) % _SEQUENCES
+
+
 def _measure(
     now_ms: int, record: Record, segment: model.Segment
 ) -> tuple[int | None, bool]:
--- /dev/null
+++ b/tests/test_cookie_updates.py
@@ -0,0 +1,249 @@
+"""Tests of flows whose opening packet was answered by two targets."""
+
+import random
+import typing
+
+import pytest
+
+from eelgrasswick.cookie import clock, cookie_updates, model, steering, store_replica
+from eelgrasswick.platform import segments
+from tests import cookie_parts, early_parts, lossy_fleet, steering_parts
+
+WINNERS_SEQUENCE: typing.Final = 5000
+
+
+def _open_flows(fleet: lossy_fleet.LossyFleet, plan: lossy_fleet.Plan) -> None:
+    for number in range(12):
+        fleet.clock.call_later(3 * number, fleet.open_flow, plan)
+
+
+def _assert_served(fleet: lossy_fleet.LossyFleet) -> None:
+    fleet.clock.run(40_000)
+    assert {flow.outcome for flow in fleet.flows.values()} == {"closed"}
+    assert fleet.stray_packets() == 0
+
+
+LOSSES: typing.Final = {
+    "answer": ("syn_ack",),
+    "answer_and_update": ("syn_ack", "update"),
+    "answer_and_acknowledgement": ("syn_ack", "ack"),
+    "opening_packet": ("forwarded_syn",),
+}
+
+
+@pytest.mark.parametrize("lost", LOSSES.values(), ids=LOSSES)
+@pytest.mark.parametrize("pause_ms", [300, 900, 4900])
+def test_flow_stays_at_its_target_after_a_pause(
+    lost: tuple[str, ...], pause_ms: int
+) -> None:
+    """Guards against a VM that forgets a flow and trusts a cookie of another target."""
+    fleet = lossy_fleet.LossyFleet(vms=1)
+    fleet.lose = lossy_fleet.lose_first(*lost)
+    _open_flows(fleet, lossy_fleet.Plan(3, pause_ms))
+    _assert_served(fleet)
+
+
+@pytest.mark.parametrize("lost", LOSSES.values(), ids=LOSSES)
+@pytest.mark.parametrize("restarts_ms", [(500,), (1000, 2500, 4000)])
+def test_flow_stays_at_its_target_when_it_moves_to_another_vm(
+    lost: tuple[str, ...], restarts_ms: tuple[int, ...]
+) -> None:
+    """Guards against a VM without a record that trusts a cookie of another target."""
+    fleet = lossy_fleet.LossyFleet()
+    fleet.lose = lossy_fleet.lose_first(*lost)
+    _open_flows(fleet, lossy_fleet.Plan(8, 700))
+    for number, at_ms in enumerate(restarts_ms):
+        fleet.clock.call_later(at_ms, fleet.restart, number, 1100)
+    _assert_served(fleet)
+
+
+def test_flow_stays_at_its_target_when_the_other_one_is_late() -> None:
+    """Guards against targets whose answers to the opening packet come after others."""
+    fleet = lossy_fleet.LossyFleet()
+    for number, target in enumerate(fleet.targets.values()):
+        target.delay_ms = 250 * (number % 2)
+    _open_flows(fleet, lossy_fleet.Plan(8, 700))
+    for number in range(3):
+        fleet.clock.call_later(1000 + 1500 * number, fleet.restart, number, 1100)
+    _assert_served(fleet)
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_random_loss_beside_restarts_resets_no_flow(seed: int) -> None:
+    """Guards against losses in combinations that no other test lists."""
+    fleet = lossy_fleet.LossyFleet(seed)
+    fleet.lose = lossy_fleet.lose_at_random(random.Random(seed), 0.01)
+    for number in range(600):
+        fleet.clock.call_later(
+            20 * number, fleet.open_flow, lossy_fleet.Plan(4, 300 + number % 1500)
+        )
+    for number in range(6):
+        fleet.clock.call_later(1000 + 1800 * number, fleet.restart, number % 3, 1100)
+    fleet.clock.run(40_000)
+    assert fleet.broken() == []
+
+
+def _open_at_second(
+    vm: steering.Steering, port: int = 40_001
+) -> tuple[model.Target, model.Target, steering.Decision]:
+    """Open a flow at its second target; return both, and the first decision on it."""
+    first = steering_parts.opened(vm, 0, port=port)
+    second = steering_parts.opened(vm, 200, 1, port)
+    assert first != second
+    return first, second, _send(vm, 204, second.cookie, port=port)
+
+
+def _send(
+    vm: steering.Steering,
+    now_ms: int,
+    cookie: int,
+    sequence: int = 2,
+    flags: int = cookie_parts.ACK,
+    port: int = 40_001,
+) -> steering.Decision:
+    raw = cookie_parts.packet(flags, port, sequence, WINNERS_SEQUENCE, cookie)
+    return steering_parts.steer(vm, now_ms, raw)
+
+
+def _updates(decision: steering.Decision) -> list[tuple[str, int]]:
+    return [
+        (item.target.name, cookie_parts.cookie_of(item.datagram))
+        for item in decision.updates
+    ]
+
+
+def test_other_target_gets_the_opening_packet_with_the_flows_cookie(
+    vm_steering: steering.Steering,
+) -> None:
+    """Guards against an update that is no opening packet of the caller."""
+    first, second, decision = _open_at_second(vm_steering)
+    assert _updates(decision) == [(first.name, second.cookie)]
+    copy = cookie_parts.packet(cookie_parts.SYN, acknowledged=1, cookie=second.cookie)
+    assert decision.updates[0].datagram == first.token + copy
+
+
+def test_update_goes_to_the_later_target_if_the_first_one_has_the_flow(
+    vm_steering: steering.Steering,
+) -> None:
+    """Guards against an update by which the flow's own target names the other one."""
+    first = steering_parts.opened(vm_steering)
+    second = steering_parts.opened(vm_steering, 200, 1)
+    decision = _send(vm_steering, 204, first.cookie)
+    assert _updates(decision) == [(second.name, first.cookie)]
+
+
+def test_update_is_sent_again_when_a_packet_names_the_other_target(
+    vm_steering: steering.Steering,
+) -> None:
+    """Guards against a lost or late update."""
+    first, second, _ = _open_at_second(vm_steering)
+    _send(vm_steering, 205, second.cookie)
+    _send(vm_steering, 206, second.cookie)
+    for at_ms, sent in ((260, False), (900, True), (950, False), (1900, True)):
+        decision = _send(vm_steering, at_ms, first.cookie, sequence=90)
+        assert decision.target == second
+        expected = [(first.name, second.cookie)] if sent else []
+        assert _updates(decision) == expected
+
+
+def test_vm_that_missed_the_opening_of_a_flow_sends_no_update(
+    vm_steering: steering.Steering,
+) -> None:
+    """Guards against a VM that takes the cookie of a late answer for the flow's."""
+    first = steering_parts.opened(vm_steering)
+    second = steering_parts.opened(vm_steering, 200, 1)
+    # The flow was opened through another VM, which the sequence number shows.
+    decision = _send(vm_steering, 900, first.cookie, sequence=90)
+    assert _updates(decision) == []
+    assert _updates(_send(vm_steering, 1000, second.cookie, sequence=90)) == []
+
+
+@pytest.mark.parametrize("flags", [cookie_parts.FIN, cookie_parts.RST])
+def test_flow_that_ends_needs_no_update(
+    vm_steering: steering.Steering, flags: int
+) -> None:
+    """Guards against a target that takes the update for a new flow."""
+    steering_parts.opened(vm_steering)
+    second = steering_parts.opened(vm_steering, 200, 1)
+    decision = _send(vm_steering, 204, second.cookie, flags=flags | cookie_parts.ACK)
+    assert _updates(decision) == []
+
+
+def test_target_that_repeats_its_answer_no_more_gets_no_update(
+    vm_steering: steering.Steering,
+) -> None:
+    """Guards against a target that takes the update for a new flow."""
+    first, second, _ = _open_at_second(vm_steering)
+    last_ms = 200 + cookie_updates.ANSWER_REPEATED_MS
+    for at_ms in range(1000, last_ms, 1000):
+        assert _updates(_send(vm_steering, at_ms, first.cookie, sequence=90))
+    decision = _send(vm_steering, last_ms + 1, first.cookie, sequence=90)
+    assert decision.target == second
+    assert _updates(decision) == []
+
+
+def test_target_whose_address_was_taken_over_gets_no_update() -> None:
+    """Guards against updates to a server that is gone."""
+    vm, target_catalog = steering_parts.same_zone_vm("i-0a", "i-0b")
+    first = steering_parts.opened(vm)
+    second = steering_parts.opened(vm, 200, 1)
+    address = f"{first.address.host}:{first.address.port}"
+    row = cookie_parts.target_row("i-0c", 9, address=address, born=2000)
+    target_catalog.update(0, store_replica.Merge((row,), 0))
+    assert _updates(_send(vm, 204, second.cookie)) == []
+
+
+@pytest.mark.parametrize("state", ["draining", "ready"])
+def test_draining_target_that_a_later_packet_names_gets_no_update(state: str) -> None:
+    """Guards against an opening packet that reaches a target after its drain began."""
+    vm, target_catalog = steering_parts.same_zone_vm("i-0a", "i-0b")
+    first, second, _ = _open_at_second(vm)
+    _send(vm, 205, second.cookie)
+    row = cookie_parts.target_row(first.name, 9, state=state)
+    target_catalog.update(0, store_replica.Merge((row,), 0))
+    decision = _send(vm, 900, first.cookie, sequence=90)
+    assert decision.target == second
+    assert bool(decision.updates) is (state == "ready")
+
+
+def test_new_flow_from_the_same_port_is_placed_anew(
+    vm_steering: steering.Steering,
+) -> None:
+    """Guards against a new flow that is taken for a copy of the former one."""
+    _, second, _ = _open_at_second(vm_steering)
+    raw = cookie_parts.packet(cookie_parts.SYN, sequence=70_000)
+    decision = steering_parts.steer(vm_steering, 900, raw)
+    assert decision.outcome is steering.Outcome.PLACED
+    assert decision.target is not None
+    assert not decision.updates
+    decision = _send(vm_steering, 904, decision.target.cookie, sequence=70_001)
+    assert not decision.updates
+
+
+def test_updates_are_sent_logged_and_counted(
+    log_pipe: tuple[int, int],
+) -> None:
+    """Guards against updates that leave no trace."""
+    carrier = early_parts.carrier(log_pipe[1])
+    rows = [cookie_parts.target_row(name, 2) for name in ("i-0a", "i-0b")]
+    changes = cookie_parts.listing(cookie_parts.config_row(1), *rows)
+    carrier.apply_rows(0, carrier.parts.replica.merge(0, changes), "store")
+    sent: list[tuple[bytes, model.Address]] = []
+    carrier.send = lambda datagram, address: sent.append((datagram, address))
+    first, second = carrier.parts.catalog.targets
+    now_ms = clock.now_ms()
+    carrier.parts.observations.tracker.record_placement(
+        now_ms - 200, cookie_parts.flow(), first.cookie, 0
+    )
+    raw = cookie_parts.packet(cookie_parts.SYN, acknowledged=1)
+    decision = carrier.steering.steer(now_ms, 0, segments.Codec().decode(raw), raw)
+    assert decision.target == second
+    raw = cookie_parts.packet(cookie_parts.ACK, sequence=2, cookie=second.cookie)
+    carrier.handle_packet(raw, "10.0.0.1")
+    assert [item[1] for item in sent] == [first.address, second.address]
+    assert cookie_parts.cookie_of(sent[0][0]) == second.cookie
+    assert carrier.parts.stats.counts["cookie_updates"] == 1
+    line = early_parts.log_text(carrier, log_pipe).decode()
+    assert "event=cookie_updated" in line
+    assert f"flow={cookie_parts.flow()}" in line
+    assert f"target={first.name} of={second.name}" in line
