Delay copies of opening packets by 20 ms

What callers saw: a flow whose first answer was lost was opened at a second target, although the first one was alive and about to answer again.

Cause: a caller repeats its opening packet after 200 ms, and a target repeats its answer 200 ms after it received the original. The copy therefore reaches a VM some milliseconds before the caller's acknowledgement of the second answer, and the VM placed it elsewhere at once. The same holds for a VM that receives the copy without knowing of the original.

Change: a copy waits 20 ms, unless its target is known to be dead. A further packet of the flow makes it unnecessary. When the timer is late, packets that wait in the socket are read first; a copy that a suspension delayed is dropped like other old ones. At most 1,000 copies wait, and a VM that starts, which has no timers yet, places them at once.

Copies that stay with a live target were not taken: a target that is full sends nothing, and would get all packets of the flow.

--- a/eelgrasswick/cookie/carrying.py
+++ b/eelgrasswick/cookie/carrying.py
@@ -3,6 +3,7 @@
 A starting VM forwards packets before the libraries of the event loop are imported.
 """
 
+import functools
 import typing
 
 from eelgrasswick import errors
@@ -10,6 +11,7 @@
     catalog,
     clock,
     codec,
+    delayed_copies,
     event_log,
     model,
     observations,
@@ -27,13 +29,18 @@
 NO_RETRANSMISSION: typing.Final = 1 << 32
 # Forwarded packets are counted but not logged, because a log line for each packet would
 # slow down forwarding.
-# A held packet is logged with its resolution.
+# A held or delayed packet is logged with its resolution.
 _UNLOGGED_OUTCOMES: typing.Final = frozenset(
-    {steering.Outcome.FORWARDED, steering.Outcome.HELD}
+    {
+        steering.Outcome.FORWARDED,
+        steering.Outcome.HELD,
+        steering.Outcome.COPY_DELAYED,
+    }
 )
 
 
 Send = typing.Callable[[bytes, model.Address], None]
+Delay = typing.Callable[[int, typing.Callable[[], None]], None]
 
 
 class Parts(typing.NamedTuple):
@@ -66,6 +73,8 @@
         started: True once packets are read that were queued during the start.
         last_packet_ms: Time when the last packet arrived.
         send: Sends a datagram to an address.
+        delay: Calls a function after a time in ms, and after the packets that arrived
+            in that time were handled.
         probe: Called with each target to probe.
         on_stall: Called with the time after each stall of this VM.
     """
@@ -86,6 +95,7 @@
         self.started = False
         self.last_packet_ms = 0
         self.send: Send = _ignore_datagram
+        self.delay: Delay = _ignore_delay
         self.probe: typing.Callable[[model.Target], None] = _ignore_target
         self.on_stall: typing.Callable[[int], None] = _ignore_stall
         self._caller_port = caller_port
@@ -152,17 +162,45 @@
             self._log.write("packet_dropped", source=host, detail=error.detail)
             return
         if segment.opening and self._too_old(now_ms, segment):
-            self._stats.counts["packets_dropped_old"] += 1
-            self._log.write("flow_dropped_old", flow=segment.flow)
+            self._drop_old(segment)
             return
         age_ms = self._replica.age_ms(now_ms)
         queued = now_ms < self._queued_until_ms
         decision = self.steering.steer(now_ms, age_ms, segment, raw, queued)
+        if decision.outcome is steering.Outcome.COPY_DELAYED:
+            self.delay(
+                delayed_copies.WAIT_MS,
+                functools.partial(self._place_delayed, segment, raw),
+            )
+        self._carry_out(now_ms, age_ms, segment, decision)
+
+    def _carry_out(
+        self,
+        now_ms: int,
+        age_ms: int,
+        segment: model.Segment,
+        decision: steering.Decision,
+    ) -> None:
         self.send_decision(segment, decision)
         self.account(now_ms, age_ms, segment, decision)
         if decision.probe is not None:
             self.probe(decision.probe)
 
+    def _place_delayed(self, segment: model.Segment, raw: bytes) -> None:
+        now_ms = self.check_stall()
+        if self._too_old(now_ms, segment):
+            # The VM was suspended in the meantime.
+            self.steering.copies.end(segment.flow)
+            self._drop_old(segment)
+            return
+        age_ms = self._replica.age_ms(now_ms)
+        decision = self.steering.place_delayed(now_ms, age_ms, segment, raw)
+        self._carry_out(now_ms, age_ms, segment, decision)
+
+    def _drop_old(self, segment: model.Segment) -> None:
+        self._stats.counts["packets_dropped_old"] += 1
+        self._log.write("flow_dropped_old", flow=segment.flow)
+
     def _too_old(self, now_ms: int, segment: model.Segment) -> bool:
         in_backlog = now_ms < self._backlog_until_ms
         return in_backlog and segment.acknowledged < self._backlog_min_retransmission
@@ -376,6 +414,10 @@
     """Send no datagram, before the forwarder sets the send function."""
 
 
+def _ignore_delay(wait_ms: int, call: typing.Callable[[], None]) -> None:
+    """Call nothing, before the forwarder sets the delay function."""
+
+
 def _ignore_stall(now_ms: int) -> None:
     """Do nothing about a stall, before reservations are in use."""
 
--- a/eelgrasswick/cookie/forwarding.py
+++ b/eelgrasswick/cookie/forwarding.py
@@ -51,6 +51,13 @@
     def begin(self) -> None:
         """Send the carrier's datagrams through the socket from now on."""
         self._carrier.send = self.port.send
+        self._carrier.delay = self._delay
+        self._carrier.steering.copies.enabled = True
+
+    def _delay(self, wait_ms: int, call: typing.Callable[[], None]) -> None:
+        # When timers are late, packets may wait in the socket. The reactor reads them
+        # before the second call.
+        self._reactor.callLater(wait_ms / 1000, self._reactor.callLater, 0, call)
 
     def _begin_probe(self, target: model.Target) -> None:
         defer.ensureDeferred(self._probe(target))
--- a/eelgrasswick/cookie/steering.py
+++ b/eelgrasswick/cookie/steering.py
@@ -9,6 +9,7 @@
     catalog,
     codec,
     cookie_updates,
+    delayed_copies,
     holding,
     model,
     observations,
@@ -53,6 +54,8 @@
     HELD = "held"
     NO_CAPACITY = "no_capacity_reset"
     HELD_TOO_LONG = "held_too_long"
+    COPY_DELAYED = "copy_delayed"
+    COPY_NOT_NEEDED = "copy_not_needed"
 
 
 class Reason(enum.Enum):
@@ -128,6 +131,7 @@
 
     Attributes:
         holder: Holds opening packets while capacity is reserved for them.
+        copies: Copies of opening packets that wait for an answer to the original.
     """
 
     def __init__(
@@ -151,6 +155,7 @@
         self._observations = observed
         self._unrouted = unrouted.UnroutedFlows()
         self.holder: holding.Holder = holding.NoHolder()
+        self.copies = delayed_copies.DelayedCopies()
         self._refused = refused_flows.RefusedFlows()
         self._updates = cookie_updates.CookieUpdates(segment_codec, target_catalog)
 
@@ -161,9 +166,13 @@
         segment: model.Segment,
         raw: bytes,
         queued: bool = False,
+        waited: bool = False,
     ) -> Decision:
         """Decide about one packet.
 
+        A copy of an opening packet that is delayed goes to `place_delayed` after
+        `delayed_copies.WAIT_MS`.
+
         Args:
             now_ms: Present time.
             age_ms: Age of this VM's copy of the store.
@@ -171,6 +180,7 @@
             raw: The packet as received.
             queued: True when the packet may have been queued for so long that its
                 caller has sent it again.
+            waited: True for a copy of an opening packet that was delayed.
         """
         if self._catalog.config is None:
             return Decision(Outcome.NOT_READY, None, None, None)
@@ -178,7 +188,7 @@
         if route is None:
             return self._without_route(now_ms, age_ms, segment)
         if segment.opening:
-            return self._open(now_ms, route, segment, raw, queued)
+            return self._open(now_ms, route, segment, raw, queued, waited)
         return self._forward(now_ms, route, segment, raw)
 
     def _without_route(
@@ -219,8 +229,11 @@
         segment: model.Segment,
         raw: bytes,
         queued: bool,
+        waited: bool,
     ) -> Decision:
         flow = segment.flow
+        if self.copies.waits(flow):
+            return Decision(Outcome.COPY_NOT_NEEDED, None, None, None)
         if self.holder.holds(flow):
             # No target has received the flow yet, so the copy adds nothing.
             return Decision(Outcome.HELD, None, None, None)
@@ -238,6 +251,10 @@
             first = record is None and not repeated
             # Another VM may place a copy of this packet.
             agreed = record is None and repeated
+            # A target that another VM placed the original on may be about to answer.
+            may_wait = record is None and bool(retransmissions) and not waited
+            if may_wait and self.copies.begin(flow):
+                return Decision(Outcome.COPY_DELAYED, None, None, None)
             return self._place(now_ms, route, segment, raw, None, first, agreed)
         too_soon = now_ms - record.placed_ms < MIN_RETRANSMISSION_MS
         unanswered = retransmissions > record.retransmissions
@@ -246,11 +263,28 @@
             # The network duplicated the packet, or the packet was queued behind the
             # first one. Sent to a second target, it would open the flow twice.
             return self._forwarded_to(Outcome.PLACED, previous, raw)
+        if not waited and self.copies.begin(flow):
+            return Decision(Outcome.COPY_DELAYED, None, None, None)
         decision = self._place(now_ms, route, segment, raw, previous)
         if unanswered and self._observations.record_unanswered(now_ms, previous):
             return decision._replace(probe=previous)
         return decision
 
+    def place_delayed(
+        self, now_ms: int, age_ms: int, segment: model.Segment, raw: bytes
+    ) -> Decision:
+        """Place a copy of an opening packet that was delayed, if it is still needed.
+
+        Args:
+            now_ms: Present time.
+            age_ms: Age of this VM's copy of the store.
+            segment: The decoded opening packet.
+            raw: The packet as received.
+        """
+        if not self.copies.end(segment.flow):
+            return Decision(Outcome.COPY_NOT_NEEDED, None, None, None)
+        return self.steer(now_ms, age_ms, segment, raw, waited=True)
+
     def _record_of(self, opening: model.Segment) -> tracker.Record | None:
         """Return the record of the flow that a packet opens.
 
@@ -473,6 +507,7 @@
     def _forward(
         self, now_ms: int, route: model.Route, segment: model.Segment, raw: bytes
     ) -> Decision:
+        self.copies.end(segment.flow)
         record = self._observations.tracker.get(segment.flow)
         cookie = segment.cookie
         if record is not None and record.open:
--- a/tests/lossy_fleet.py
+++ b/tests/lossy_fleet.py
@@ -8,7 +8,7 @@
 import random
 import typing
 
-from eelgrasswick.cookie import model, observations, steering
+from eelgrasswick.cookie import delayed_copies, model, observations, steering
 from eelgrasswick.emulation import packets, scheduler
 from eelgrasswick.platform import segments
 from tests import cookie_parts
@@ -340,6 +340,7 @@
         vm_steering = steering.Steering(
             "z1", segments.Codec(), target_catalog, observed
         )
+        vm_steering.copies.enabled = True
         return Vm(vm_steering, observed)
 
     def _tick(self) -> None:
@@ -376,11 +377,19 @@
         vm = self.vms[self.rotation[port % len(self.rotation)]]
         segment = self._codec.decode(raw)
         decision = vm.steering.steer(self.clock.now_ms, 0, segment, raw)
-        self._carry_out(vm, kind, port, raw, decision)
+        if decision.outcome is steering.Outcome.COPY_DELAYED:
+            wait_ms = delayed_copies.WAIT_MS
+            self.clock.call_later(wait_ms, self._place_delayed, vm, port, segment, raw)
+        self._carry_out(kind, port, decision)
 
-    def _carry_out(
-        self, vm: Vm, kind: str, port: int, raw: bytes, decision: steering.Decision
+    def _place_delayed(
+        self, vm: Vm, port: int, segment: model.Segment, raw: bytes
     ) -> None:
+        now_ms = self.clock.now_ms
+        decision = vm.steering.place_delayed(now_ms, 0, segment, raw)
+        self._carry_out("syn", port, decision)
+
+    def _carry_out(self, kind: str, port: int, decision: steering.Decision) -> None:
         for update in decision.updates:
             self._to_target("update", port, update.datagram, update.target.address)
         if decision.address is not None and decision.datagram is not None:
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -96,6 +96,23 @@
     assert "age_ms=" in line
 
 
+def test_copy_of_an_opening_packet_waits_until_its_flow_is_open(
+    start: Start, store: entry_parts.MemoryStore, server: socket.socket
+) -> None:
+    """Guards against a second target that opens a flow whose answer was just late."""
+    vm = start(entry_parts.host(1), store)
+    _await_ready(vm)
+    cookie = next(iter(vm.vm._catalog.targets)).cookie
+    _send(vm, cookie_parts.packet(cookie_parts.SYN, 40_001, acknowledged=1))
+    _send(vm, cookie_parts.packet(cookie_parts.SYN, 40_002, acknowledged=1))
+    _send(vm, cookie_parts.packet(cookie_parts.ACK, 40_001, 2, 9, cookie))
+    ports = [cookie_parts.caller_port_of(_await_datagram(server)) for _ in range(2)]
+    assert ports == [40_001, 40_002]
+    lines = vm.log()
+    assert [item for item in lines if "event=flow_copy_not_needed" in item]
+    assert len([item for item in lines if "event=flow_placed " in item]) == 1
+
+
 def test_vm_without_a_store_starts_with_rows_of_another_vm(
     start: Start, store: entry_parts.MemoryStore, server: socket.socket
 ) -> None:
