Send the update to likely targets of an original that another VM placed

Cause: the VM that places the copy does not know the target of the original, so that it cannot send it the cookie of the flow's target. Its own choice for such a copy came from another hash than the two targets between which the original's VM chooses by load.

Change: both come from one rendezvous hash of flow and target. The original goes to the less loaded of the first two, a copy without a record to the first. When the flow opens, the VM sends the update to the others on which another VM may have placed the original: of its own zone and of the other zones, to which flows spill, of the targets that it uses and of those that it excludes itself. Cold targets are left out. A target that had no opening packet of the flow holds a half-open one for some ten seconds; this costs up to three for an opening whose original did not pass the VM.

--- a/eelgrasswick/cookie/observations.py
+++ b/eelgrasswick/cookie/observations.py
@@ -45,10 +45,13 @@
     Attributes:
         candidates: The targets, with the figures by which one is chosen.
         cold_excluded: True when cold targets were excluded.
+        accepting: All targets that take flows by their entries; a sample of a large
+            set.
     """
 
     candidates: list[placing.Candidate]
     cold_excluded: bool = False
+    accepting: typing.Sequence[model.Target] = ()
 
 
 class Observations:
@@ -152,7 +155,7 @@
         found = self.usable(now_ms, accepting, urgent)
         eligible = self._retransmission_targets(found.targets, unanswered_cookie)
         items = [self._candidate(now_ms, item) for item in eligible]
-        return Candidates(items, found.cold_excluded)
+        return Candidates(items, found.cold_excluded, accepting)
 
     def usable(
         self, now_ms: int, targets: typing.Sequence[model.Target], urgent: bool
--- a/eelgrasswick/cookie/placing.py
+++ b/eelgrasswick/cookie/placing.py
@@ -15,11 +15,13 @@
 same target until the next reports.
 """
 
-import hashlib
+import heapq
 import typing
 
 from eelgrasswick.cookie import model
 
+# A flow is placed on the less loaded of so many targets.
+CHOICES: typing.Final = 2
 # A flow leaves the VM's zone when the zone's flows per slot exceed SPILL_FACTOR times
 # those of the other zones plus SPILL_SLACK. Of two zones with two and three targets
 # for the same number of callers, the first is fuller by half; this difference alone
@@ -36,14 +38,21 @@
 SAMPLE_SIZE: typing.Final = 64
 # A target that has just started has this fraction of its usual speed.
 COLD_FACTOR: typing.Final = 0.6
+_KEYS: typing.Final = 2**32
+# Odd factors with evenly distributed bits, which mix a cookie with the key of a flow.
+_FIRST_FACTOR: typing.Final = 0x9E3779B97F4A7C15
+_SECOND_FACTOR: typing.Final = 0xBF58476D1CE4E5B9
+_MASK: typing.Final = 2**64 - 1
+
+T = typing.TypeVar("T")
 
 
 class Draws(typing.NamedTuple):
     """Pseudo-random numbers from 0 to 1, uniform over flows.
 
     Attributes:
-        first: Selects the first of two targets.
-        second: Selects the second of two targets.
+        first: Selects, with the second one, two targets by rendezvous hashing.
+        second: See the first one.
         refuse: Compared with the fraction of flows to be refused.
     """
 
@@ -112,7 +121,7 @@
 
 
 def choose_agreed_target(
-    candidates: typing.Sequence[Candidate], zone: str, flow: model.FlowId
+    candidates: typing.Sequence[Candidate], zone: str, draws: Draws
 ) -> model.Target | None:
     """Choose the target of a flow of which other VMs may place another copy.
 
@@ -122,20 +131,51 @@
     Args:
         candidates: Targets that may get the flow.
         zone: Availability zone of this VM.
-        flow: The flow.
+        draws: Pseudo-random numbers of the flow's original packet.
 
     Returns:
         The target, or None when there is no candidate.
     """
     targets = [item.target for item in candidates]
+    return next(iter(likely_targets(targets, zone, draws)), None)
+
+
+def likely_targets(
+    targets: typing.Sequence[model.Target], zone: str, draws: Draws
+) -> list[model.Target]:
+    """Return the targets between which any VM of a zone chooses, whatever its load.
+
+    Args:
+        targets: Targets that may get the flow.
+        zone: Availability zone of the VMs.
+        draws: Pseudo-random numbers of the flow's original packet.
+
+    Returns:
+        At most `CHOICES` targets of the zone, the agreed one first, and then as many
+        of other zones, to which the flow is spilled under load.
+    """
     own = [item for item in targets if item.zone == zone]
-    text = flow.caller_ip + flow.caller_port.to_bytes(2, "big") + flow.service_ip
-    return max(own or targets, key=lambda item: _weight(text, item), default=None)
+    others = [item for item in targets if item.zone != zone]
+    return [
+        item
+        for group in (own, others)
+        for item in _preferred(group, lambda target: target.cookie, draws)
+    ]
+
 
+def _preferred(
+    targets: typing.Iterable[T], cookie: typing.Callable[[T], int], draws: Draws
+) -> list[T]:
+    """Return the first `CHOICES` targets by rendezvous hashing.
 
-def _weight(text: bytes, target: model.Target) -> bytes:
-    cookie = target.cookie.to_bytes(4, "big")
-    return hashlib.blake2b(text + cookie, digest_size=8).digest()
+    VMs that exclude different targets mostly agree about the others.
+    """
+    key = int(draws.first * _KEYS) << 32 | int(draws.second * _KEYS)
+    return heapq.nlargest(
+        CHOICES,
+        targets,
+        key=lambda item: (cookie(item) * _FIRST_FACTOR ^ key) * _SECOND_FACTOR & _MASK,
+    )
 
 
 def sample_targets(
@@ -190,9 +230,5 @@
 
 
 def _less_loaded(candidates: typing.Sequence[Candidate], draws: Draws) -> Candidate:
-    first = int(draws.first * len(candidates)) % len(candidates)
-    if len(candidates) == 1:
-        return candidates[first]
-    step = 1 + int(draws.second * (len(candidates) - 1)) % (len(candidates) - 1)
-    second = (first + step) % len(candidates)
-    return min(candidates[first], candidates[second], key=lambda item: item.load)
+    choices = _preferred(candidates, lambda item: item.target.cookie, draws)
+    return min(choices, key=lambda item: item.load)
--- a/eelgrasswick/cookie/steering.py
+++ b/eelgrasswick/cookie/steering.py
@@ -349,7 +349,7 @@
             ):
                 return Decision(Outcome.HELD, None, None, None, withheld=withheld)
         if agreed:
-            chosen = placing.choose_agreed_target(candidates, self._zone, flow)
+            chosen = placing.choose_agreed_target(candidates, self._zone, draws)
         else:
             chosen = placing.choose_target(candidates, self._zone, draws)
         if chosen is None:
@@ -370,10 +370,29 @@
                 datagram = self._codec.reset(flow, 0)
                 return Decision(Outcome.OVERLOADED, datagram, None, chosen)
             target = alternative
-        self._record_placement(now_ms, segment, target, raw)
+        likely: frozenset[int] = frozenset()
+        if agreed:
+            likely = self._likely_targets(now_ms, eligible, draws)
+        self._record_placement(now_ms, segment, target, raw, likely)
         outcome = Outcome.PLACED if silent is None else Outcome.PLACED_AGAIN
         return self._forwarded_to(outcome, target, raw)._replace(withheld=withheld)
 
+    def _likely_targets(
+        self, now_ms: int, eligible: observations.Candidates, draws: placing.Draws
+    ) -> frozenset[int]:
+        """Return the targets on which another VM may have placed the original packet.
+
+        That VM may have excluded fewer targets than this one. Cold targets are left
+        out, as they may get few opening packets.
+        """
+        usable = [item.target for item in eligible.candidates]
+        return frozenset(
+            item.cookie
+            for targets in (usable, eligible.accepting)
+            for item in placing.likely_targets(targets, self._zone, draws)
+            if not self._catalog.cold_ms(item, now_ms)
+        )
+
     def place_held(self, now_ms: int, age_ms: int, raw: bytes) -> Decision:
         """Place a flow that was held, by this VM's own observations.
 
@@ -438,6 +457,7 @@
         segment: model.Segment,
         target: model.Target,
         raw: bytes,
+        likely: frozenset[int] = frozenset(),
     ) -> None:
         self._observations.tracker.record_placement(
             now_ms,
@@ -445,6 +465,7 @@
             target.cookie,
             segment.acknowledged,
             tracker.Opening(segment.sequence, raw),
+            likely,
         )
         self._observations.record_placement(now_ms, target)
 
--- a/eelgrasswick/cookie/tracker.py
+++ b/eelgrasswick/cookie/tracker.py
@@ -107,7 +107,8 @@
         opened_twice: True when a packet named another target than that of the flow.
         opening: The opening packet that was last placed; None if this VM placed none,
             or did not see which target the flow was opened at.
-        unconfirmed: Cookies of other targets that an opening packet was sent to.
+        unconfirmed: Cookies of other targets that an opening packet was sent to, or may
+            have been sent to by another VM.
         packets: Number of further packets of the flow.
         updated_ms: Time when another target was last sent the flow's cookie; 0 for
             never.
@@ -230,6 +231,7 @@
         cookie: int,
         retransmissions: int,
         opening: Opening | None = None,
+        likely: frozenset[int] = frozenset(),
     ) -> None:
         """Record that a flow's opening packet was sent to a target.
 
@@ -239,6 +241,7 @@
             cookie: Cookie of the target.
             retransmissions: Number of opening packets that the caller sent before.
             opening: The opening packet, if it may be needed again.
+            likely: Cookies of targets that other VMs may have placed the flow on.
         """
         record = self._records.get(flow)
         if record is None:
@@ -251,6 +254,7 @@
         record.retransmissions = retransmissions
         record.placed_ms = now_ms
         record.opening = opening
+        record.unconfirmed |= likely - {cookie}
 
     def record_segment(
         self, now_ms: int, segment: model.Segment, cookie: int
--- a/tests/test_cookie_updates.py
+++ b/tests/test_cookie_updates.py
@@ -5,7 +5,14 @@
 
 import pytest
 
-from eelgrasswick.cookie import clock, cookie_updates, model, steering, store_replica
+from eelgrasswick.cookie import (
+    clock,
+    cookie_updates,
+    model,
+    observations,
+    steering,
+    store_replica,
+)
 from eelgrasswick.platform import segments
 from tests import cookie_parts, early_parts, lossy_fleet, steering_parts
 
@@ -68,6 +75,20 @@
     _assert_served(fleet)
 
 
+@pytest.mark.parametrize("pause_ms", [900, 4900])
+@pytest.mark.parametrize("answers", [2, 3])
+def test_flow_that_moves_between_its_opening_packets_stays_at_its_target(
+    answers: int, pause_ms: int
+) -> None:
+    """Guards against a VM that places a copy and does not know of the first target."""
+    fleet = lossy_fleet.LossyFleet(targets=4)
+    fleet.lose = lossy_fleet.lose_first(*["syn_ack"] * answers)
+    _open_flows(fleet, lossy_fleet.Plan(4, pause_ms))
+    for number in range(3):
+        fleet.clock.call_later(120 + 1700 * number, fleet.restart, number, 1100)
+    _assert_served(fleet)
+
+
 @pytest.mark.parametrize("seed", [1, 2])
 def test_random_loss_beside_restarts_resets_no_flow(seed: int) -> None:
     """Guards against losses in combinations that no other test lists."""
@@ -158,6 +179,62 @@
     assert _updates(_send(vm_steering, 1000, second.cookie, sequence=90)) == []
 
 
+def _copy_without_original(
+    vm: steering.Steering, port: int
+) -> tuple[model.Target, set[str]]:
+    """Open a flow by a copy; return its target, and those that get an update."""
+    target = steering_parts.opened(vm, 0, 1, port)
+    decision = _send(vm, 4, target.cookie, port=port)
+    return target, {item.target.name for item in decision.updates}
+
+
+def test_update_reaches_the_target_on_which_another_vm_placed_the_original() -> None:
+    """Guards against a first target that the VM of the copy does not know."""
+    names = [f"i-{number:02x}" for number in range(1, 9)]
+    other, _ = steering_parts.same_zone_vm(*names, busy=7)
+    vm, _ = steering_parts.same_zone_vm(*names)
+    for port in range(40_001, 40_051):
+        original = steering_parts.opened(other, port=port)
+        target, updated = _copy_without_original(vm, port)
+        assert original == target or original.name in updated
+        assert len(updated) == 1
+
+
+def test_update_reaches_a_likely_target_that_only_this_vm_excludes() -> None:
+    """Guards against VMs that exclude different targets."""
+    names = [f"i-{number:02x}" for number in range(1, 9)]
+    other, _ = steering_parts.same_zone_vm(*names)
+    vm, _ = steering_parts.same_zone_vm(*names)
+    silent = next(iter(vm._catalog.targets))
+    for number in range(9):
+        vm._observations.record_unanswered(number, silent)
+    found = 0
+    for port in range(40_001, 40_101):
+        original = steering_parts.opened(other, port=port)
+        target, updated = _copy_without_original(vm, port)
+        assert target != silent
+        if original == silent:
+            assert original.name in updated
+            found += 1
+    assert found
+
+
+def test_cold_target_gets_no_update_for_an_original_that_it_may_not_have() -> None:
+    """Guards against updates that exceed the limit on new flows of a cold target."""
+    rows = [
+        cookie_parts.target_row(name, 2, cold_remaining_ms=9000 * (name == "i-0c"))
+        for name in ("i-0a", "i-0b", "i-0c")
+    ]
+    made = cookie_parts.catalog_from(cookie_parts.config_row(1), *rows)
+    vm = steering.Steering(
+        "z1", segments.Codec(), made, observations.Observations("z1", made)
+    )
+    for port in range(40_001, 40_021):
+        target, updated = _copy_without_original(vm, port)
+        if target.name != "i-0c":
+            assert "i-0c" not in updated
+
+
 @pytest.mark.parametrize("flags", [cookie_parts.FIN, cookie_parts.RST])
 def test_flow_that_ends_needs_no_update(
     vm_steering: steering.Steering, flags: int
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -4,6 +4,8 @@
 import random
 import typing
 
+import pytest
+
 from eelgrasswick.cookie import model, placing
 from eelgrasswick.platform import entries
 from tests import cookie_parts
@@ -76,6 +78,38 @@
     assert 11 <= placed["i-0a"] <= 13
 
 
+@pytest.mark.parametrize("count", [2, 3, 8])
+def test_targets_share_flows_evenly(count: int) -> None:
+    """Guards against targets that come up more often than others."""
+    candidates = [_candidate(f"i-{number:02x}") for number in range(count)]
+    rng = random.Random(1)
+    chosen: typing.Counter[str] = collections.Counter()
+    for _ in range(500 * count):
+        draws = placing.Draws(rng.random(), rng.random())
+        target = placing.choose_target(candidates, "z1", draws)
+        assert target is not None
+        chosen[target.name] += 1
+    assert len(chosen) == count
+    assert 420 <= min(chosen.values()) <= max(chosen.values()) <= 580
+
+
+def test_agreed_target_is_one_that_other_loads_choose_between() -> None:
+    """Guards against a copy whose original is on a target that nobody expects."""
+    rng = random.Random(2)
+    for _ in range(200):
+        draws = placing.Draws(rng.random(), rng.random())
+        candidates = [
+            _candidate(f"i-{number:02x}", f"z{number % 2 + 1}", rng.randrange(20))
+            for number in range(8)
+        ]
+        likely = placing.likely_targets(
+            [item.target for item in candidates], "z1", draws
+        )
+        assert [item.zone for item in likely] == ["z1", "z1", "z2", "z2"]
+        assert placing.choose_target(candidates, "z1", draws) in likely
+        assert placing.choose_agreed_target(candidates, "z1", draws) == likely[0]
+
+
 def test_no_target_is_chosen_without_candidates() -> None:
     assert placing.choose_target([], "z1", placing.Draws(0.5, 0.5)) is None
 
