Lose datagrams at random in the soak, and repeat answers of its targets

The soak did not find the flows that two targets answered: its targets answered an opening packet once, and only packets from callers were lost, so that no lost answer was followed by a late one.

Targets repeat the answer after 200 ms, at intervals that double up to 1.6 s, 8 times.

The invariant wait took an opening packet that brings the cookie of a flow's target to another target for a late placement. Such a packet is left out only when the flow was opened before, at another target, and the packet has the cookie by which that target opened it. A late packet with any other cookie, or at the flow's own target, is a violation as before. Event gets a field at its end, so that histories of earlier runs can be read.

--- a/eelgrasswick/soak/actions.py
+++ b/eelgrasswick/soak/actions.py
@@ -29,6 +29,10 @@
 MIN_BRIEF_PAUSE_S: typing.Final = 0.2
 MAX_BRIEF_PAUSE_S: typing.Final = 0.4
 BRIEF_PAUSE_INTERVAL_S: typing.Final = 0.6
+# The network loses up to this share of all packets, for so many times the duration of
+# a fault.
+MAX_RANDOM_LOSS: typing.Final = 0.05
+RANDOM_LOSS_FACTOR: typing.Final = 4
 # The time of day of a VM steps by up to this time, forward or back.
 MAX_CLOCK_STEP_S: typing.Final = 10.0
 # Kind of the fault that needs VMs whose time of day can be set.
@@ -261,6 +265,14 @@
         """Drop a share of the callers' packets."""
         self._impair_fabric(item, fabric.Impairment(loss_share=0.2 * item.strength))
 
+    def datagrams_lost(self, item: faults.Fault) -> None:
+        """Drop a small share of the packets from and to callers, for a longer time."""
+        share = MAX_RANDOM_LOSS * item.strength
+        self._impair_fabric(
+            item._replace(duration_s=RANDOM_LOSS_FACTOR * item.duration_s),
+            fabric.Impairment(loss_share=share, answer_loss_share=share),
+        )
+
     def fabric_doubles(self, item: faults.Fault) -> None:
         """Deliver a share of the callers' packets twice."""
         self._impair_fabric(item, fabric.Impairment(duplicate_share=item.strength))
--- a/eelgrasswick/soak/caller.py
+++ b/eelgrasswick/soak/caller.py
@@ -22,6 +22,7 @@
 FIRST_PORT: typing.Final = 10_000
 
 SendPacket = typing.Callable[[bytes, str, int], None]
+Loses = typing.Callable[[], bool]
 
 
 class FlowPlan(typing.NamedTuple):
@@ -216,6 +217,7 @@
         host: str,
         send: SendPacket,
         record: typing.Callable[[history.Event], None],
+        loses: Loses,
     ) -> None:
         """Create a caller without flows.
 
@@ -223,11 +225,13 @@
             host: IP address of the caller.
             send: Sends a packet from an IP address and port through the fabric.
             record: Records an event.
+            loses: Returns True if the network loses a packet to a caller.
         """
         self.host = host
         self.record = record
         self.flows: dict[int, Flow] = {}
         self._send_packet = send
+        self._loses = loses
         self._port = FIRST_PORT + int(host.rpartition(".")[2]) * 2000
 
     def open_flow(self, plan: FlowPlan) -> None:
@@ -251,6 +255,8 @@
 
     def datagramReceived(self, datagram: bytes, addr: tuple[str, int]) -> None:  # noqa: N802
         """Deliver a packet of a target or an entry VM to its flow."""
+        if self._loses():
+            return
         item = packets.decode(datagram)
         if item is None:
             event = history.Event(
--- a/eelgrasswick/soak/fabric.py
+++ b/eelgrasswick/soak/fabric.py
@@ -12,11 +12,13 @@
 
     Attributes:
         loss_share: Share that is lost.
+        answer_loss_share: Share of the packets to callers that is lost.
         duplicate_share: Share that arrives twice.
         late_share: Share that is delayed by up to MAX_DELAY_S and may be reordered.
     """
 
     loss_share: float = 0.0
+    answer_loss_share: float = 0.0
     duplicate_share: float = 0.0
     late_share: float = 0.0
 
@@ -54,6 +56,11 @@
             delay_s = self._rng.random() * MAX_DELAY_S if late else 0.0
             self._reactor.callLater(delay_s, self._deliver, raw, host, vm)
 
+    def loses_answer(self) -> bool:
+        """Draw whether a packet to a caller is lost."""
+        share = self.impairment.answer_loss_share
+        return share > 0 and self._rng.random() < share
+
     def _deliver(self, raw: bytes, host: str, vm: str) -> None:
         transport: typing.Any = self.callers[host].transport
         transport.write(raw, (vm, self._port))
--- a/eelgrasswick/soak/faults.py
+++ b/eelgrasswick/soak/faults.py
@@ -71,6 +71,7 @@
     "vm_clock_step",
     "entry_unreadable",
     "vm_pause_briefly",
+    "datagrams_lost",
 )
 
 
--- a/eelgrasswick/soak/history.py
+++ b/eelgrasswick/soak/history.py
@@ -90,6 +90,7 @@
             an opening packet, or the fault.
         sent_s: Monotonic time at which the caller began to open the flow; 0 where
             it does not matter.
+        cookie: Cookie of the packet that a target records; 0 for other events.
     """
 
     at_s: float
@@ -99,6 +100,7 @@
     request: str = ""
     detail: str = ""
     sent_s: float = 0.0
+    cookie: int = 0
 
 
 class Violation(typing.NamedTuple):
--- a/eelgrasswick/soak/pressure_checks.py
+++ b/eelgrasswick/soak/pressure_checks.py
@@ -62,11 +62,16 @@
 ) -> typing.Iterator[history.Violation]:
     sent_s: dict[tuple[str, str], float] = {}
     faults = [(item.at_s, _effect_end_s(item)) for item in events if _delays(item)]
+    opened: dict[str, history.Event] = {}
     for item in events:
         key = item.flow, item.detail
         if item.kind is _Kind.SENT:
             sent_s[key] = item.at_s
+        elif item.kind is _Kind.OPENED:
+            opened[item.flow] = item
         elif item.kind is _Kind.ARRIVED and key in sent_s:
+            if _updates_cookie(item, opened.get(item.flow)):
+                continue
             start_s = sent_s[key]
             if item.at_s - start_s <= MAX_WAIT_S + TOLERANCE_S:
                 continue
@@ -76,6 +81,13 @@
                 )
 
 
+def _updates_cookie(item: history.Event, opened: history.Event | None) -> bool:
+    """Return True if a packet brings the cookie of a flow's target to another one."""
+    if opened is None:
+        return False
+    return item.who != opened.who and item.cookie == opened.cookie
+
+
 def _delays(item: history.Event) -> bool:
     return item.kind is _Kind.FAULT and item.detail.partition(" ")[0] in DELAYING_FAULTS
 
--- a/eelgrasswick/soak/regression_seeds.py
+++ b/eelgrasswick/soak/regression_seeds.py
@@ -78,4 +78,10 @@
         faults.KINDS_WITH_EVACUATIONS,
         scarce=True,
     ),
+    RegressionSeed(
+        31003,
+        "a lost answer opened flows at second targets, and a VM that restarted sent "
+        "their packets to the first ones",
+        (*["datagrams_lost"] * 3, *["vm_term"] * 2, "vm_kill"),
+    ),
 )
--- a/eelgrasswick/soak/run.py
+++ b/eelgrasswick/soak/run.py
@@ -207,7 +207,9 @@
             await self._sleep(2 * layout.COLD_START_S)
 
     def _add_caller(self, host: str) -> None:
-        new_caller = caller.Caller(host, self._fabric.send, self._events.append)
+        new_caller = caller.Caller(
+            host, self._fabric.send, self._events.append, self._fabric.loses_answer
+        )
         self._fabric.callers[host] = new_caller
         port = self._reactor.listenUDP(layout.DATA_PORT, new_caller, host, 4096)
         self._ports.append(port)
--- a/eelgrasswick/soak/target.py
+++ b/eelgrasswick/soak/target.py
@@ -20,6 +20,10 @@
 
 HEARTBEAT_INTERVAL_S: typing.Final = 1.2
 RETRANSMIT_TIMEOUT_S: typing.Final = 0.2
+# The interval between answers to an opening packet doubles up to this value, and a
+# target gives up after so many repetitions.
+MAX_RETRANSMIT_INTERVAL_S: typing.Final = 1.6
+MAX_RETRANSMISSIONS: typing.Final = 8
 WINDOW_PACKETS: typing.Final = 16
 # Each datagram of a VM begins with the token of a target, or with 0 for any target.
 TOKEN_BYTES: typing.Final = 8
@@ -75,7 +79,9 @@
         response: Response bytes that are sent or to be sent.
         response_start: Sequence number of the first byte of response.
         seen_s: Monotonic time of the last packet from the caller.
-        sent_s: Monotonic time at which response bytes were last sent.
+        sent_s: Monotonic time at which response bytes were last sent, or the answer
+            to the opening packet.
+        repetitions: How often the answer to the opening packet was repeated.
     """
 
     def __init__(self, first: packets.Packet, initial_sequence: int) -> None:
@@ -91,7 +97,15 @@
         self.response = b""
         self.response_start = initial_sequence + 1
         self.seen_s = time.monotonic()
-        self.sent_s = 0.0
+        self.sent_s = time.monotonic()
+        self.repetitions = 0
+
+    def repeats_answer(self, now_s: float) -> bool:
+        """Return True when the answer to the opening packet is to be repeated now."""
+        if self.open or self.repetitions >= MAX_RETRANSMISSIONS:
+            return False
+        interval_s = RETRANSMIT_TIMEOUT_S * 2**self.repetitions
+        return now_s - self.sent_s >= min(MAX_RETRANSMIT_INTERVAL_S, interval_s)
 
 
 class Target(protocol.DatagramProtocol):
@@ -142,7 +156,7 @@
             self._receive(flow, item)
 
     def tick(self) -> None:
-        """Retransmit unacknowledged data, and remove idle flows."""
+        """Retransmit data and answers, and remove idle flows."""
         now_s = time.monotonic()
         for key, flow in list(self._flows.items()):
             if (
@@ -151,6 +165,10 @@
             ):
                 flow.sent = flow.acknowledged
                 self._send_data(flow)
+            if flow.repeats_answer(now_s):
+                flow.repetitions += 1
+                flow.sent_s = now_s
+                self._send_answer(flow)
             if now_s - flow.seen_s > IDLE_TIMEOUT_S:
                 del self._flows[key]
 
@@ -186,10 +204,12 @@
             flow = Flow(item, self._rng.randrange(1, 2**31))
             self._flows[key] = flow
         flow.cookie = item.echo
-        flags = packets.SYN | packets.ACK
+        self._send_answer(flow)
+
+    def _send_answer(self, flow: Flow) -> None:
         self._send(
-            item,
-            flags,
+            flow.first,
+            packets.SYN | packets.ACK,
             flow.initial_sequence,
             flow.first.sequence + 1,
             b"",
@@ -305,7 +325,10 @@
     ) -> None:
         flow = f"{item.source_port}>{item.destination_port}" if item is not None else ""
         name = self._settings["name"]
-        event = history.Event(time.monotonic(), kind, name, flow, request, detail)
+        cookie = item.echo if item is not None else 0
+        event = history.Event(
+            time.monotonic(), kind, name, flow, request, detail, cookie=cookie
+        )
         history.write(self._events, event)
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -57,6 +57,16 @@
     assert "breaches=0" in done.stdout
 
 
+def test_short_run_with_random_loss_resets_no_flow() -> None:
+    """Guards against flows whose answer is lost and whose VM restarts."""
+    kinds = "datagrams_lost,datagrams_lost,datagrams_lost,vm_term,vm_term,vm_kill"
+    command = [sys.executable, "-m", "eelgrasswick.soak", "--seed", "31003"]
+    command += ["--kinds", kinds]
+    done = subprocess.run(command, capture_output=True, text=True, check=False)
+    assert done.returncode == 0, done.stdout + done.stderr[-2000:]
+    assert "breaches=0" in done.stdout
+
+
 def test_short_run_with_unreadable_entries_ends_no_vm() -> None:
     """Guards against an entry that keeps restarted VMs from starting."""
     kinds = "entry_unreadable,vm_term,vm_kill"
