Move the results of steering's decisions to a module of their own

No behaviour changes.

steering.Outcome -> outcomes.Outcome steering.Reason -> outcomes.Reason steering.ResetReason -> outcomes.ResetReason steering.KnownBy -> outcomes.KnownBy steering.FlowReset -> outcomes.FlowReset steering.Decision -> outcomes.Decision, whose datagram, address and target default to None

--- a/eelgrasswick/cookie/carrying.py
+++ b/eelgrasswick/cookie/carrying.py
@@ -15,6 +15,7 @@
     event_log,
     model,
     observations,
+    outcomes,
     settings,
     source,
     stall,
@@ -32,9 +33,9 @@
 # A held or delayed packet is logged with its resolution.
 _UNLOGGED_OUTCOMES: typing.Final = frozenset(
     {
-        steering.Outcome.FORWARDED,
-        steering.Outcome.HELD,
-        steering.Outcome.COPY_DELAYED,
+        outcomes.Outcome.FORWARDED,
+        outcomes.Outcome.HELD,
+        outcomes.Outcome.COPY_DELAYED,
     }
 )
 
@@ -167,7 +168,7 @@
         age_ms = self._replica.age_ms(now_ms)
         queued = now_ms < self._queued_until_ms
         decision = self.steering.steer(now_ms, age_ms, segment, raw, queued)
-        if decision.outcome is steering.Outcome.COPY_DELAYED:
+        if decision.outcome is outcomes.Outcome.COPY_DELAYED:
             self.delay(
                 delayed_copies.WAIT_MS,
                 functools.partial(self._place_delayed, segment, raw),
@@ -179,7 +180,7 @@
         now_ms: int,
         age_ms: int,
         segment: model.Segment,
-        decision: steering.Decision,
+        decision: outcomes.Decision,
     ) -> None:
         self.send_decision(segment, decision)
         self.account(now_ms, age_ms, segment, decision)
@@ -206,7 +207,7 @@
         return in_backlog and segment.acknowledged < self._backlog_min_retransmission
 
     def send_decision(
-        self, segment: model.Segment, decision: steering.Decision
+        self, segment: model.Segment, decision: outcomes.Decision
     ) -> None:
         """Send the datagrams of a decision, if any."""
         for update in decision.updates:
@@ -226,7 +227,7 @@
         now_ms: int,
         age_ms: int,
         segment: model.Segment,
-        decision: steering.Decision,
+        decision: outcomes.Decision,
         **further_fields: object,
     ) -> None:
         """Count and log a decision.
@@ -283,12 +284,12 @@
             **further_fields,
         )
 
-    def count_reset(self, reason: steering.ResetReason) -> None:
+    def count_reset(self, reason: outcomes.ResetReason) -> None:
         """Count an open flow that this VM resets."""
         self._stats.counts[f"open_flows_reset_{reason.value}"] += 1
 
     def _reset_fields(
-        self, now_ms: int, segment: model.Segment, decision: steering.Decision
+        self, now_ms: int, segment: model.Segment, decision: outcomes.Decision
     ) -> dict[str, object]:
         fields: dict[str, object] = {"cookie": segment.cookie}
         if decision.reset_reason is None:
@@ -304,7 +305,7 @@
             fields["checked_for_ms"] = now_ms - checked_ms
         return fields
 
-    def _withheld_fields(self, decision: steering.Decision) -> dict[str, object]:
+    def _withheld_fields(self, decision: outcomes.Decision) -> dict[str, object]:
         if not decision.withheld:
             return {}
         return {"withheld": ",".join(reason.value for reason in decision.withheld)}
--- a/eelgrasswick/cookie/forwarding.py
+++ b/eelgrasswick/cookie/forwarding.py
@@ -8,15 +8,15 @@
     carrying,
     clock,
     model,
+    outcomes,
     ports,
     probing,
     source,
-    steering,
     store_replica,
 )
 from eelgrasswick.decisions import ejection
 
-_PROBE_FAILED: typing.Final = steering.ResetReason.PROBE_FAILED
+_PROBE_FAILED: typing.Final = outcomes.ResetReason.PROBE_FAILED
 
 
 class Forwarder:
@@ -140,10 +140,10 @@
             **self._catalog.target_fields(clock.now_ms(), target),
             by=row.key,
             by_revision=row.revision,
-            flows_reset=self._reset_flows(target, steering.ResetReason.ADDRESS_TAKEN),
+            flows_reset=self._reset_flows(target, outcomes.ResetReason.ADDRESS_TAKEN),
         )
 
-    def _reset_flows(self, target: model.Target, reason: steering.ResetReason) -> int:
+    def _reset_flows(self, target: model.Target, reason: outcomes.ResetReason) -> int:
         resets = self._carrier.steering.reset_flows(target)
         for item in resets:
             self.port.send(item.datagram, self._carrier.caller_address(item.flow))
--- a/eelgrasswick/cookie/held_packets.py
+++ b/eelgrasswick/cookie/held_packets.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from eelgrasswick.cookie import carrying, steering
+from eelgrasswick.cookie import carrying, outcomes
 from eelgrasswick.reservations import held_flow
 
 # A reset within this time after the caller has sent its opening packet reaches the
@@ -43,17 +43,17 @@
 
     def _decide(
         self, now_ms: int, age_ms: int, resolution: held_flow.Resolution
-    ) -> steering.Decision:
+    ) -> outcomes.Decision:
         raw = resolution.raw
         if self._may_be_open(now_ms, resolution):
-            outcome = steering.Outcome.HELD_TOO_LONG
-            return steering.Decision(outcome, None, None, None)
+            outcome = outcomes.Outcome.HELD_TOO_LONG
+            return outcomes.Decision(outcome)
         steer = self._carrier.steering
         tracker = self._carrier.parts.observations.tracker
         if tracker.get(resolution.flow) is not None:
             # Packets of the flow passed this VM in the meantime, so another VM has
             # opened it with a copy of the held packet.
-            return steering.Decision(steering.Outcome.HELD_TOO_LONG, None, None, None)
+            return outcomes.Decision(outcomes.Outcome.HELD_TOO_LONG)
         match resolution.kind:
             case held_flow.Kind.GRANTED:
                 return steer.place_reserved(now_ms, age_ms, raw, resolution.cookie)
@@ -62,8 +62,8 @@
             case held_flow.Kind.REFUSED:
                 return steer.refuse_held(now_ms, raw)
             case held_flow.Kind.DROP:
-                outcome = steering.Outcome.HELD_TOO_LONG
-                return steering.Decision(outcome, None, None, None)
+                outcome = outcomes.Outcome.HELD_TOO_LONG
+                return outcomes.Decision(outcome)
 
     def _may_be_open(self, now_ms: int, resolution: held_flow.Resolution) -> bool:
         """Return True when a refused flow may have been opened through another VM.
--- a/eelgrasswick/cookie/steering.py
+++ b/eelgrasswick/cookie/steering.py
@@ -1,6 +1,5 @@
 """Decides for each packet of a caller whether and where to forward it."""
 
-import enum
 import hashlib
 import struct
 import typing
@@ -13,6 +12,7 @@
     holding,
     model,
     observations,
+    outcomes,
     placing,
     refused_flows,
     tracker,
@@ -35,97 +35,6 @@
 _NUMBERS: typing.Final = struct.Struct(">III")
 
 
-class Outcome(enum.Enum):
-    """Result of the decision about a packet, as logged and counted."""
-
-    FORWARDED = "forwarded"
-    PLACED = "placed"
-    PLACED_AGAIN = "placed_again"
-    NO_ROUTE = "no_route"
-    NO_ROUTE_RESET = "no_route_reset"
-    NO_TARGET = "no_target_reset"
-    NO_TARGET_YET = "no_target_yet"
-    EVACUATED = "evacuated_reset"
-    COLD = "cold_reset"
-    UNKNOWN_COOKIE = "unknown_cookie"
-    NOT_READY = "not_ready"
-    TARGET_DEAD = "target_dead_reset"
-    OVERLOADED = "overloaded_reset"
-    HELD = "held"
-    NO_CAPACITY = "no_capacity_reset"
-    HELD_TOO_LONG = "held_too_long"
-    COPY_DELAYED = "copy_delayed"
-    COPY_NOT_NEEDED = "copy_not_needed"
-
-
-class Reason(enum.Enum):
-    """Reason for which a working target gets no new flow."""
-
-    EVACUATION = "evacuation"
-    COLD = "cold"
-
-
-class ResetReason(enum.Enum):
-    """Reason for which this VM resets an open flow."""
-
-    PROBE_FAILED = "probe_failed"
-    ADDRESS_TAKEN = "address_taken"
-    ROUTE_DROPPED = "route_dropped"
-
-
-class KnownBy(enum.Enum):
-    """How this VM knows the target of an open flow that it resets."""
-
-    PLACEMENT = "placement"
-    FORMER_PACKET = "former_packet"
-    COOKIE = "cookie"
-
-
-class FlowReset(typing.NamedTuple):
-    """The reset of an open flow whose target is dead.
-
-    Attributes:
-        flow: The flow.
-        datagram: The reset.
-        known_by: How this VM knows the target of the flow.
-    """
-
-    flow: model.FlowId
-    datagram: bytes
-    known_by: KnownBy
-
-
-class Decision(typing.NamedTuple):
-    """The datagram to send for a packet, and the reasons for it.
-
-    Attributes:
-        outcome: Result of the decision.
-        datagram: The datagram to send; None to send nothing.
-        address: Destination of the datagram; None for the caller.
-        target: The target that was chosen, or that the packet's cookie names, if any.
-        answer_ms: Response time of the target, if the packet ends a measurement.
-        probe: A silent target that is to be probed now, if any.
-        withheld: Reasons for which targets were excluded for this flow.
-        reset_reason: Reason for which an open flow is reset, if it is.
-        opened_twice: True for the first packet that shows that a second target answered
-            the opening packet.
-        known_by: How this VM knows the target of an open flow that it resets.
-        updates: Opening packets to send again to targets without the flow.
-    """
-
-    outcome: Outcome
-    datagram: bytes | None
-    address: model.Address | None
-    target: model.Target | None
-    answer_ms: int | None = None
-    probe: model.Target | None = None
-    withheld: tuple[Reason, ...] = ()
-    reset_reason: ResetReason | None = None
-    opened_twice: bool = False
-    known_by: KnownBy | None = None
-    updates: tuple[cookie_updates.CookieUpdate, ...] = ()
-
-
 class Steering:
     """Decides about packets from the catalog and the observations of this VM.
 
@@ -167,7 +76,7 @@
         raw: bytes,
         queued: bool = False,
         waited: bool = False,
-    ) -> Decision:
+    ) -> outcomes.Decision:
         """Decide about one packet.
 
         A copy of an opening packet that is delayed goes to `place_delayed` after
@@ -183,7 +92,7 @@
             waited: True for a copy of an opening packet that was delayed.
         """
         if self._catalog.config is None:
-            return Decision(Outcome.NOT_READY, None, None, None)
+            return outcomes.Decision(outcomes.Outcome.NOT_READY)
         route = self._catalog.route(segment)
         if route is None:
             return self._without_route(now_ms, age_ms, segment)
@@ -193,17 +102,17 @@
 
     def _without_route(
         self, now_ms: int, age_ms: int, segment: model.Segment
-    ) -> Decision:
+    ) -> outcomes.Decision:
         # A reset ends the caller's attempt. If the route was just added and this VM
         # has not received it yet, a reset would refuse an allowed flow, whereas a
         # caller without a response retransmits its opening packet.
         resettable = segment.opening or self._on_dropped_route(now_ms, age_ms, segment)
         if segment.reset or age_ms > MAX_CATALOG_AGE_MS or not resettable:
-            return Decision(Outcome.NO_ROUTE, None, None, None)
+            return outcomes.Decision(outcomes.Outcome.NO_ROUTE)
         datagram = self._codec.reset(segment.flow, segment.acknowledged)
-        reason = None if segment.opening else ResetReason.ROUTE_DROPPED
-        return Decision(
-            Outcome.NO_ROUTE_RESET, datagram, None, None, reset_reason=reason
+        reason = None if segment.opening else outcomes.ResetReason.ROUTE_DROPPED
+        return outcomes.Decision(
+            outcomes.Outcome.NO_ROUTE_RESET, datagram, None, None, reset_reason=reason
         )
 
     def _on_dropped_route(
@@ -230,13 +139,13 @@
         raw: bytes,
         queued: bool,
         waited: bool,
-    ) -> Decision:
+    ) -> outcomes.Decision:
         flow = segment.flow
         if self.copies.waits(flow):
-            return Decision(Outcome.COPY_NOT_NEEDED, None, None, None)
+            return outcomes.Decision(outcomes.Outcome.COPY_NOT_NEEDED)
         if self.holder.holds(flow):
             # No target has received the flow yet, so the copy adds nothing.
-            return Decision(Outcome.HELD, None, None, None)
+            return outcomes.Decision(outcomes.Outcome.HELD)
         if self._refused.has(now_ms, flow):
             return self.refuse_held(now_ms, raw)
         retransmissions = segment.acknowledged
@@ -254,7 +163,7 @@
             # A target that another VM placed the original on may be about to answer.
             may_wait = record is None and bool(retransmissions) and not waited
             if may_wait and self.copies.begin(flow):
-                return Decision(Outcome.COPY_DELAYED, None, None, None)
+                return outcomes.Decision(outcomes.Outcome.COPY_DELAYED)
             return self._place(now_ms, route, segment, raw, None, first, agreed)
         too_soon = now_ms - record.placed_ms < MIN_RETRANSMISSION_MS
         unanswered = retransmissions > record.retransmissions
@@ -262,9 +171,9 @@
         if record.open or not moves or too_soon:
             # The network duplicated the packet, or the packet was queued behind the
             # first one. Sent to a second target, it would open the flow twice.
-            return self._forwarded_to(Outcome.PLACED, previous, raw)
+            return self._forwarded_to(outcomes.Outcome.PLACED, previous, raw)
         if not waited and self.copies.begin(flow):
-            return Decision(Outcome.COPY_DELAYED, None, None, None)
+            return outcomes.Decision(outcomes.Outcome.COPY_DELAYED)
         decision = self._place(now_ms, route, segment, raw, previous)
         if unanswered and self._observations.record_unanswered(now_ms, previous):
             return decision._replace(probe=previous)
@@ -272,7 +181,7 @@
 
     def place_delayed(
         self, now_ms: int, age_ms: int, segment: model.Segment, raw: bytes
-    ) -> Decision:
+    ) -> outcomes.Decision:
         """Place a copy of an opening packet that was delayed, if it is still needed.
 
         Args:
@@ -282,7 +191,7 @@
             raw: The packet as received.
         """
         if not self.copies.end(segment.flow):
-            return Decision(Outcome.COPY_NOT_NEEDED, None, None, None)
+            return outcomes.Decision(outcomes.Outcome.COPY_NOT_NEEDED)
         return self.steer(now_ms, age_ms, segment, raw, waited=True)
 
     def _record_of(self, opening: model.Segment) -> tracker.Record | None:
@@ -307,7 +216,7 @@
         silent: model.Target | None,
         first: bool = False,
         agreed: bool = False,
-    ) -> Decision:
+    ) -> outcomes.Decision:
         """Choose the target of a flow, or hold the flow.
 
         Args:
@@ -347,7 +256,7 @@
                     urgent,
                 ),
             ):
-                return Decision(Outcome.HELD, None, None, None, withheld=withheld)
+                return outcomes.Decision(outcomes.Outcome.HELD, withheld=withheld)
         if agreed:
             chosen = placing.choose_agreed_target(candidates, self._zone, draws)
         else:
@@ -368,13 +277,17 @@
                 # admitted flow would be late and would delay the next ones.
                 self._refused.add(now_ms, flow)
                 datagram = self._codec.reset(flow, 0)
-                return Decision(Outcome.OVERLOADED, datagram, None, chosen)
+                return outcomes.Decision(
+                    outcomes.Outcome.OVERLOADED, datagram, None, chosen
+                )
             target = alternative
         likely: frozenset[int] = frozenset()
         if agreed:
             likely = self._likely_targets(now_ms, eligible, draws)
         self._record_placement(now_ms, segment, target, raw, likely)
-        outcome = Outcome.PLACED if silent is None else Outcome.PLACED_AGAIN
+        outcome = (
+            outcomes.Outcome.PLACED if silent is None else outcomes.Outcome.PLACED_AGAIN
+        )
         return self._forwarded_to(outcome, target, raw)._replace(withheld=withheld)
 
     def _likely_targets(
@@ -393,7 +306,7 @@
             if not self._catalog.cold_ms(item, now_ms)
         )
 
-    def place_held(self, now_ms: int, age_ms: int, raw: bytes) -> Decision:
+    def place_held(self, now_ms: int, age_ms: int, raw: bytes) -> outcomes.Decision:
         """Place a flow that was held, by this VM's own observations.
 
         Args:
@@ -409,7 +322,7 @@
 
     def place_reserved(
         self, now_ms: int, age_ms: int, raw: bytes, cookie: int
-    ) -> Decision:
+    ) -> outcomes.Decision:
         """Place a held flow on the target at which capacity is reserved for it.
 
         Args:
@@ -429,7 +342,7 @@
             # The configuration or the target has changed since the request.
             return self.place_held(now_ms, age_ms, raw)
         self._record_placement(now_ms, segment, target, raw)
-        return self._forwarded_to(Outcome.PLACED, target, raw)
+        return self._forwarded_to(outcomes.Outcome.PLACED, target, raw)
 
     def _takes(
         self,
@@ -441,7 +354,7 @@
         service = placing.pick_service(route.shares, _draws(flow, 0).first)
         return service == target.service and not self._death_reason(now_ms, target)
 
-    def refuse_held(self, now_ms: int, raw: bytes) -> Decision:
+    def refuse_held(self, now_ms: int, raw: bytes) -> outcomes.Decision:
         """Refuse a held flow for which there is no capacity in time.
 
         No target has received the flow, so nothing of it has run.
@@ -449,7 +362,7 @@
         flow = self._codec.decode(raw).flow
         self._refused.add(now_ms, flow)
         datagram = self._codec.reset(flow, 0)
-        return Decision(Outcome.NO_CAPACITY, datagram, None, None)
+        return outcomes.Decision(outcomes.Outcome.NO_CAPACITY, datagram, None, None)
 
     def _record_placement(
         self,
@@ -469,28 +382,30 @@
         )
         self._observations.record_placement(now_ms, target)
 
-    def _withheld(self, service: str, cold_excluded: bool) -> tuple[Reason, ...]:
-        reasons = [Reason.COLD] if cold_excluded else []
+    def _withheld(
+        self, service: str, cold_excluded: bool
+    ) -> tuple[outcomes.Reason, ...]:
+        reasons = [outcomes.Reason.COLD] if cold_excluded else []
         in_own_zone = self._catalog.withholds_in(service, self._zone)
         evacuated = in_own_zone or bool(self._catalog.withheld(service))
         if in_own_zone or (evacuated and not self._catalog.accepting(service)):
-            reasons.append(Reason.EVACUATION)
+            reasons.append(outcomes.Reason.EVACUATION)
         return tuple(reasons)
 
     def _without_target(
-        self, flow: model.FlowId, withheld: tuple[Reason, ...]
-    ) -> Decision:
+        self, flow: model.FlowId, withheld: tuple[outcomes.Reason, ...]
+    ) -> outcomes.Decision:
         if not self._catalog.entries_complete:
             # A reset would be final, whereas a target may be available for the caller's
             # next retransmission.
-            return Decision(Outcome.NO_TARGET_YET, None, None, None)
-        outcome = Outcome.NO_TARGET
-        if Reason.COLD in withheld:
-            outcome = Outcome.COLD
-        elif Reason.EVACUATION in withheld:
-            outcome = Outcome.EVACUATED
+            return outcomes.Decision(outcomes.Outcome.NO_TARGET_YET)
+        outcome = outcomes.Outcome.NO_TARGET
+        if outcomes.Reason.COLD in withheld:
+            outcome = outcomes.Outcome.COLD
+        elif outcomes.Reason.EVACUATION in withheld:
+            outcome = outcomes.Outcome.EVACUATED
         datagram = self._codec.reset(flow, 0)
-        return Decision(outcome, datagram, None, None, withheld=withheld)
+        return outcomes.Decision(outcome, datagram, None, None, withheld=withheld)
 
     def _without_overloaded(
         self, candidates: typing.Sequence[placing.Candidate]
@@ -519,15 +434,15 @@
         return draws.refuse < observed.load_shedder.refused_share(now_ms, pool, rank)
 
     def _forwarded_to(
-        self, outcome: Outcome, target: model.Target, raw: bytes
-    ) -> Decision:
+        self, outcome: outcomes.Outcome, target: model.Target, raw: bytes
+    ) -> outcomes.Decision:
         marked = self._codec.with_cookie(raw, target.cookie)
         datagram = self._codec.for_target(marked, target)
-        return Decision(outcome, datagram, target.address, target)
+        return outcomes.Decision(outcome, datagram, target.address, target)
 
     def _forward(
         self, now_ms: int, route: model.Route, segment: model.Segment, raw: bytes
-    ) -> Decision:
+    ) -> outcomes.Decision:
         self.copies.end(segment.flow)
         record = self._observations.tracker.get(segment.flow)
         cookie = segment.cookie
@@ -544,13 +459,13 @@
             record.opened_twice = True
         target = self._catalog.by_cookie(cookie)
         if target is None:
-            return Decision(Outcome.UNKNOWN_COOKIE, None, None, None)
+            return outcomes.Decision(outcomes.Outcome.UNKNOWN_COOKIE)
         reason = self._death_reason(now_ms, target)
         if reason is not None:
             self._observations.tracker.remove(segment.flow)
             datagram = self._codec.reset(segment.flow, segment.acknowledged)
-            return Decision(
-                Outcome.TARGET_DEAD,
+            return outcomes.Decision(
+                outcomes.Outcome.TARGET_DEAD,
                 datagram,
                 None,
                 target,
@@ -570,8 +485,8 @@
         updates: tuple[cookie_updates.CookieUpdate, ...] = ()
         if record is not None and (record.unconfirmed or cookie != segment.cookie):
             updates = self._updates.take_due(now_ms, record, segment, route)
-        return Decision(
-            Outcome.FORWARDED,
+        return outcomes.Decision(
+            outcomes.Outcome.FORWARDED,
             self._codec.for_target(raw, target),
             target.address,
             target,
@@ -581,20 +496,22 @@
             updates=updates,
         )
 
-    def _death_reason(self, now_ms: int, target: model.Target) -> ResetReason | None:
+    def _death_reason(
+        self, now_ms: int, target: model.Target
+    ) -> outcomes.ResetReason | None:
         if self._catalog.has_ended(target.cookie):
-            return ResetReason.ADDRESS_TAKEN
+            return outcomes.ResetReason.ADDRESS_TAKEN
         if self._observations.liveness.dead(now_ms, target.cookie):
-            return ResetReason.PROBE_FAILED
+            return outcomes.ResetReason.PROBE_FAILED
         return None
 
-    def reset_flows(self, target: model.Target) -> list[FlowReset]:
+    def reset_flows(self, target: model.Target) -> list[outcomes.FlowReset]:
         """Remove the open flows of a dead target, and return a reset for each."""
         flows = self._observations.tracker.open_flows(target.cookie)
         resets = []
         for flow, record in flows:
             datagram = self._codec.reset(flow, record.acknowledged)
-            resets.append(FlowReset(flow, datagram, _known_by(record)))
+            resets.append(outcomes.FlowReset(flow, datagram, _known_by(record)))
             self._observations.tracker.remove(flow)
         return resets
 
@@ -620,10 +537,14 @@
         return probe
 
 
-def _known_by(record: tracker.Record | None) -> KnownBy:
+def _known_by(record: tracker.Record | None) -> outcomes.KnownBy:
     if record is None or not record.open:
-        return KnownBy.COOKIE
-    return KnownBy.PLACEMENT if record.placed_here else KnownBy.FORMER_PACKET
+        return outcomes.KnownBy.COOKIE
+    return (
+        outcomes.KnownBy.PLACEMENT
+        if record.placed_here
+        else outcomes.KnownBy.FORMER_PACKET
+    )
 
 
 def _draws(flow: model.FlowId, retransmissions: int) -> placing.Draws:
--- a/eelgrasswick/emulation/cookie_load.py
+++ b/eelgrasswick/emulation/cookie_load.py
@@ -11,7 +11,7 @@
 import random
 import typing
 
-from eelgrasswick.cookie import codec, steering
+from eelgrasswick.cookie import codec, outcomes
 from eelgrasswick.emulation import cookie_scenario, packets, scheduler, steered_fleet
 
 HOP_MS: typing.Final = 1
@@ -22,7 +22,7 @@
 # Requests that a target queues beyond those it works on; it refuses further ones.
 QUEUE_LIMIT: typing.Final = 8
 _REFUSALS: typing.Final = frozenset(
-    {steering.Outcome.NO_TARGET, steering.Outcome.EVACUATED, steering.Outcome.COLD}
+    {outcomes.Outcome.NO_TARGET, outcomes.Outcome.EVACUATED, outcomes.Outcome.COLD}
 )
 
 
@@ -257,7 +257,7 @@
         if flow.ended or flow.request_token != token:
             return
         decision = self._steer(flow, packets.ACK, flow.acknowledged, b"GET\n")
-        if decision.outcome is steering.Outcome.TARGET_DEAD:
+        if decision.outcome is outcomes.Outcome.TARGET_DEAD:
             self._retry_on_new_flow(flow)
             return
         target = self._reached_target(flow, decision)
@@ -346,7 +346,7 @@
 
     def _steer(
         self, flow: _Flow, flags: int, acknowledged: int, data: bytes
-    ) -> steering.Decision:
+    ) -> outcomes.Decision:
         state = steered_fleet.FlowState(
             flow.vm,
             1,
@@ -359,7 +359,7 @@
         return self._fleet.steer(state, flags, acknowledged, data)
 
     def _reached_target(
-        self, flow: _Flow, decision: steering.Decision
+        self, flow: _Flow, decision: outcomes.Decision
     ) -> _Target | None:
         if decision.target is None:
             return None
--- a/eelgrasswick/emulation/open_load.py
+++ b/eelgrasswick/emulation/open_load.py
@@ -9,7 +9,7 @@
 import random
 import typing
 
-from eelgrasswick.cookie import codec, model, steering
+from eelgrasswick.cookie import codec, model, outcomes
 from eelgrasswick.emulation import (
     cookie_scenario,
     open_scenario,
@@ -223,15 +223,15 @@
             return
         self._opening[flow.port] = attempt
         decision = self._steer(flow, packets.SYN, retransmissions, b"")
-        if decision.outcome is not steering.Outcome.HELD:
+        if decision.outcome is not outcomes.Outcome.HELD:
             self._finish_opening(attempt, decision)
 
-    def _finish_held(self, flow: model.FlowId, decision: steering.Decision) -> None:
+    def _finish_held(self, flow: model.FlowId, decision: outcomes.Decision) -> None:
         attempt = self._opening.get(flow.caller_port)
         if attempt is not None and not attempt.flow.ended:
             self._finish_opening(attempt, decision)
 
-    def _finish_opening(self, attempt: _Attempt, decision: steering.Decision) -> None:
+    def _finish_opening(self, attempt: _Attempt, decision: outcomes.Decision) -> None:
         flow = attempt.flow
         self._opening.pop(flow.port, None)
         if decision.datagram is not None and decision.address is None:
@@ -254,7 +254,7 @@
         if attempt.ended or flow.ended:
             return
         decision = self._steer(flow, packets.ACK, flow.acknowledged, b"GET\n")
-        if decision.outcome is steering.Outcome.TARGET_DEAD:
+        if decision.outcome is outcomes.Outcome.TARGET_DEAD:
             self._fail(attempt, arrived=attempt.arrived)
             return
         target = self._reached(flow, decision)
@@ -340,7 +340,7 @@
 
     def _steer(
         self, flow: _Flow, flags: int, acknowledged: int, data: bytes
-    ) -> steering.Decision:
+    ) -> outcomes.Decision:
         number = self._load.kinds.index(flow.kind)
         state = steered_fleet.FlowState(
             flow.vm,
@@ -353,7 +353,7 @@
         )
         return self._fleet.steer(state, flags, acknowledged, data)
 
-    def _reached(self, flow: _Flow, decision: steering.Decision) -> _Target | None:
+    def _reached(self, flow: _Flow, decision: outcomes.Decision) -> _Target | None:
         if decision.target is None:
             return None
         target = self._targets[self._fleet.target_index(decision.target)]
--- a/eelgrasswick/emulation/reserving_fleet.py
+++ b/eelgrasswick/emulation/reserving_fleet.py
@@ -9,10 +9,10 @@
     event_log,
     model,
     observations,
+    outcomes,
     peers,
     reserving,
     stats,
-    steering,
 )
 from eelgrasswick.emulation import scheduler, steered_fleet
 from eelgrasswick.reservations import client, held_flow
@@ -21,7 +21,7 @@
 CHECK_INTERVAL_MS: typing.Final = 5
 LOG_LINES_PER_S: typing.Final = 1
 
-OnResolved = typing.Callable[[model.FlowId, steering.Decision], None]
+OnResolved = typing.Callable[[model.FlowId, outcomes.Decision], None]
 
 
 class _Member:
@@ -78,8 +78,8 @@
             case held_flow.Kind.REFUSED:
                 decision = steer.refuse_held(now_ms, item.raw)
             case held_flow.Kind.DROP:
-                outcome = steering.Outcome.HELD_TOO_LONG
-                decision = steering.Decision(outcome, None, None, None)
+                outcome = outcomes.Outcome.HELD_TOO_LONG
+                decision = outcomes.Decision(outcome, None, None, None)
         self._fleet.on_resolved(self._fleet.flow(item.raw), decision)
 
 
--- a/eelgrasswick/emulation/steered_fleet.py
+++ b/eelgrasswick/emulation/steered_fleet.py
@@ -12,6 +12,7 @@
     codec,
     model,
     observations,
+    outcomes,
     source,
     steering,
     store_replica,
@@ -201,7 +202,7 @@
 
     def steer(
         self, flow: FlowState, flags: int, acknowledged: int, data: bytes
-    ) -> steering.Decision:
+    ) -> outcomes.Decision:
         """Steer a packet of a flow at its VM, and start the probe that this needs.
 
         Args:
@@ -212,7 +213,7 @@
             data: Data from the caller.
         """
         if self.powered_off:
-            return steering.Decision(steering.Outcome.NOT_READY, None, None, None)
+            return outcomes.Decision(outcomes.Outcome.NOT_READY)
         item = packets.Packet(
             bytes((100, 64, flow.vm, flow.caller)),
             flow.caller_port,
--- a/tests/lossy_fleet.py
+++ b/tests/lossy_fleet.py
@@ -13,6 +13,7 @@
     delayed_copies,
     model,
     observations,
+    outcomes,
     steering,
     store_replica,
 )
@@ -404,7 +405,7 @@
         vm = self.vms[self.rotation[port % len(self.rotation)]]
         segment = self._codec.decode(raw)
         decision = vm.steering.steer(self.clock.now_ms, 0, segment, raw)
-        if decision.outcome is steering.Outcome.COPY_DELAYED:
+        if decision.outcome is outcomes.Outcome.COPY_DELAYED:
             wait_ms = delayed_copies.WAIT_MS
             self.clock.call_later(wait_ms, self._place_delayed, vm, port, segment, raw)
         self._carry_out(kind, port, decision)
@@ -416,7 +417,7 @@
         decision = vm.steering.place_delayed(now_ms, 0, segment, raw)
         self._carry_out("syn", port, decision)
 
-    def _carry_out(self, kind: str, port: int, decision: steering.Decision) -> None:
+    def _carry_out(self, kind: str, port: int, decision: outcomes.Decision) -> None:
         for update in decision.updates:
             self._to_target("update", port, update.datagram, update.target.address)
         if decision.address is not None and decision.datagram is not None:
--- a/tests/steering_parts.py
+++ b/tests/steering_parts.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from eelgrasswick.cookie import catalog, model, observations, steering
+from eelgrasswick.cookie import catalog, model, observations, outcomes, steering
 from eelgrasswick.platform import segments
 from tests import cookie_parts
 
@@ -36,7 +36,7 @@
 
 def steer(
     vm_steering: steering.Steering, now_ms: int, raw: bytes, age_ms: int = FRESH_MS
-) -> steering.Decision:
+) -> outcomes.Decision:
     """Return the decision about a packet of a caller."""
     return vm_steering.steer(now_ms, age_ms, segments.Codec().decode(raw), raw)
 
--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -9,6 +9,7 @@
     catalog,
     cold_targets,
     observations,
+    outcomes,
     source,
     steering,
     store_replica,
@@ -179,7 +180,7 @@
         decision = steering_parts.steer(vm_steering, 200, raw)
         assert decision.target is not None
         assert decision.target.zone == "z2"
-        assert decision.withheld == (steering.Reason.COLD,)
+        assert decision.withheld == (outcomes.Reason.COLD,)
 
 
 def test_zone_is_cold_after_its_evacuation(
@@ -273,17 +274,17 @@
     vm_observations.cold.limits.update_fleet(0, (), 0)
     rows = [cookie_parts.target_row(f"i-0{n}", 9, born=5000) for n in "abc"]
     _update(target_catalog, SETTLED_MS, *rows)
-    outcomes = []
+    found = []
     for number in range(60):
         raw = cookie_parts.packet(cookie_parts.SYN, 41_000 + number)
         decision = steering_parts.steer(vm_steering, SETTLED_MS + 10 * number, raw)
-        outcomes.append(decision.outcome)
+        found.append(decision.outcome)
         if decision.target is None:
             # No target received the flow, and the caller gets a reset at once.
             assert decision.datagram is not None
             assert decision.address is None
-    assert outcomes.count(steering.Outcome.PLACED) == 6
-    assert outcomes.count(steering.Outcome.COLD) == 54
+    assert found.count(outcomes.Outcome.PLACED) == 6
+    assert found.count(outcomes.Outcome.COLD) == 54
 
 
 def test_service_without_a_limit_fills_cold_targets(
--- a/tests/test_cookie_updates.py
+++ b/tests/test_cookie_updates.py
@@ -10,6 +10,7 @@
     cookie_updates,
     model,
     observations,
+    outcomes,
     steering,
     store_replica,
 )
@@ -121,7 +122,7 @@
 
 def _open_at_second(
     vm: steering.Steering, port: int = 40_001
-) -> tuple[model.Target, model.Target, steering.Decision]:
+) -> tuple[model.Target, model.Target, outcomes.Decision]:
     """Open a flow at its second target; return both, and the first decision on it."""
     first = steering_parts.opened(vm, 0, port=port)
     second = steering_parts.opened(vm, 200, 1, port)
@@ -136,12 +137,12 @@
     sequence: int = 2,
     flags: int = cookie_parts.ACK,
     port: int = 40_001,
-) -> steering.Decision:
+) -> outcomes.Decision:
     raw = cookie_parts.packet(flags, port, sequence, WINNERS_SEQUENCE, cookie)
     return steering_parts.steer(vm, now_ms, raw)
 
 
-def _updates(decision: steering.Decision) -> list[tuple[str, int]]:
+def _updates(decision: outcomes.Decision) -> list[tuple[str, int]]:
     return [
         (item.target.name, cookie_parts.cookie_of(item.datagram))
         for item in decision.updates
@@ -305,7 +306,7 @@
     _, second, _ = _open_at_second(vm_steering)
     raw = cookie_parts.packet(cookie_parts.SYN, sequence=70_000)
     decision = steering_parts.steer(vm_steering, 900, raw)
-    assert decision.outcome is steering.Outcome.PLACED
+    assert decision.outcome is outcomes.Outcome.PLACED
     assert decision.target is not None
     assert not decision.updates
     decision = _send(vm_steering, 904, decision.target.cookie, sequence=70_001)
--- a/tests/test_delayed_copies.py
+++ b/tests/test_delayed_copies.py
@@ -4,7 +4,14 @@
 
 import pytest
 
-from eelgrasswick.cookie import carrying, clock, delayed_copies, stall, steering
+from eelgrasswick.cookie import (
+    carrying,
+    clock,
+    delayed_copies,
+    outcomes,
+    stall,
+    steering,
+)
 from eelgrasswick.platform import segments
 from tests import cookie_parts, early_parts, lossy_fleet, steering_parts
 
@@ -54,12 +61,12 @@
 
 def _send_copy(
     vm: steering.Steering, now_ms: int, copy: int = 1, port: int = 40_001
-) -> steering.Decision:
+) -> outcomes.Decision:
     raw = cookie_parts.packet(cookie_parts.SYN, port, acknowledged=copy)
     return steering_parts.steer(vm, now_ms, raw)
 
 
-def _place_delayed(vm: steering.Steering, now_ms: int) -> steering.Decision:
+def _place_delayed(vm: steering.Steering, now_ms: int) -> outcomes.Decision:
     raw = cookie_parts.packet(cookie_parts.SYN, acknowledged=1)
     return vm.place_delayed(now_ms, 0, segments.Codec().decode(raw), raw)
 
@@ -67,9 +74,9 @@
 def test_delayed_copy_goes_to_another_target(delaying: steering.Steering) -> None:
     """Guards against callers of a dead target whose copies are lost in the delay."""
     first = steering_parts.opened(delaying)
-    assert _send_copy(delaying, 200).outcome is steering.Outcome.COPY_DELAYED
+    assert _send_copy(delaying, 200).outcome is outcomes.Outcome.COPY_DELAYED
     decision = _place_delayed(delaying, 220)
-    assert decision.outcome is steering.Outcome.PLACED_AGAIN
+    assert decision.outcome is outcomes.Outcome.PLACED_AGAIN
     assert decision.target != first
 
 
@@ -83,7 +90,7 @@
         raw = cookie_parts.packet(flags, sequence=2, cookie=first.cookie)
         steering_parts.steer(delaying, 205, raw)
     decision = _place_delayed(delaying, 220)
-    assert decision.outcome is steering.Outcome.COPY_NOT_NEEDED
+    assert decision.outcome is outcomes.Outcome.COPY_NOT_NEEDED
     assert decision.datagram is None
 
 
@@ -91,8 +98,8 @@
     """Guards against a copy that the network doubles and that is placed twice."""
     steering_parts.opened(delaying)
     _send_copy(delaying, 200)
-    assert _send_copy(delaying, 201).outcome is steering.Outcome.COPY_NOT_NEEDED
-    assert _place_delayed(delaying, 220).outcome is steering.Outcome.PLACED_AGAIN
+    assert _send_copy(delaying, 201).outcome is outcomes.Outcome.COPY_NOT_NEEDED
+    assert _place_delayed(delaying, 220).outcome is outcomes.Outcome.PLACED_AGAIN
 
 
 def test_copy_is_not_delayed_when_its_target_is_known_to_be_gone(
@@ -103,7 +110,7 @@
     delaying._observations.liveness.begin(0, first.cookie, 0)
     delaying._observations.liveness.record_probe(1, first.cookie, False, True)
     decision = _send_copy(delaying, 200)
-    assert decision.outcome is steering.Outcome.PLACED
+    assert decision.outcome is outcomes.Outcome.PLACED
     assert decision.target != first
 
 
@@ -112,9 +119,9 @@
 ) -> None:
     """Guards against a flood of copies that fills the memory."""
     monkeypatch.setattr(delayed_copies, "MAX_COPIES", 2)
-    outcomes = [_send_copy(delaying, 0, port=port).outcome for port in range(1, 4)]
-    delayed = steering.Outcome.COPY_DELAYED
-    assert outcomes == [delayed, delayed, steering.Outcome.PLACED]
+    found = [_send_copy(delaying, 0, port=port).outcome for port in range(1, 4)]
+    delayed = outcomes.Outcome.COPY_DELAYED
+    assert found == [delayed, delayed, outcomes.Outcome.PLACED]
 
 
 @pytest.fixture
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -6,6 +6,7 @@
     catalog,
     model,
     observations,
+    outcomes,
     source,
     steering,
     store_replica,
@@ -102,7 +103,7 @@
     _update(target_catalog, _order(9), _order(10, key="op/evacuate/z2"))
     raw = cookie_parts.packet(cookie_parts.SYN)
     decision = steering_parts.steer(vm_steering, 20, raw)
-    assert decision.outcome is steering.Outcome.EVACUATED
+    assert decision.outcome is outcomes.Outcome.EVACUATED
     assert decision.datagram is not None
     assert decision.address is None
 
@@ -116,7 +117,7 @@
     _update(target_catalog, _order(9))
     raw = cookie_parts.packet(cookie_parts.SYN, 40_002)
     decision = steering_parts.steer(vm_steering, 20, raw)
-    assert decision.withheld == (steering.Reason.EVACUATION,)
+    assert decision.withheld == (outcomes.Reason.EVACUATION,)
 
 
 def test_zone_gets_flows_again_after_its_evacuation(
--- a/tests/test_held_packets.py
+++ b/tests/test_held_packets.py
@@ -8,6 +8,7 @@
     holding,
     model,
     observations,
+    outcomes,
     source,
     stall,
     steering,
@@ -42,7 +43,7 @@
 
 def _steer(
     vm_steering: steering.Steering, copy: int = 0, now_ms: int = 0
-) -> steering.Decision:
+) -> outcomes.Decision:
     raw = cookie_parts.packet(cookie_parts.SYN, acknowledged=copy)
     segment = segments.Codec().decode(raw)
     return vm_steering.steer(now_ms, FRESH_MS, segment, raw)
@@ -58,12 +59,12 @@
     """Guards against a held flow that counts at a target."""
     vm_steering.holder = holder = _Holder(True)
     decision = _steer(vm_steering)
-    assert decision == steering.Decision(steering.Outcome.HELD, None, None, None)
+    assert decision == outcomes.Decision(outcomes.Outcome.HELD, None, None, None)
     assert len(vm_observations.tracker) == 0
     (request,) = holder.requests
     assert {item.name for item in request.targets} == {"i-0a", "i-0b", "i-0c"}
     assert request.service == "desk"
-    assert _steer(vm_steering).outcome is steering.Outcome.HELD
+    assert _steer(vm_steering).outcome is outcomes.Outcome.HELD
     assert len(holder.requests) == 1
 
 
@@ -72,13 +73,13 @@
 ) -> None:
     """Guards against flows that are lost when the holder is full."""
     vm_steering.holder = _Holder(False)
-    assert _steer(vm_steering).outcome is steering.Outcome.PLACED
+    assert _steer(vm_steering).outcome is outcomes.Outcome.PLACED
 
 
 def test_a_retransmission_is_not_held(vm_steering: steering.Steering) -> None:
     """Guards against a refusal after another VM has opened the flow."""
     vm_steering.holder = holder = _Holder(True)
-    assert _steer(vm_steering, copy=1).outcome is steering.Outcome.PLACED
+    assert _steer(vm_steering, copy=1).outcome is outcomes.Outcome.PLACED
     assert not holder.requests
 
 
@@ -90,7 +91,7 @@
     """Guards against a grant that is spent at another target."""
     target = _target(target_catalog, "i-0c")
     decision = vm_steering.place_reserved(0, FRESH_MS, RAW, target.cookie)
-    assert decision.outcome is steering.Outcome.PLACED
+    assert decision.outcome is outcomes.Outcome.PLACED
     assert decision.address == target.address
     assert decision.datagram is not None
     assert cookie_parts.cookie_of(decision.datagram) == target.cookie
@@ -114,7 +115,7 @@
     target = _target(target_catalog, "i-0c")
     target_catalog.update(5, store_replica.Merge((row,), 0))
     decision = vm_steering.place_reserved(10, FRESH_MS, RAW, target.cookie)
-    assert decision.outcome is steering.Outcome.PLACED
+    assert decision.outcome is outcomes.Outcome.PLACED
     assert decision.target is not None
     assert decision.target.cookie != target.cookie
 
@@ -130,7 +131,7 @@
         vm_steering.place_held(10, FRESH_MS, RAW),
         vm_steering.place_reserved(10, FRESH_MS, RAW, cookie),
     ):
-        assert decision.outcome is steering.Outcome.NO_ROUTE_RESET
+        assert decision.outcome is outcomes.Outcome.NO_ROUTE_RESET
 
 
 def test_a_held_flow_without_targets_is_reset(
@@ -140,14 +141,14 @@
     rows = tuple(cookie_parts.gone_row(f"i-0{name}", 9) for name in "abc")
     target_catalog.update(5, store_replica.Merge(rows, 0))
     decision = vm_steering.place_held(10, FRESH_MS, RAW)
-    assert decision.outcome is steering.Outcome.NO_TARGET
+    assert decision.outcome is outcomes.Outcome.NO_TARGET
     assert decision.datagram is not None
 
 
 def test_a_held_flow_is_not_held_again(vm_steering: steering.Steering) -> None:
     """Guards against a flow that is held forever."""
     vm_steering.holder = holder = _Holder(True)
-    assert vm_steering.place_held(0, FRESH_MS, RAW).outcome is steering.Outcome.PLACED
+    assert vm_steering.place_held(0, FRESH_MS, RAW).outcome is outcomes.Outcome.PLACED
     assert not holder.requests
 
 
@@ -157,8 +158,8 @@
     """Guards against a refusal that the caller does not recognize."""
     decision = vm_steering.refuse_held(0, RAW)
     reset = segments.Codec().reset(cookie_parts.flow(), 0)
-    outcome = steering.Outcome.NO_CAPACITY
-    assert decision == steering.Decision(outcome, reset, None, None)
+    outcome = outcomes.Outcome.NO_CAPACITY
+    assert decision == outcomes.Decision(outcome, reset, None, None)
     assert len(vm_observations.tracker) == 0
 
 
--- a/tests/test_opened_twice.py
+++ b/tests/test_opened_twice.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from eelgrasswick.cookie import carrying, clock, model, stall, steering
+from eelgrasswick.cookie import carrying, clock, model, outcomes, stall, steering
 from eelgrasswick.platform import segments
 from tests import cookie_parts, early_parts, steering_parts
 
@@ -55,7 +55,7 @@
     assert _open(vm, PORTS[0], 0, queued=True)
     raw = cookie_parts.packet(cookie_parts.SYN, PORTS[1])
     decision = steering_parts.steer(vm, 0, raw)
-    assert decision.outcome is steering.Outcome.OVERLOADED
+    assert decision.outcome is outcomes.Outcome.OVERLOADED
 
 
 @pytest.fixture
--- a/tests/test_overload_play.py
+++ b/tests/test_overload_play.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from eelgrasswick.cookie import steering
+from eelgrasswick.cookie import outcomes
 from eelgrasswick.decisions import overload
 from eelgrasswick.emulation import open_load, open_scenario, packets
 from eelgrasswick.platform import segments
@@ -140,14 +140,14 @@
 
     def _steer(
         self, flow: open_load._Flow, flags: int, acknowledged: int, data: bytes
-    ) -> steering.Decision:
+    ) -> outcomes.Decision:
         decision = super()._steer(flow, flags, acknowledged, data)
         if flags == packets.SYN and decision.address is None and decision.datagram:
             self.refusals.append(flow.port in self._accepted_ports)
         return decision
 
     def _reached(
-        self, flow: open_load._Flow, decision: steering.Decision
+        self, flow: open_load._Flow, decision: outcomes.Decision
     ) -> open_load._Target | None:
         target = super()._reached(flow, decision)
         if target is None or flow.target is not None:
--- a/tests/test_refused_flows.py
+++ b/tests/test_refused_flows.py
@@ -1,6 +1,6 @@
 """Copies of the opening packets of flows that a VM refused."""
 
-from eelgrasswick.cookie import model, refused_flows, steering
+from eelgrasswick.cookie import model, outcomes, refused_flows, steering
 from tests import cookie_parts, steering_parts
 
 
@@ -13,7 +13,7 @@
     vm_steering.refuse_held(1000, raw)
     for copy in (raw, again):
         decision = steering_parts.steer(vm_steering, 1050, copy)
-        assert decision.outcome is steering.Outcome.NO_CAPACITY
+        assert decision.outcome is outcomes.Outcome.NO_CAPACITY
         assert decision.target is None
     late_ms = 1050 + refused_flows.RETENTION_MS
     assert steering_parts.opened(vm_steering, late_ms)
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -3,6 +3,7 @@
 from eelgrasswick.cookie import (
     catalog,
     observations,
+    outcomes,
     reports,
     steering,
     store_replica,
@@ -16,7 +17,7 @@
     decision = steering_parts.steer(
         vm_steering, 0, cookie_parts.packet(cookie_parts.SYN)
     )
-    assert decision.outcome is steering.Outcome.PLACED
+    assert decision.outcome is outcomes.Outcome.PLACED
     assert decision.target is not None
     assert decision.datagram is not None
     assert decision.datagram.startswith(decision.target.token)
@@ -117,7 +118,7 @@
 def test_unknown_route_is_reset(vm_steering: steering.Steering) -> None:
     raw = cookie_parts.packet(cookie_parts.SYN, port=9)
     decision = steering_parts.steer(vm_steering, 0, raw)
-    assert decision.outcome is steering.Outcome.NO_ROUTE_RESET
+    assert decision.outcome is outcomes.Outcome.NO_ROUTE_RESET
     assert decision.address is None
 
 
@@ -142,7 +143,7 @@
     """
     raw = cookie_parts.packet(cookie_parts.ACK, cookie=5, data=b"GET", port=9)
     decision = steering_parts.steer(vm_steering, 0, raw)
-    assert decision.outcome is steering.Outcome.NO_ROUTE
+    assert decision.outcome is outcomes.Outcome.NO_ROUTE
     assert decision.datagram is None
 
 
@@ -155,8 +156,8 @@
     raw = cookie_parts.packet(cookie_parts.ACK, cookie=target.cookie, data=b"GET")
     decision = steering_parts.steer(vm_steering, 6, raw)
     assert decision.target is None
-    assert decision.outcome is steering.Outcome.NO_ROUTE_RESET
-    assert decision.reset_reason is steering.ResetReason.ROUTE_DROPPED
+    assert decision.outcome is outcomes.Outcome.NO_ROUTE_RESET
+    assert decision.reset_reason is outcomes.ResetReason.ROUTE_DROPPED
     target_catalog.update(7, store_replica.Merge((cookie_parts.config_row(10, 3),), 0))
     assert steering_parts.steer(vm_steering, 8, raw).target == target
 
@@ -170,7 +171,7 @@
     decision = steering_parts.steer(
         vm_steering, 6, cookie_parts.packet(cookie_parts.SYN)
     )
-    assert decision.outcome is steering.Outcome.NO_TARGET
+    assert decision.outcome is outcomes.Outcome.NO_TARGET
     assert decision.datagram is not None
 
 
@@ -190,13 +191,13 @@
     )
     raw = cookie_parts.packet(cookie_parts.SYN)
     decision = steering_parts.steer(vm_steering, 100, raw)
-    assert decision.outcome is steering.Outcome.NO_TARGET_YET
+    assert decision.outcome is outcomes.Outcome.NO_TARGET_YET
     assert decision.datagram is None
     for now_ms in range(0, catalog.LAPSED_ENTRY_GRACE_MS + 1, 500):
         target_catalog.tick(now_ms, confirmed_ms=now_ms)
     assert (
         steering_parts.steer(vm_steering, 2100, raw).outcome
-        is steering.Outcome.NO_TARGET
+        is outcomes.Outcome.NO_TARGET
     )
 
 
@@ -204,7 +205,7 @@
     """Guards against resets of flows to a target that this VM has not received yet."""
     raw = cookie_parts.packet(cookie_parts.ACK, cookie=12345, data=b"GET")
     decision = steering_parts.steer(vm_steering, 0, raw)
-    assert decision.outcome is steering.Outcome.UNKNOWN_COOKIE
+    assert decision.outcome is outcomes.Outcome.UNKNOWN_COOKIE
     assert decision.datagram is None
 
 
@@ -265,7 +266,7 @@
     decision = steering_parts.steer(
         vm_steering, now_ms, cookie_parts.packet(cookie_parts.SYN)
     )
-    assert decision.outcome is steering.Outcome.OVERLOADED
+    assert decision.outcome is outcomes.Outcome.OVERLOADED
     assert decision.address is None
     assert decision.datagram is not None
     assert vm_observations.tracker.waiting_flows == {}
@@ -282,7 +283,7 @@
     now_ms = _overload(vm_observations, "z2")
     raw = cookie_parts.packet(cookie_parts.SYN, acknowledged=1)
     decision = steering_parts.steer(vm_steering, now_ms, raw)
-    assert decision.outcome is steering.Outcome.PLACED
+    assert decision.outcome is outcomes.Outcome.PLACED
 
 
 def _drop_route(target_catalog: catalog.Catalog, now_ms: int) -> None:
@@ -314,5 +315,5 @@
     raw = cookie_parts.packet(cookie_parts.ACK, cookie=target.cookie, data=b"GET")
     steering_parts.steer(vm_steering, 1000, raw, age_ms=900)
     decision = steering_parts.steer(vm_steering, 1400, raw, age_ms=300)
-    assert decision.outcome is steering.Outcome.NO_ROUTE_RESET
-    assert decision.reset_reason is steering.ResetReason.ROUTE_DROPPED
+    assert decision.outcome is outcomes.Outcome.NO_ROUTE_RESET
+    assert decision.reset_reason is outcomes.ResetReason.ROUTE_DROPPED
--- a/tests/test_steering_silent.py
+++ b/tests/test_steering_silent.py
@@ -7,6 +7,7 @@
     liveness,
     model,
     observations,
+    outcomes,
     reports,
     silence,
     steering,
@@ -188,14 +189,14 @@
     first = _crash(vm_steering, vm_observations)
     resets = vm_steering.reset_flows(first)
     assert [item.flow for item in resets] == [cookie_parts.flow()]
-    assert resets[0].known_by is steering.KnownBy.PLACEMENT
+    assert resets[0].known_by is outcomes.KnownBy.PLACEMENT
     raw = cookie_parts.packet(
         cookie_parts.ACK, 40_077, acknowledged=900, cookie=first.cookie, data=b"GET"
     )
     decision = steering_parts.steer(vm_steering, 710, raw)
-    assert decision.outcome is steering.Outcome.TARGET_DEAD
-    assert decision.reset_reason is steering.ResetReason.PROBE_FAILED
-    assert decision.known_by is steering.KnownBy.COOKIE
+    assert decision.outcome is outcomes.Outcome.TARGET_DEAD
+    assert decision.reset_reason is outcomes.ResetReason.PROBE_FAILED
+    assert decision.known_by is outcomes.KnownBy.COOKIE
     assert decision.address is None
 
 
@@ -207,7 +208,7 @@
     raw = cookie_parts.packet(cookie_parts.ACK, cookie=first.cookie, data=b"GET")
     assert (
         steering_parts.steer(vm_steering, 730, raw).outcome
-        is steering.Outcome.FORWARDED
+        is outcomes.Outcome.FORWARDED
     )
 
 
@@ -242,10 +243,10 @@
         cookie_parts.ACK, 40_078, cookie=first.cookie, data=b"GET"
     )
     decision = steering_parts.steer(vm_steering, now_ms, raw)
-    assert decision.outcome is steering.Outcome.FORWARDED
+    assert decision.outcome is outcomes.Outcome.FORWARDED
     assert decision.probe == first
     again = steering_parts.steer(vm_steering, now_ms + 10, raw)
-    assert again.outcome is steering.Outcome.FORWARDED
+    assert again.outcome is outcomes.Outcome.FORWARDED
     assert again.probe is None
 
 
@@ -266,8 +267,8 @@
     target_catalog.update(10, store_replica.Merge((row,), 0))
     raw = cookie_parts.packet(cookie_parts.ACK, cookie=first.cookie, data=b"GET")
     decision = steering_parts.steer(vm_steering, 20, raw)
-    assert decision.outcome is steering.Outcome.TARGET_DEAD
-    assert decision.reset_reason is steering.ResetReason.ADDRESS_TAKEN
+    assert decision.outcome is outcomes.Outcome.TARGET_DEAD
+    assert decision.reset_reason is outcomes.ResetReason.ADDRESS_TAKEN
 
 
 def test_opening_packet_of_a_replaced_target_goes_elsewhere(
@@ -280,7 +281,7 @@
     target_catalog.update(10, store_replica.Merge((row,), 0))
     copy = cookie_parts.packet(cookie_parts.SYN, acknowledged=1)
     decision = steering_parts.steer(vm_steering, 20, copy)
-    assert decision.outcome is steering.Outcome.PLACED
+    assert decision.outcome is outcomes.Outcome.PLACED
     assert decision.target is not None
     assert decision.target.cookie != first.cookie
 
@@ -303,7 +304,7 @@
     target_catalog.update(10, store_replica.Merge((row,), 3000))
     raw = cookie_parts.packet(cookie_parts.ACK, cookie=first.cookie, data=b"GET")
     decision = steering_parts.steer(vm_steering, 20, raw)
-    assert decision.outcome is steering.Outcome.FORWARDED
+    assert decision.outcome is outcomes.Outcome.FORWARDED
     assert decision.address == first.address
 
 
