Send updates whether or not an opening packet takes a position in the stream

A VM sends the cookie of a flow's target to others only when it saw the first packet after the opening, which it knows by the sequence number. It expected the number after that of the opening packet, as in TCP. The platform's pages do not say that an opening packet takes a position; where it takes none, no update would have been sent. Both numbers are accepted now.

Found by reading; the stand-ins of the review and of the soak count like TCP.

--- a/eelgrasswick/cookie/tracker.py
+++ b/eelgrasswick/cookie/tracker.py
@@ -408,11 +408,12 @@
     """Return True for the first data, or the packet before it, of a flow's caller.
 
     Its cookie is that of the target at which the caller opened the flow. Later packets
-    may have the cookie of another target.
+    may have the cookie of another target. An opening packet may take a position in the
+    stream, as in TCP, or none.
     """
     if opening is None:
         return False
-    return segment.sequence == (opening.sequence + 1) % _SEQUENCES
+    return (segment.sequence - opening.sequence) % _SEQUENCES <= 1
 
 
 def _measure(
--- a/tests/test_cookie_updates.py
+++ b/tests/test_cookie_updates.py
@@ -159,6 +159,16 @@
     assert decision.updates[0].datagram == first.token + copy
 
 
+def test_opening_packet_need_not_take_a_position_in_the_stream(
+    vm_steering: steering.Steering,
+) -> None:
+    """Guards against callers whose first packets never lead to an update."""
+    first = steering_parts.opened(vm_steering)
+    second = steering_parts.opened(vm_steering, 200, 1)
+    decision = _send(vm_steering, 204, second.cookie, sequence=1)
+    assert _updates(decision) == [(first.name, second.cookie)]
+
+
 def test_update_goes_to_the_later_target_if_the_first_one_has_the_flow(
     vm_steering: steering.Steering,
 ) -> None:
