Limit the repetition of cookie updates

An update was repeated with the second packet of a flow, however late it came, and with packets that name another target for 11 s. A target that kept its first cookie, instead of returning the last one as the platform's page says, would send a further answer each time, which may follow the data of the flow's own target, so that the caller returns the wrong cookie.

The second update is sent only within 10 ms of the first, and two further ones at most.

--- a/eelgrasswick/cookie/cookie_updates.py
+++ b/eelgrasswick/cookie/cookie_updates.py
@@ -16,8 +16,13 @@
 
 from eelgrasswick.cookie import catalog, codec, model, tracker
 
-# The update may be lost, so it is sent with each of the first packets of the flow.
+# The update may be lost, so it is sent again with a packet that follows the first one
+# this closely. Each update brings a further answer. If a target kept its first cookie,
+# answers that follow the data of the flow's target would do harm.
 FIRST_PACKETS: typing.Final = 2
+MAX_REPETITION_MS: typing.Final = 10
+# So many packets that name a target without the flow lead to a further update.
+MAX_FURTHER_UPDATES: typing.Final = 2
 # Packets that follow the first ones closely were sent before the caller received the
 # updated cookie.
 MIN_INTERVAL_MS: typing.Final = 100
@@ -90,6 +95,8 @@
     def _unconfirmed(self, now_ms: int, record: tracker.Record) -> frozenset[int]:
         if record.packets > FIRST_PACKETS:
             return frozenset()
+        if record.updated_ms and now_ms - record.updated_ms > MAX_REPETITION_MS:
+            return frozenset()
         if now_ms - record.placed_ms > MAX_UNCONFIRMED_MS:
             return frozenset()
         return record.unconfirmed
@@ -103,6 +110,8 @@
     ) -> frozenset[int]:
         if segment.cookie == record.cookie:
             return frozenset()
+        if record.further_updates >= MAX_FURTHER_UPDATES:
+            return frozenset()
         if now_ms - record.placed_ms > ANSWER_REPEATED_MS:
             return frozenset()
         if record.updated_ms and now_ms - record.updated_ms < MIN_INTERVAL_MS:
@@ -110,4 +119,5 @@
         target = self._catalog.accepting_target(segment.cookie)
         if target is None or target.service not in {s.service for s in route.shares}:
             return frozenset()
+        record.further_updates += 1
         return frozenset({segment.cookie})
--- a/eelgrasswick/cookie/tracker.py
+++ b/eelgrasswick/cookie/tracker.py
@@ -112,6 +112,8 @@
         packets: Number of further packets of the flow.
         updated_ms: Time when another target was last sent the flow's cookie; 0 for
             never.
+        further_updates: Number of times when this was due to a packet that named that
+            target.
     """
 
     __slots__ = (
@@ -119,6 +121,7 @@
         "answered_promptly",
         "cookie",
         "data_end",
+        "further_updates",
         "open",
         "opened_twice",
         "opening",
@@ -158,6 +161,7 @@
         self.unconfirmed: frozenset[int] = frozenset()
         self.packets = 0
         self.updated_ms = 0
+        self.further_updates = 0
 
 
 class Tracker:
