--- a/review/standins3/consumer.py
+++ b/review/standins3/consumer.py
@@ -178,7 +178,8 @@
         self._rotation: list[str] = settings["vms"]
         self._port = FIRST_PORT
         self._transport: typing.Any = None
-        self._end_s = 0.0
+        self._begun_s = 0.0
+        self._departure_s = 0.0
 
     def connection_made(self, transport: typing.Any) -> None:
         """Keep the socket of the consumers."""
@@ -204,7 +205,19 @@
     def _route(self, packet: wire.Packet) -> None:
         key = f"{packet.src!r}{packet.sport}{packet.dst!r}{packet.dport}"
         vm = self._rotation[zlib.crc32(key.encode()) % len(self._rotation)]
-        self._transport.sendto(wire.encode(packet), (vm, wire.DATA_PORT))
+        raw = wire.encode(packet)
+        loop = asyncio.get_running_loop()
+        now_s = loop.time()
+        if vm != self.settings.get("slow_vm"):
+            self._transport.sendto(raw, (vm, wire.DATA_PORT))
+            return
+        # The queue of this VM's link keeps the order of the packets.
+        phase_s = (now_s - self._begun_s) % self.settings["slow_period_s"]
+        slow = phase_s < self.settings["slow_for_s"]
+        wait_s = self.settings["slow_s"] if slow else 0.0
+        self._departure_s = max(now_s + wait_s, self._departure_s)
+        address = (vm, wire.DATA_PORT)
+        loop.call_at(self._departure_s, self._transport.sendto, raw, address)
 
     def record(self, kind: str, port: int, detail: str) -> None:
         """Append a line to the record."""
@@ -226,9 +239,9 @@
         control = await loop.create_datagram_endpoint(
             lambda: Control(self), local_addr=(self.host, wire.CONTROL_PORT)
         )
-        begun_s = loop.time()
+        self._begun_s = loop.time()
         opened = 0
-        while (elapsed_s := loop.time() - begun_s) < self.settings["load_s"]:
+        while (elapsed_s := loop.time() - self._begun_s) < self.settings["load_s"]:
             while opened < elapsed_s * self.settings["flows_per_s"]:
                 opened += 1
                 self._open_flow()
